--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+GO ?= go
+export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
+export CGO_ENABLED := 1
+
+.PHONY: build demo test soak generate
+
+# Builds both programs, linked to libc.
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+# Runs a fleet on loopback and programs through it.
+demo:
+	scripts/demo.sh
+
+# Runs every check with fixed seeds.
+test:
+	scripts/test.sh
+
+# Runs the property tests for longer, with fresh seeds.
+soak:
+	scripts/soak.sh
+
+# Generates the wire types from the schema; needs buf and protoc-gen-go.
+generate:
+	cd api && buf lint && buf generate
--- /dev/null
+++ b/clock.go
@@ -0,0 +1,15 @@
+package hawthornrail
+
+import "time"
+
+// Clock tells the time and makes timers, so that tests control both.
+type Clock interface {
+	// Now returns the current time with its monotonic reading.
+	Now() time.Time
+	// Since returns the time that passed since t.
+	Since(t time.Time) time.Duration
+	// After returns a channel that receives once after d.
+	After(d time.Duration) <-chan time.Time
+	// Sleep blocks for d.
+	Sleep(d time.Duration)
+}
--- /dev/null
+++ b/cmd/hawthornrail/main.go
@@ -0,0 +1,13 @@
+// Command hawthornrail is the scheduler's process on an entry VM and the
+// operators' command line.
+package main
+
+import (
+	"os"
+
+	"hawthornrail.example/hawthornrail/internal/operator/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/caller/filter/doc.go
@@ -0,0 +1,3 @@
+// Package filter holds the stages that a caller's request passes on the VM
+// that it arrives at.
+package filter
--- /dev/null
+++ b/internal/caller/server/server.go
@@ -0,0 +1,254 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/team/keyring"
+)
+
+// The headers of our own.
+const (
+	HeaderProgram    = "X-Program-Id"
+	HeaderCall       = "X-Call-Number"
+	HeaderHistory    = "X-Program-History"
+	HeaderEnd        = "X-Program-End"
+	HeaderIdempotent = "X-Idempotent"
+	HeaderVerdict    = "X-Verdict"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	keepHistory          = "keep"
+	retryAfterHeader     = "Retry-After"
+	retryAfterMillis     = "X-Retry-After-Ms"
+)
+
+// Options are the limits of the server.
+type Options struct {
+	MaxBodyBytes   int
+	ReadTimeout    time.Duration
+	RequestTimeout time.Duration
+}
+
+// Server answers callers.
+type Server struct {
+	http     *fasthttp.Server
+	handler  hawthornrail.Handler
+	programs hawthornrail.Programs
+	config   hawthornrail.Configuration
+	tracer   *traces.Tracer
+	log      events.Logger
+	options  Options
+}
+
+// New returns a server that passes requests to handler.
+func New(handler hawthornrail.Handler, programs hawthornrail.Programs, config hawthornrail.Configuration, tracer *traces.Tracer, log events.Logger, options Options) *Server {
+	s := &Server{handler: handler, programs: programs, config: config, tracer: tracer, log: log, options: options}
+	s.http = &fasthttp.Server{
+		Handler: s.routes(), Name: "hawthornrail",
+		MaxRequestBodySize: options.MaxBodyBytes, ReadTimeout: options.ReadTimeout,
+		NoDefaultServerHeader: true, CloseOnShutdown: true,
+		ErrorHandler: s.connectionError,
+	}
+	return s
+}
+
+// Serve answers callers on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Shutdown stops accepting and waits until the requests under way have ended.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("shut down caller server: %w", err)
+	}
+	return nil
+}
+
+// UnderWay returns the number of open connections of callers.
+func (s *Server) UnderWay() int { return int(s.http.GetCurrentConcurrency()) }
+
+func (s *Server) routes() fasthttp.RequestHandler {
+	r := router.New()
+	r.POST("/v1/chat/completions", s.complete)
+	r.POST("/v1/programs", s.createProgram)
+	r.DELETE("/v1/programs/{id}", s.endProgram)
+	r.ANY("/v1/services/{service}/{path:*}", s.callService)
+	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		writeFailure(ctx, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "no such path"))
+	}
+	return r.Handler
+}
+
+func (s *Server) connectionError(ctx *fasthttp.RequestCtx, err error) {
+	code := hawthornrail.CodeBadRequest
+	if strings.Contains(err.Error(), "body size exceeds") {
+		code = hawthornrail.CodeBodyTooLarge
+	}
+	writeFailure(ctx, hawthornrail.NewFailure(code, hawthornrail.VerdictNotRun, err))
+}
+
+type completionRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (s *Server) complete(ctx *fasthttp.RequestCtx) {
+	var body completionRequest
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil || body.Model == "" {
+		writeFailure(ctx, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "body must be a JSON object with a model"))
+		return
+	}
+	r := hawthornrail.NewModelRequest(body.Model, append([]byte{}, ctx.PostBody()...), body.Stream)
+	s.serve(ctx, r)
+}
+
+func (s *Server) callService(ctx *fasthttp.RequestCtx) {
+	name, _ := ctx.UserValue("service").(string)
+	path, _ := ctx.UserValue("path").(string)
+	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path,
+		string(ctx.Request.Header.ContentType()), append([]byte{}, ctx.PostBody()...))
+	idempotent := ctx.IsGet() || ctx.IsHead() || string(ctx.Request.Header.Peek(HeaderIdempotent)) == "true"
+	r.SetIdempotency(string(ctx.Request.Header.Peek(headerIdempotencyKey)), idempotent)
+	s.serve(ctx, r)
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx, r *hawthornrail.Request) {
+	if err := s.fillProgram(ctx, r); err != nil {
+		writeFailure(ctx, err)
+		return
+	}
+	r.SetCredential(credential(ctx))
+	request, cancel := context.WithTimeout(traces.WithParent(context.Background(), string(ctx.Request.Header.Peek("traceparent"))), s.options.RequestTimeout)
+	if !r.Stream() {
+		defer cancel()
+		s.serveWhole(request, ctx, r)
+		return
+	}
+	s.serveStream(request, cancel, ctx, r)
+}
+
+func (s *Server) fillProgram(ctx *fasthttp.RequestCtx, r *hawthornrail.Request) error {
+	for _, name := range []string{HeaderProgram, HeaderCall, HeaderHistory, HeaderEnd, headerIdempotencyKey, "Authorization"} {
+		if len(ctx.Request.Header.PeekAll(name)) > 1 {
+			return hawthornrail.NotRun(hawthornrail.CodeBadRequest, "header %s stands twice", name)
+		}
+	}
+	program := string(ctx.Request.Header.Peek(HeaderProgram))
+	if program == "" {
+		return nil
+	}
+	number, err := strconv.ParseUint(string(ctx.Request.Header.Peek(HeaderCall)), 10, 64)
+	if err != nil || number == 0 {
+		return hawthornrail.NotRun(hawthornrail.CodeBadRequest, "header %s must be a number from 1", HeaderCall)
+	}
+	r.SetProgram(program, number)
+	r.SetKeepHistory(string(ctx.Request.Header.Peek(HeaderHistory)) == keepHistory)
+	r.SetEndsProgram(string(ctx.Request.Header.Peek(HeaderEnd)) == "true")
+	return nil
+}
+
+func credential(ctx *fasthttp.RequestCtx) string {
+	value := string(ctx.Request.Header.Peek("Authorization"))
+	return strings.TrimPrefix(value, "Bearer ")
+}
+
+func (s *Server) run(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
+	ctx, span := s.tracer.Start(ctx, "entry")
+	err := s.handler.Serve(ctx, r, w)
+	traces.Finish(span, err)
+	if err == nil {
+		return nil
+	}
+	f := hawthornrail.AsFailure(err)
+	event := events.RequestFailed
+	if f.Verdict() == hawthornrail.VerdictNotRun {
+		event = events.RequestRefused
+	}
+	s.log.Event(event).Str("code", string(f.Code())).Str("verdict", f.Verdict().String()).Str("team", r.Team()).Err(f).Emit()
+	return f
+}
+
+func (s *Server) serveWhole(ctx context.Context, c *fasthttp.RequestCtx, r *hawthornrail.Request) {
+	w := &wholeWriter{}
+	if err := s.run(ctx, r, w); err != nil {
+		writeFailure(c, err)
+		return
+	}
+	c.SetStatusCode(w.status)
+	c.SetContentType(w.contentType)
+	c.Response.Header.Set(HeaderVerdict, hawthornrail.VerdictRan.String())
+	c.SetBody(w.body.Bytes())
+}
+
+type programBody struct {
+	Parent string `json:"parent"`
+	Budget *struct {
+		Calls      uint64 `json:"calls"`
+		Tokens     uint64 `json:"tokens"`
+		WallTimeMS int64  `json:"wall_time_ms"`
+		Depth      uint32 `json:"depth"`
+		Children   uint32 `json:"children"`
+	} `json:"budget"`
+}
+
+func (s *Server) createProgram(ctx *fasthttp.RequestCtx) {
+	d, _, err := keyring.Check(s.config.Snapshot(), credential(ctx))
+	if err != nil {
+		writeFailure(ctx, err)
+		return
+	}
+	var body programBody
+	if len(ctx.PostBody()) > 0 {
+		if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+			writeFailure(ctx, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "body: %w", err))
+			return
+		}
+	}
+	var budget *hawthornrail.Budget
+	if b := body.Budget; b != nil {
+		value := hawthornrail.NewBudget(b.Calls, b.Tokens, time.Duration(b.WallTimeMS)*time.Millisecond, b.Depth, b.Children)
+		budget = &value
+	}
+	request, cancel := context.WithTimeout(context.Background(), s.options.RequestTimeout)
+	defer cancel()
+	id, err := s.programs.Create(request, d, body.Parent, budget)
+	if err != nil {
+		writeFailure(ctx, err)
+		return
+	}
+	writeJSON(ctx, http.StatusCreated, map[string]string{"program_id": id})
+}
+
+func (s *Server) endProgram(ctx *fasthttp.RequestCtx) {
+	d, _, err := keyring.Check(s.config.Snapshot(), credential(ctx))
+	if err != nil {
+		writeFailure(ctx, err)
+		return
+	}
+	id, _ := ctx.UserValue("id").(string)
+	request, cancel := context.WithTimeout(context.Background(), s.options.RequestTimeout)
+	defer cancel()
+	if err := s.programs.End(request, d.Team(), id, "ended by the caller"); err != nil {
+		writeFailure(ctx, err)
+		return
+	}
+	writeJSON(ctx, http.StatusOK, map[string]string{"program_id": id})
+}
--- /dev/null
+++ b/internal/config/controller/doc.go
@@ -0,0 +1,3 @@
+// Package controller keeps the configuration in force up to date with the
+// platform's service.
+package controller
--- /dev/null
+++ b/internal/endpoint/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine speaks the chat-completions protocol of model engines.
+package engine
--- /dev/null
+++ b/internal/endpoint/service/doc.go
@@ -0,0 +1,2 @@
+// Package service sends requests to plain services.
+package service
--- /dev/null
+++ b/internal/observe/clock/clock.go
@@ -0,0 +1,12 @@
+package clock
+
+import (
+	"github.com/jonboulle/clockwork"
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+// Real returns the machine's clock.
+func Real() hawthornrail.Clock { return clockwork.NewRealClock() }
+
+// Fake returns a clock that tests advance by hand.
+func Fake() *clockwork.FakeClock { return clockwork.NewFakeClock() }
--- /dev/null
+++ b/internal/observe/events/doc.go
@@ -0,0 +1,2 @@
+// Package events is the catalogue of numbered log events.
+package events
--- /dev/null
+++ b/internal/observe/events/events.go
@@ -0,0 +1,105 @@
+package events
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is one kind of log line, known by its number.
+type Event struct {
+	number  int
+	level   zerolog.Level
+	message string
+	action  string
+}
+
+// Number returns the event's number, which never changes its meaning.
+func (e Event) Number() int { return e.number }
+
+// Level returns the event's severity.
+func (e Event) Level() zerolog.Level { return e.level }
+
+// Message returns the text of the log line.
+func (e Event) Message() string { return e.message }
+
+// Action returns what an operator should do, if anything.
+func (e Event) Action() string { return e.action }
+
+// Logger writes the events of one layer.
+type Logger struct {
+	log zerolog.Logger
+}
+
+// NewLogger returns a logger that writes JSON lines of at least level to w.
+func NewLogger(w io.Writer, level zerolog.Level) Logger {
+	return Logger{log: zerolog.New(w).Level(level).With().Timestamp().Logger()}
+}
+
+// NewStderr returns a logger to standard error at the named level.
+func NewStderr(level string) (Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return Logger{}, fmt.Errorf("log level: %w", err)
+	}
+	return NewLogger(os.Stderr, l), nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() Logger { return Logger{log: zerolog.Nop()} }
+
+// Layer returns a logger whose lines name a layer of the program.
+func (l Logger) Layer(name string) Logger {
+	return Logger{log: l.log.With().Str("layer", name).Logger()}
+}
+
+// With returns a logger whose lines carry a field.
+func (l Logger) With(field, value string) Logger {
+	return Logger{log: l.log.With().Str(field, value).Logger()}
+}
+
+// Event starts a line for e; the caller adds fields and calls Emit.
+func (l Logger) Event(e Event) *Line {
+	return &Line{line: l.log.WithLevel(e.level).Int("event", e.number), enabled: e.level >= l.log.GetLevel(), message: e.message}
+}
+
+// Line is a log line under construction.
+type Line struct {
+	line    *zerolog.Event
+	enabled bool
+	message string
+}
+
+// Str adds a string field.
+func (l *Line) Str(field, value string) *Line {
+	l.line.Str(field, value)
+	return l
+}
+
+// Uint64 adds a number.
+func (l *Line) Uint64(field string, value uint64) *Line {
+	l.line.Uint64(field, value)
+	return l
+}
+
+// Int adds a number.
+func (l *Line) Int(field string, value int) *Line {
+	l.line.Int(field, value)
+	return l
+}
+
+// Err adds an error.
+func (l *Line) Err(err error) *Line {
+	l.line.Err(err)
+	return l
+}
+
+// Emit writes the line.
+func (l *Line) Emit() {
+	if !l.enabled {
+		return
+	}
+	l.line.Msg(l.message)
+}
--- /dev/null
+++ b/internal/observe/traces/doc.go
@@ -0,0 +1,2 @@
+// Package traces makes a span for each hop of a request.
+package traces
--- /dev/null
+++ b/internal/operator/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds is the command line of hawthornrail.
+package cmds
--- /dev/null
+++ b/internal/operator/settings/settings.go
@@ -0,0 +1,319 @@
+package settings
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+const (
+	defaultMaxBodyBytes   = 8 << 20
+	defaultReadTimeout    = 10 * time.Second
+	defaultRequestTimeout = 5 * time.Minute
+	defaultDrainTimeout   = 30 * time.Second
+	defaultReplyTokens    = 1024
+	defaultRetryLimit     = 2
+	minSecretBytes        = 16
+	hiddenSecret          = "(hidden)"
+)
+
+// file is the TOML form of the settings.
+type file struct {
+	VM       vmSection       `toml:"vm"`
+	Caller   callerSection   `toml:"caller"`
+	Operator operatorSection `toml:"operator"`
+	Peer     peerSection     `toml:"peer"`
+	Platform platformSection `toml:"platform"`
+	Limits   limitsSection   `toml:"limits"`
+	Log      logSection      `toml:"log"`
+	Traces   tracesSection   `toml:"traces"`
+	Test     testSection     `toml:"test,omitempty"`
+}
+
+type vmSection struct {
+	Name       string `toml:"name"`
+	DataCentre string `toml:"data_centre"`
+	DataFolder string `toml:"data_folder"`
+}
+
+type callerSection struct {
+	Address string `toml:"address"`
+}
+
+type operatorSection struct {
+	Address string `toml:"address"`
+}
+
+type peerSection struct {
+	Address string `toml:"address"`
+	Secret  string `toml:"secret"`
+}
+
+type platformSection struct {
+	Address string `toml:"address"`
+}
+
+type limitsSection struct {
+	MaxBodyBytes   int      `toml:"max_body_bytes"`
+	ReadTimeout    duration `toml:"read_timeout"`
+	RequestTimeout duration `toml:"request_timeout"`
+	DrainTimeout   duration `toml:"drain_timeout"`
+	ReplyTokens    uint64   `toml:"reply_tokens"`
+	RetryLimit     int      `toml:"retry_limit"`
+}
+
+type logSection struct {
+	Level string `toml:"level"`
+}
+
+type tracesSection struct {
+	Exporter string `toml:"exporter"`
+	File     string `toml:"file"`
+	Address  string `toml:"address"`
+}
+
+// testSection holds settings that only tests use.
+type testSection struct {
+	Routes map[string]string `toml:"routes,omitempty"`
+}
+
+// duration is a time.Duration written with its unit, such as "30s".
+type duration time.Duration
+
+// UnmarshalText parses a duration with a unit.
+func (d *duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("want a duration with a unit, such as \"30s\": %w", err)
+	}
+	*d = duration(v)
+	return nil
+}
+
+// MarshalText writes the duration with its unit.
+func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings are the checked settings of a process.
+type Settings struct {
+	file   file
+	secret []byte
+}
+
+// Load reads and checks a settings file; the error lists everything wrong.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, string(text))
+}
+
+// Parse checks settings given as text; path stands in the errors.
+func Parse(path, text string) (Settings, error) {
+	f := defaults()
+	meta, err := toml.Decode(text, &f)
+	if err != nil {
+		return Settings{}, decodeError(path, err)
+	}
+	c := checker{path: path, lines: strings.Split(text, "\n")}
+	for _, key := range meta.Undecoded() {
+		c.fail(key, "unknown key; see docs/operators/settings.md for the keys that exist")
+	}
+	secret := c.check(f)
+	if len(c.errs) > 0 {
+		return Settings{}, errors.Join(c.errs...)
+	}
+	return Settings{file: f, secret: secret}, nil
+}
+
+func defaults() file {
+	return file{
+		Limits: limitsSection{
+			MaxBodyBytes: defaultMaxBodyBytes, ReadTimeout: duration(defaultReadTimeout),
+			RequestTimeout: duration(defaultRequestTimeout), DrainTimeout: duration(defaultDrainTimeout),
+			ReplyTokens: defaultReplyTokens, RetryLimit: defaultRetryLimit,
+		},
+		Log:    logSection{Level: "info"},
+		Traces: tracesSection{Exporter: "none"},
+	}
+}
+
+func decodeError(path string, err error) error {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		return fmt.Errorf("%s:%d: %s", path, parse.Position.Line, parse.Message)
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// checker collects errors with the lines that they stand on.
+type checker struct {
+	path  string
+	lines []string
+	errs  []error
+}
+
+func (c *checker) fail(key toml.Key, format string, args ...any) {
+	message := fmt.Sprintf(format, args...)
+	c.errs = append(c.errs, fmt.Errorf("%s:%d: %s: %s", c.path, c.line(key), key, message))
+}
+
+// line returns the line of a key, or of its section, or 1.
+func (c *checker) line(key toml.Key) int {
+	section, found := "", 1
+	for i, text := range c.lines {
+		text = strings.TrimSpace(text)
+		if strings.HasPrefix(text, "[") {
+			section = strings.Trim(text, "[] ")
+		}
+		if section != key[0] {
+			continue
+		}
+		if found == 1 {
+			found = i + 1
+		}
+		name, _, ok := strings.Cut(text, "=")
+		if ok && strings.TrimSpace(name) == key[len(key)-1] {
+			return i + 1
+		}
+	}
+	return found
+}
+
+func (c *checker) check(f file) []byte {
+	c.name(toml.Key{"vm", "name"}, f.VM.Name)
+	c.name(toml.Key{"vm", "data_centre"}, f.VM.DataCentre)
+	c.address(toml.Key{"caller", "address"}, f.Caller.Address)
+	c.address(toml.Key{"operator", "address"}, f.Operator.Address)
+	c.address(toml.Key{"peer", "address"}, f.Peer.Address)
+	c.address(toml.Key{"platform", "address"}, f.Platform.Address)
+	c.positive(toml.Key{"limits", "max_body_bytes"}, int64(f.Limits.MaxBodyBytes))
+	c.positive(toml.Key{"limits", "read_timeout"}, int64(f.Limits.ReadTimeout))
+	c.positive(toml.Key{"limits", "request_timeout"}, int64(f.Limits.RequestTimeout))
+	c.positive(toml.Key{"limits", "drain_timeout"}, int64(f.Limits.DrainTimeout))
+	c.positive(toml.Key{"limits", "reply_tokens"}, int64(f.Limits.ReplyTokens))
+	if f.Limits.RetryLimit < 0 {
+		c.fail(toml.Key{"limits", "retry_limit"}, "must be 0 or more")
+	}
+	c.oneOf(toml.Key{"log", "level"}, f.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf(toml.Key{"traces", "exporter"}, f.Traces.Exporter, "none", "file", "otlp")
+	if f.Traces.Exporter == "otlp" {
+		c.address(toml.Key{"traces", "address"}, f.Traces.Address)
+	}
+	if f.Traces.Exporter == "file" && f.Traces.File == "" {
+		c.fail(toml.Key{"traces", "file"}, "the file exporter needs a file")
+	}
+	secret, err := hex.DecodeString(f.Peer.Secret)
+	if err != nil || len(secret) < minSecretBytes {
+		c.fail(toml.Key{"peer", "secret"}, "want at least %d bytes in hexadecimal", minSecretBytes)
+	}
+	return secret
+}
+
+func (c *checker) name(key toml.Key, value string) {
+	if value == "" {
+		c.fail(key, "is missing; want a name of letters, digits and hyphens")
+		return
+	}
+	for _, r := range value {
+		if r != '-' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') {
+			c.fail(key, "%q: want a name of letters, digits and hyphens", value)
+			return
+		}
+	}
+}
+
+func (c *checker) address(key toml.Key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(key, "%q: want an IP address and a port, such as \"10.0.0.1:8080\"", value)
+	}
+}
+
+func (c *checker) positive(key toml.Key, value int64) {
+	if value <= 0 {
+		c.fail(key, "must be above 0")
+	}
+}
+
+func (c *checker) oneOf(key toml.Key, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.fail(key, "%q: want one of %s", value, strings.Join(allowed, ", "))
+	}
+}
+
+// Print returns the settings in force as TOML with secrets hidden.
+func (s Settings) Print() (string, error) {
+	f := s.file
+	f.Peer.Secret = hiddenSecret
+	var b strings.Builder
+	if err := toml.NewEncoder(&b).Encode(f); err != nil {
+		return "", fmt.Errorf("print settings: %w", err)
+	}
+	return b.String(), nil
+}
+
+// VM returns the name of this VM.
+func (s Settings) VM() string { return s.file.VM.Name }
+
+// DataCentre returns the name of this VM's data centre.
+func (s Settings) DataCentre() string { return s.file.VM.DataCentre }
+
+// DataFolder returns the folder for bulk data, or nothing.
+func (s Settings) DataFolder() string { return s.file.VM.DataFolder }
+
+// CallerAddress returns the address that callers reach.
+func (s Settings) CallerAddress() string { return s.file.Caller.Address }
+
+// OperatorAddress returns the address that operators reach.
+func (s Settings) OperatorAddress() string { return s.file.Operator.Address }
+
+// PeerAddress returns the address that other VMs reach.
+func (s Settings) PeerAddress() string { return s.file.Peer.Address }
+
+// Secret returns the secret that the fleet shares.
+func (s Settings) Secret() []byte { return s.secret }
+
+// PlatformAddress returns the address of the platform's service.
+func (s Settings) PlatformAddress() string { return s.file.Platform.Address }
+
+// MaxBodyBytes returns the largest request body.
+func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
+
+// ReadTimeout returns how long a request may take to arrive.
+func (s Settings) ReadTimeout() time.Duration { return time.Duration(s.file.Limits.ReadTimeout) }
+
+// RequestTimeout returns how long a request may take in all.
+func (s Settings) RequestTimeout() time.Duration {
+	return time.Duration(s.file.Limits.RequestTimeout)
+}
+
+// DrainTimeout returns how long a graceful shutdown may take.
+func (s Settings) DrainTimeout() time.Duration { return time.Duration(s.file.Limits.DrainTimeout) }
+
+// ReplyTokens returns the longest answer of a call that names no limit.
+func (s Settings) ReplyTokens() uint64 { return s.file.Limits.ReplyTokens }
+
+// RetryLimit returns how often an idempotent call is tried again.
+func (s Settings) RetryLimit() int { return s.file.Limits.RetryLimit }
+
+// LogLevel returns the lowest level that is logged.
+func (s Settings) LogLevel() string { return s.file.Log.Level }
+
+// TestRoutes returns the addresses that tests replace by relays.
+func (s Settings) TestRoutes() map[string]string { return s.file.Test.Routes }
+
+// TraceExporter returns none, file or otlp.
+func (s Settings) TraceExporter() string { return s.file.Traces.Exporter }
+
+// TraceFile returns the file of the file exporter.
+func (s Settings) TraceFile() string { return s.file.Traces.File }
+
+// TraceAddress returns the address of the OTLP collector.
+func (s Settings) TraceAddress() string { return s.file.Traces.Address }
--- /dev/null
+++ b/internal/policy/fair/doc.go
@@ -0,0 +1,2 @@
+// Package fair orders the requests that wait for capacity.
+package fair
--- /dev/null
+++ b/internal/program/home/body.go
@@ -0,0 +1,144 @@
+package home
+
+import (
+	"encoding/json"
+	"fmt"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+)
+
+const bytesPerToken = 3
+
+// prepared is a call ready for dispatch.
+type prepared struct {
+	request  *hawthornrail.Request
+	messages []byte
+	reserve  uint64
+	ticket   hawthornrail.Ticket
+	query    hawthornrail.PickQuery
+}
+
+// prepare adds the kept history, bounds the answer by the budget and
+// estimates the call's cost.
+func (c *call) prepare() (prepared, error) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	program, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return prepared{}, ledgerFailure(err)
+	}
+	p := prepared{request: c.request, reserve: serviceTokenCost}
+	kind := hawthornrail.ServiceEndpoint
+	if c.request.Model() != "" {
+		kind = hawthornrail.EngineEndpoint
+		if err := c.prepareModel(&p, program); err != nil {
+			return prepared{}, err
+		}
+	}
+	d := c.request.Deployment()
+	p.ticket = hawthornrail.NewTicket(d.Team(), d.Rate(), c.id.String(), float64(program.UsedTokens()), float64(p.reserve)).
+		WithPriority(d.Priority())
+	p.query = hawthornrail.NewPickQuery(kind, c.request.Target(), c.id.String(), len(p.request.Body())/bytesPerToken)
+	return p, nil
+}
+
+func (c *call) prepareModel(p *prepared, program *ledger.Program) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(c.request.Body(), &fields); err != nil {
+		return hawthornrail.NotRun(hawthornrail.CodeBadRequest, "body is not a JSON object: %w", err)
+	}
+	if c.request.KeepHistory() {
+		p.messages = fields["messages"]
+		history, err := joinHistory(program, c.key.number, p.messages)
+		if err != nil {
+			return err
+		}
+		fields["messages"] = history
+	}
+	reply, err := replyLimit(fields, c.home.parts.DefaultReply)
+	if err != nil {
+		return err
+	}
+	prompt := uint64(len(fields["messages"])/bytesPerToken + 1)
+	left := c.entry.tree.LeftTokens(program)
+	if left <= prompt {
+		return hawthornrail.NotRun(hawthornrail.CodeBudget, "%d tokens are left, the prompt needs about %d", left, prompt)
+	}
+	reply = min(reply, left-prompt)
+	p.reserve = prompt + reply
+	body, err := limitBody(fields, reply, c.request.Stream())
+	if err != nil {
+		return err
+	}
+	request := hawthornrail.NewModelRequest(c.request.Model(), body, c.request.Stream())
+	request.Identify(c.request.KeyID(), c.request.Deployment())
+	request.SetProgram(c.request.Program(), c.request.CallNumber())
+	p.request = request
+	return nil
+}
+
+func replyLimit(fields map[string]json.RawMessage, limit uint64) (uint64, error) {
+	for _, name := range []string{"max_completion_tokens", "max_tokens"} {
+		raw, ok := fields[name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(raw, &limit); err != nil || limit == 0 {
+			return 0, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "%s must be a number above 0", name)
+		}
+		return limit, nil
+	}
+	return limit, nil
+}
+
+func limitBody(fields map[string]json.RawMessage, reply uint64, stream bool) ([]byte, error) {
+	delete(fields, "max_completion_tokens")
+	fields["max_tokens"] = json.RawMessage(fmt.Sprintf("%d", reply))
+	if stream {
+		fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "body: %w", err)
+	}
+	return body, nil
+}
+
+// joinHistory returns the messages and replies of the calls before number,
+// followed by the new messages.
+func joinHistory(program *ledger.Program, number uint64, messages []byte) (json.RawMessage, error) {
+	var history []json.RawMessage
+	for n := uint64(1); n < number; n++ {
+		earlier := program.Call(n)
+		if earlier == nil || earlier.Outcome().Reply() == nil {
+			continue
+		}
+		part, err := decodeMessages(earlier.Intent().Messages())
+		if err != nil {
+			return nil, err
+		}
+		history = append(history, part...)
+		history = append(history, earlier.Outcome().Reply())
+	}
+	part, err := decodeMessages(messages)
+	if err != nil {
+		return nil, err
+	}
+	joined, err := json.Marshal(append(history, part...))
+	if err != nil {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "messages: %w", err)
+	}
+	return joined, nil
+}
+
+func decodeMessages(messages []byte) ([]json.RawMessage, error) {
+	if len(messages) == 0 {
+		return nil, nil
+	}
+	var list []json.RawMessage
+	if err := json.Unmarshal(messages, &list); err != nil {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "messages must be an array: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/program/home/call.go
@@ -0,0 +1,266 @@
+package home
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+	"hawthornrail.example/hawthornrail/internal/team/keyring"
+)
+
+const (
+	gapWait          = 500 * time.Millisecond
+	gapRetryAfter    = 200 * time.Millisecond
+	sameCallWait     = 2 * time.Minute
+	recordTimeout    = 5 * time.Second
+	serviceTokenCost = 0
+)
+
+// Serve runs a call of a program homed here, or answers it from its record.
+func (h *Home) Serve(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) (err error) {
+	ctx, span := h.parts.Tracer.Start(ctx, "home")
+	defer func() { traces.Finish(span, err) }()
+	id, err := hawthornrail.ParseProgramID(r.Program())
+	if err != nil {
+		return hawthornrail.NewFailure(hawthornrail.CodeBadRequest, hawthornrail.VerdictNotRun, err)
+	}
+	if !id.Belongs(r.Team(), h.parts.Secret) {
+		return hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known to the team", id)
+	}
+	e, err := h.entry(id)
+	if err != nil {
+		return err
+	}
+	c := &call{home: h, entry: e, id: id, request: r, key: callKey{id.Index(), r.CallNumber()}, digest: digest(r)}
+	recorded, err := c.claim(ctx)
+	if err != nil {
+		return err
+	}
+	if recorded != nil {
+		return replay(*recorded, w)
+	}
+	defer c.release()
+	return c.run(ctx, w)
+}
+
+// call is one call under way.
+type call struct {
+	home    *Home
+	entry   *entry
+	id      hawthornrail.ProgramID
+	request *hawthornrail.Request
+	key     callKey
+	digest  []byte
+}
+
+func digest(r *hawthornrail.Request) []byte {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%s\x00%s\x00", r.Target(), r.Method(), r.Path(), r.ContentType())
+	h.Write(r.Body())
+	return h.Sum(nil)
+}
+
+// claim waits for the call's turn; it returns a recorded outcome if the call
+// was made before.
+func (c *call) claim(ctx context.Context) (*hawthornrail.Outcome, error) {
+	for {
+		c.entry.mu.Lock()
+		admission, err := c.entry.tree.Admit(c.key.program, c.key.number, c.digest)
+		changed := c.entry.changed
+		if err != nil {
+			c.entry.mu.Unlock()
+			return nil, ledgerFailure(err)
+		}
+		wait := sameCallWait
+		switch admission {
+		case ledger.AdmitReplay:
+			outcome := c.recorded()
+			c.entry.mu.Unlock()
+			return &outcome, nil
+		case ledger.AdmitDispatch:
+			if !c.entry.claimed[c.key] {
+				c.entry.claimed[c.key] = true
+				c.entry.mu.Unlock()
+				return nil, nil
+			}
+		case ledger.AdmitGap:
+			wait = gapWait
+		}
+		c.entry.mu.Unlock()
+		if err := c.home.waitChange(ctx, changed, wait); err != nil {
+			return nil, c.waitFailure(err, admission)
+		}
+	}
+}
+
+func (c *call) recorded() hawthornrail.Outcome {
+	p, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return hawthornrail.Outcome{}
+	}
+	return p.Call(c.key.number).Outcome()
+}
+
+func (c *call) waitFailure(err error, admission ledger.Admission) error {
+	if admission == ledger.AdmitGap {
+		f := hawthornrail.NotRun(hawthornrail.CodeCallOrder, "call %d came before an earlier one: %w", c.key.number, err)
+		return f.WithRetryAfter(gapRetryAfter)
+	}
+	return hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, err)
+}
+
+func (c *call) release() {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	delete(c.entry.claimed, c.key)
+	close(c.entry.changed)
+	c.entry.changed = make(chan struct{})
+}
+
+// run dispatches the call, again on other endpoints while that is allowed.
+func (c *call) run(ctx context.Context, w hawthornrail.AnswerWriter) error {
+	p, err := c.prepare()
+	if err != nil {
+		return err
+	}
+	var tried []string
+	counted := &countingWriter{next: w}
+	for {
+		endpoint, err := c.attempt(ctx, p, tried, counted)
+		if err == nil {
+			return nil
+		}
+		tried = append(tried, endpoint)
+		if !c.mayRetry(ctx, err, counted, len(tried)) {
+			return err
+		}
+	}
+}
+
+func (c *call) mayRetry(ctx context.Context, err error, w *countingWriter, tries int) bool {
+	f := hawthornrail.AsFailure(err)
+	if f.Code() != hawthornrail.CodeEndpointFailed && f.Code() != hawthornrail.CodeAnswerCut {
+		return false
+	}
+	if ctx.Err() != nil || w.started || tries > c.home.parts.RetryLimit {
+		return false
+	}
+	return c.request.Idempotent() || f.Verdict() == hawthornrail.VerdictNotRun
+}
+
+// attempt sends the call to one endpoint and records what came of it.
+func (c *call) attempt(ctx context.Context, p prepared, tried []string, w *countingWriter) (string, error) {
+	release, err := c.home.parts.Queue.Acquire(ctx, p.ticket)
+	if err != nil {
+		return "", err
+	}
+	used := float64(0)
+	defer func() { release(used) }()
+	query := p.query.Avoiding(tried)
+	endpoint, err := c.home.parts.Picker.Pick(query)
+	if err != nil {
+		return "", err
+	}
+	start := c.home.parts.Clock.Now()
+	answer, err := c.dispatch(ctx, endpoint, p, w)
+	c.home.parts.Picker.Done(endpoint.Name(), query, hawthornrail.VerdictOf(err), c.home.parts.Clock.Since(start))
+	used = float64(answer.Usage().Total())
+	return endpoint.Name(), err
+}
+
+func (c *call) dispatch(ctx context.Context, e hawthornrail.Endpoint, p prepared, w *countingWriter) (hawthornrail.Answer, error) {
+	if err := c.intend(ctx, e, p); err != nil {
+		return hawthornrail.Answer{}, err
+	}
+	answer, err := c.send(ctx, e, p, w)
+	if recordErr := c.record(answer, err); recordErr != nil {
+		return answer, recordErr
+	}
+	return answer, err
+}
+
+func (c *call) intend(ctx context.Context, e hawthornrail.Endpoint, p prepared) error {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	intent := hawthornrail.NewIntent(c.key.program, c.key.number, c.digest, e.Name(), c.request.Idempotent(), p.reserve)
+	return c.home.step(ctx, c.entry, intent.WithMessages(p.messages))
+}
+
+func (c *call) send(ctx context.Context, e hawthornrail.Endpoint, p prepared, w *countingWriter) (hawthornrail.Answer, error) {
+	if err := c.checkKey(); err != nil {
+		return hawthornrail.Answer{}, err
+	}
+	requestID := fmt.Sprintf("%s/%d", c.id, c.key.number)
+	if c.request.Model() != "" {
+		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
+	}
+	if !c.request.Idempotent() {
+		// Cancelling would leave it open whether the request ran.
+		ctx = context.WithoutCancel(ctx)
+	}
+	return c.home.parts.Services.Dispatch(ctx, e, p.request, requestID, w)
+}
+
+// checkKey refuses a request whose key was withdrawn while it waited.
+func (c *call) checkKey() error {
+	id := c.request.KeyID()
+	if id == "" || keyring.Working(c.home.parts.Config.Snapshot(), id) {
+		return nil
+	}
+	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
+}
+
+// record replicates the outcome even when the caller has gone.
+func (c *call) record(answer hawthornrail.Answer, err error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	outcome := hawthornrail.NewAnsweredOutcome(c.key.program, c.key.number, answer.Status(), answer.ContentType(), answer.Body()).
+		WithReply(answer.Reply()).WithUsedTokens(answer.Usage().Total())
+	if err != nil {
+		f := hawthornrail.AsFailure(err)
+		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
+	}
+	if err := c.home.step(ctx, c.entry, outcome); err != nil {
+		return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
+	}
+	if err == nil && c.request.EndsProgram() {
+		return c.home.step(ctx, c.entry, hawthornrail.NewEnd(c.key.program, "completed"))
+	}
+	return nil
+}
+
+// replay answers a call from its recorded outcome.
+func replay(o hawthornrail.Outcome, w hawthornrail.AnswerWriter) error {
+	if o.Verdict() != hawthornrail.VerdictRan {
+		return hawthornrail.NewFailure(o.Code(), o.Verdict(), errors.New("recorded outcome of an earlier try"))
+	}
+	if err := w.Head(o.Status(), o.ContentType()); err != nil {
+		return hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictRan, err)
+	}
+	if err := w.Chunk(o.Answer()); err != nil {
+		return hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictRan, err)
+	}
+	return nil
+}
+
+// countingWriter remembers whether any part of an answer went out.
+type countingWriter struct {
+	next    hawthornrail.AnswerWriter
+	started bool
+}
+
+// Head passes the head on.
+func (w *countingWriter) Head(status int, contentType string) error {
+	w.started = true
+	return w.next.Head(status, contentType)
+}
+
+// Chunk passes a part on.
+func (w *countingWriter) Chunk(data []byte) error { return w.next.Chunk(data) }
--- /dev/null
+++ b/internal/program/home/home.go
@@ -0,0 +1,222 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+)
+
+const shardCount = 64
+
+// Parts are what a Home works with.
+type Parts struct {
+	Self         hawthornrail.Instance
+	Secret       []byte
+	Clock        hawthornrail.Clock
+	Config       hawthornrail.Configuration
+	Replicator   hawthornrail.Replicator
+	Queue        hawthornrail.Queue
+	Picker       hawthornrail.Picker
+	Engines      hawthornrail.Dispatcher
+	Services     hawthornrail.Dispatcher
+	Tracer       *traces.Tracer
+	Log          events.Logger
+	RetryLimit   int
+	DefaultReply uint64
+}
+
+// Home holds the program trees of this VM.
+type Home struct {
+	parts  Parts
+	number atomic.Uint64
+	seed   maphash.Seed
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	trees map[string]*entry
+}
+
+// entry is a tree with the calls of it that are under way here.
+type entry struct {
+	mu      sync.Mutex
+	tree    *ledger.Tree
+	claimed map[callKey]bool
+	changed chan struct{}
+}
+
+type callKey struct {
+	program uint32
+	number  uint64
+}
+
+// New returns a home without programs.
+func New(parts Parts) *Home {
+	h := &Home{parts: parts, seed: maphash.MakeSeed()}
+	for i := range h.shards {
+		h.shards[i].trees = make(map[string]*entry)
+	}
+	return h
+}
+
+func (h *Home) shard(tree string) *shard {
+	return &h.shards[maphash.String(h.seed, tree)%shardCount]
+}
+
+func (h *Home) entry(id hawthornrail.ProgramID) (*entry, error) {
+	tree := id.Tree().String()
+	s := h.shard(tree)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.trees[tree]
+	if !ok {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
+	}
+	return e, nil
+}
+
+func (h *Home) put(e *entry) {
+	tree := e.tree.ID().String()
+	s := h.shard(tree)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trees[tree] = e
+}
+
+// Create starts a program tree and returns the id of its root.
+func (h *Home) Create(ctx context.Context, team, deployment string, budget hawthornrail.Budget) (hawthornrail.ProgramID, error) {
+	id := hawthornrail.NewProgramID(h.parts.Self, h.number.Add(1), team, h.parts.Secret)
+	e := &entry{tree: ledger.NewTree(id), claimed: make(map[callKey]bool), changed: make(chan struct{})}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change := hawthornrail.NewCreateTree(team, deployment, budget, h.parts.Clock.Now())
+	if err := h.step(ctx, e, change); err != nil {
+		return id, err
+	}
+	h.put(e)
+	h.parts.Log.Event(events.ProgramCreated).Str("program", id.String()).Str("team", team).Emit()
+	return id, nil
+}
+
+// CreateChild starts a sub-agent with a share of its parent's budget.
+func (h *Home) CreateChild(ctx context.Context, parent hawthornrail.ProgramID, budget hawthornrail.Budget) (hawthornrail.ProgramID, error) {
+	e, err := h.entry(parent)
+	if err != nil {
+		return parent, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	index := uint32(len(e.tree.Programs()))
+	change := hawthornrail.NewCreateChild(parent.Index(), budget, h.parts.Clock.Now())
+	if err := h.step(ctx, e, change); err != nil {
+		return parent, err
+	}
+	return parent.Child(index), nil
+}
+
+// End ends a program and its sub-agents; ending it again does nothing.
+func (h *Home) End(ctx context.Context, id hawthornrail.ProgramID, reason string) error {
+	e, err := h.entry(id)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, err := e.tree.Program(id.Index())
+	if err != nil {
+		return ledgerFailure(err)
+	}
+	if p.Ended() != "" {
+		return nil
+	}
+	if err := h.step(ctx, e, hawthornrail.NewEnd(id.Index(), reason)); err != nil {
+		return err
+	}
+	h.parts.Log.Event(events.ProgramEnded).Str("program", id.String()).Str("reason", reason).Emit()
+	return nil
+}
+
+// step replicates a change and then applies it; the caller holds the entry's
+// lock.
+func (h *Home) step(ctx context.Context, e *entry, change hawthornrail.Change) error {
+	s := e.tree.Next(change)
+	if err := e.tree.Check(s); err != nil {
+		return ledgerFailure(err)
+	}
+	if err := h.parts.Replicator.Replicate(ctx, s); err != nil {
+		return err
+	}
+	if err := e.tree.Apply(s); err != nil {
+		return ledgerFailure(err)
+	}
+	close(e.changed)
+	e.changed = make(chan struct{})
+	return nil
+}
+
+// ledgerFailure turns an error of the ledger into the answer to the caller.
+func ledgerFailure(err error) error {
+	code := hawthornrail.CodeInternal
+	switch {
+	case errors.Is(err, ledger.ErrEnded):
+		code = hawthornrail.CodeProgramEnded
+	case errors.Is(err, ledger.ErrBudget):
+		code = hawthornrail.CodeBudget
+	case errors.Is(err, ledger.ErrCallOrder):
+		code = hawthornrail.CodeCallOrder
+	case errors.Is(err, ledger.ErrCallState):
+		code = hawthornrail.CodeCallConflict
+	case errors.Is(err, ledger.ErrUnknownProgram):
+		code = hawthornrail.CodeUnknownProgram
+	}
+	return hawthornrail.NewFailure(code, hawthornrail.VerdictNotRun, err)
+}
+
+// Count returns the number of trees held and of those that have not ended.
+func (h *Home) Count() (held, live int) {
+	for i := range h.shards {
+		for _, e := range h.shards[i].entries() {
+			held++
+			e.mu.Lock()
+			if !e.tree.Ended() {
+				live++
+			}
+			e.mu.Unlock()
+		}
+	}
+	return held, live
+}
+
+func (s *shard) entries() []*entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*entry, 0, len(s.trees))
+	for _, e := range s.trees {
+		list = append(list, e)
+	}
+	return list
+}
+
+// waitChange waits until the tree changes, the wait is over or ctx ends.
+func (h *Home) waitChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
+	select {
+	case <-changed:
+		return nil
+	case <-h.parts.Clock.After(wait):
+		return errWaitOver
+	case <-ctx.Done():
+		return fmt.Errorf("wait for an earlier call: %w", ctx.Err())
+	}
+}
+
+var errWaitOver = errors.New("wait is over")
--- /dev/null
+++ b/internal/program/replica/doc.go
@@ -0,0 +1,2 @@
+// Package replica keeps the second copies of the program trees of other VMs.
+package replica
--- /dev/null
+++ b/internal/standin/testbed/bed.go
@@ -0,0 +1,337 @@
+package testbed
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"hawthornrail.example/hawthornrail/internal/operator/api"
+	"hawthornrail.example/hawthornrail/internal/platform/objects"
+	"hawthornrail.example/hawthornrail/internal/standin/engine"
+	"hawthornrail.example/hawthornrail/internal/standin/platform"
+	"hawthornrail.example/hawthornrail/internal/standin/service"
+)
+
+const (
+	// Model is the model that every engine of a bed serves.
+	Model = "counter"
+	// Service is the service that every service endpoint of a bed serves.
+	Service = "orders"
+	// Deployment is the deployment that a bed starts with.
+	Deployment = "counter"
+	// Team is the team of that deployment.
+	Team = "cordillera"
+
+	fleetSecret  = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Options say how large a bed is.
+type Options struct {
+	DataCentres int
+	VMs         int
+	Engines     int
+	EngineDelay time.Duration
+	Services    int
+	ServiceTime time.Duration
+	Settings    string
+}
+
+// Bed is a running fleet. The outside systems run in the test's own process;
+// the entry VMs are processes of their own.
+type Bed struct {
+	t        *testing.T
+	folder   string
+	options  Options
+	binary   string
+	store    *platform.Store
+	Platform *platform.Server
+	Engines  map[string]*engine.Engine
+	Services map[string]*service.Server
+	VMs      []*VM
+	Key      string
+	platform string
+	relays   map[string]*Relay
+}
+
+// New starts a bed and waits until every VM serves the first configuration;
+// the test's end stops it.
+func New(t *testing.T, options Options) *Bed {
+	t.Helper()
+	b := &Bed{
+		t: t, folder: t.TempDir(), options: options, binary: binary(t),
+		store: platform.NewStore(), Engines: make(map[string]*engine.Engine),
+		Services: make(map[string]*service.Server), relays: make(map[string]*Relay),
+	}
+	b.Platform = platform.NewServer(b.store)
+	b.platform = b.serve(b.Platform.Handler())
+	for dc := range options.DataCentres {
+		b.addEndpoints(fmt.Sprintf("dc%d", dc+1))
+		b.addVMs(fmt.Sprintf("dc%d", dc+1))
+	}
+	b.Apply(Deployment, DefaultDeployment())
+	b.Key = b.IssueKey(Deployment)
+	for _, v := range b.VMs {
+		b.addRoutes(v)
+		v.Start()
+	}
+	for _, v := range b.VMs {
+		v.WaitReady()
+	}
+	return b
+}
+
+// DefaultDeployment returns a deployment with wide limits.
+func DefaultDeployment() objects.Deployment {
+	return objects.Deployment{
+		Team: Team, RatePerSecond: 100000, Burst: 100000,
+		Models: []string{Model}, Services: []string{Service},
+		Budget: objects.Budget{Calls: 1000, Tokens: 10_000_000, WallTimeMS: 600_000, Depth: 3, Children: 100},
+	}
+}
+
+var (
+	buildOnce sync.Once
+	buildPath string
+	errBuild  error
+)
+
+// binary builds the program once per test process.
+func binary(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		folder, err := os.MkdirTemp("", "hawthornrail-testbed-")
+		if err != nil {
+			errBuild = err
+			return
+		}
+		buildPath = filepath.Join(folder, "hawthornrail")
+		command := exec.Command("go", "build", "-o", buildPath, "hawthornrail.example/hawthornrail/cmd/hawthornrail")
+		if out, err := command.CombinedOutput(); err != nil {
+			errBuild = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	if errBuild != nil {
+		t.Fatal(errBuild)
+	}
+	return buildPath
+}
+
+// Cleanup removes the binary; a TestMain may call it after its tests.
+func Cleanup() {
+	if buildPath != "" {
+		_ = os.RemoveAll(filepath.Dir(buildPath))
+	}
+}
+
+func (b *Bed) serve(handler fasthttp.RequestHandler) string {
+	b.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: handler, MaxRequestBodySize: 64 << 20}
+	go func() { _ = server.Serve(l) }()
+	b.t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+func (b *Bed) addEndpoints(dc string) {
+	for i := range b.options.Engines {
+		name := fmt.Sprintf("engine-%s-%d", dc, i+1)
+		e := engine.New(engine.Params{
+			Slots: 64, PrefillPerSecond: 1e6, DecodeInterval: b.options.EngineDelay,
+			CacheTokens: 1_000_000, CompletionTokens: 8,
+		})
+		b.Engines[name] = e
+		address := b.serve(engine.NewServer(e).Handler())
+		b.Put(objects.KindEndpoint, name, objects.Endpoint{
+			Kind: "engine", DataCentre: dc, Address: address, Serves: []string{Model}, Slots: 64,
+		})
+	}
+	for i := range b.options.Services {
+		name := fmt.Sprintf("service-%s-%d", dc, i+1)
+		s := service.NewServer(b.options.ServiceTime)
+		b.Services[name] = s
+		b.Put(objects.KindEndpoint, name, objects.Endpoint{
+			Kind: "service", DataCentre: dc, Address: b.serve(s.Handler()), Serves: []string{Service},
+		})
+	}
+}
+
+func (b *Bed) addVMs(dc string) {
+	for i := range b.options.VMs {
+		v := newVM(b, fmt.Sprintf("%s-vm%d", dc, i+1), dc)
+		b.VMs = append(b.VMs, v)
+		b.Put(objects.KindVM, v.Name, objects.VM{DataCentre: dc, Address: v.Peer})
+	}
+}
+
+// addRoutes puts a relay before every VM and the platform as v sees them.
+func (b *Bed) addRoutes(v *VM) {
+	v.routes[b.platform] = b.relay(v.Name, "platform", b.platform)
+	for _, other := range b.VMs {
+		if other != v {
+			v.routes[other.Peer] = b.relay(v.Name, other.Name, other.Peer)
+		}
+	}
+}
+
+func (b *Bed) relay(from, to, target string) string {
+	r, err := NewRelay(target)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(r.Close)
+	b.relays[from+">"+to] = r
+	return r.Address()
+}
+
+// Cut stops all bytes of the connections that from opened or will open to
+// another VM or to "platform", without closing them.
+func (b *Bed) Cut(from, to string) { b.relays[from+">"+to].Cut(true) }
+
+// Heal lets bytes pass again.
+func (b *Bed) Heal(from, to string) { b.relays[from+">"+to].Cut(false) }
+
+// CutBoth cuts the connections between two parties in both directions.
+func (b *Bed) CutBoth(x, y string) {
+	b.each(x, y, func(r *Relay) { r.Cut(true) })
+}
+
+// HealBoth undoes CutBoth.
+func (b *Bed) HealBoth(x, y string) {
+	b.each(x, y, func(r *Relay) { r.Cut(false) })
+}
+
+func (b *Bed) each(x, y string, f func(*Relay)) {
+	for _, name := range []string{x + ">" + y, y + ">" + x} {
+		if r, ok := b.relays[name]; ok {
+			f(r)
+		}
+	}
+}
+
+// Isolate cuts a data centre's VMs off from the platform and from the VMs of
+// the other data centres.
+func (b *Bed) Isolate(dc string) {
+	b.border(dc, b.CutBoth)
+}
+
+// Rejoin undoes Isolate.
+func (b *Bed) Rejoin(dc string) {
+	b.border(dc, b.HealBoth)
+}
+
+func (b *Bed) border(dc string, f func(x, y string)) {
+	for _, v := range b.VMs {
+		if v.DataCentre != dc {
+			continue
+		}
+		f(v.Name, "platform")
+		for _, other := range b.VMs {
+			if other.DataCentre != dc {
+				f(v.Name, other.Name)
+			}
+		}
+	}
+}
+
+// Put stores an object over its present version.
+func (b *Bed) Put(kind, name string, value any) uint64 {
+	b.t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	current, _ := b.store.Get(kind, name)
+	o, err := b.store.Put(kind, name, current.Version, data)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return o.Version
+}
+
+// Apply stores a deployment.
+func (b *Bed) Apply(name string, d objects.Deployment) uint64 {
+	b.t.Helper()
+	return b.Put(objects.KindDeployment, name, d)
+}
+
+// Store returns the platform's objects.
+func (b *Bed) Store() *platform.Store { return b.store }
+
+// PlatformAddress returns the platform's address without a relay before it.
+func (b *Bed) PlatformAddress() string { return b.platform }
+
+// VM returns a VM by name.
+func (b *Bed) VM(name string) *VM {
+	b.t.Helper()
+	i := slices.IndexFunc(b.VMs, func(v *VM) bool { return v.Name == name })
+	if i < 0 {
+		b.t.Fatalf("no VM %s", name)
+	}
+	return b.VMs[i]
+}
+
+// Eventually polls until ok holds.
+func (b *Bed) Eventually(timeout time.Duration, what string, ok func() bool) {
+	b.t.Helper()
+	deadline := time.Now().Add(timeout)
+	for !ok() {
+		if time.Now().After(deadline) {
+			b.t.Fatalf("not within %s: %s", timeout, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func readStatus(address string) (api.Status, error) {
+	var s api.Status
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/v1/status", time.Second)
+	if err != nil {
+		return s, fmt.Errorf("status: %w", err)
+	}
+	if status != http.StatusOK {
+		return s, fmt.Errorf("status %d", status)
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&s); err != nil {
+		return s, fmt.Errorf("status: %w", err)
+	}
+	return s, nil
+}
+
+// Executions returns how often each request id ran, over all services.
+func (b *Bed) Executions() map[string]int {
+	all := make(map[string]int)
+	for _, s := range b.Services {
+		for id, n := range s.Executions() {
+			all[id] += n
+		}
+	}
+	return all
+}
+
+func quote(s string) string { return "\"" + strings.ReplaceAll(s, "\"", "\\\"") + "\"" }
--- /dev/null
+++ b/internal/standin/testbed/vm.go
@@ -0,0 +1,141 @@
+package testbed
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"hawthornrail.example/hawthornrail/internal/operator/api"
+	"hawthornrail.example/hawthornrail/internal/platform/objects"
+	"hawthornrail.example/hawthornrail/internal/team/keyring"
+)
+
+// VM is one entry VM's process.
+type VM struct {
+	Name       string
+	DataCentre string
+	Caller     string
+	Operator   string
+	Peer       string
+
+	bed     *Bed
+	routes  map[string]string
+	process *exec.Cmd
+}
+
+func newVM(b *Bed, name, dc string) *VM {
+	return &VM{
+		Name: name, DataCentre: dc, bed: b, routes: make(map[string]string),
+		Caller: freePort(b.t), Operator: freePort(b.t), Peer: freePort(b.t),
+	}
+}
+
+func (v *VM) settings() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "[vm]\nname = %s\ndata_centre = %s\n", quote(v.Name), quote(v.DataCentre))
+	fmt.Fprintf(&text, "[caller]\naddress = %s\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
+	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\n", quote(v.Peer), quote(fleetSecret))
+	fmt.Fprintf(&text, "[platform]\naddress = %s\n[log]\nlevel = \"debug\"\n", quote(v.bed.platform))
+	text.WriteString(v.bed.options.Settings)
+	text.WriteString("\n[test.routes]\n")
+	for address, route := range v.routes {
+		fmt.Fprintf(&text, "%s = %s\n", quote(address), quote(route))
+	}
+	return text.String()
+}
+
+// Start starts the process; the test's end kills it.
+func (v *VM) Start() {
+	v.bed.t.Helper()
+	path := filepath.Join(v.bed.folder, v.Name+".toml")
+	if err := os.WriteFile(path, []byte(v.settings()), 0o600); err != nil {
+		v.bed.t.Fatal(err)
+	}
+	log, err := os.OpenFile(v.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		v.bed.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	process := exec.Command(v.bed.binary, "serve", "--settings", path)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		v.bed.t.Fatal(err)
+	}
+	v.process = process
+	v.bed.t.Cleanup(func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+	})
+}
+
+// LogFile returns the path of the process's log.
+func (v *VM) LogFile() string { return filepath.Join(v.bed.folder, v.Name+".log") }
+
+// WaitReady waits until the VM holds the newest configuration.
+func (v *VM) WaitReady() {
+	v.bed.t.Helper()
+	_, revision := v.bed.store.List("")
+	v.bed.Eventually(readyTimeout, "VM "+v.Name+" is ready", func() bool {
+		s, err := readStatus(v.Operator)
+		return err == nil && s.ConfigRevision >= revision
+	})
+}
+
+// Status returns what the VM says of itself.
+func (v *VM) Status() (api.Status, error) { return readStatus(v.Operator) }
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (v *VM) Kill() {
+	_ = v.process.Process.Kill()
+	_ = v.process.Wait()
+}
+
+// Freeze stops the process with SIGSTOP.
+func (v *VM) Freeze() { v.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (v *VM) Thaw() { v.signal(syscall.SIGCONT) }
+
+// Terminate asks the process for a graceful shutdown.
+func (v *VM) Terminate() { v.signal(syscall.SIGTERM) }
+
+// Wait waits for the end of the process and returns its error.
+func (v *VM) Wait() error { return v.process.Wait() }
+
+func (v *VM) signal(s os.Signal) {
+	v.bed.t.Helper()
+	if err := v.process.Process.Signal(s); err != nil {
+		v.bed.t.Fatal(err)
+	}
+}
+
+// IssueKey stores a new key of a deployment and returns it as a caller gets
+// it.
+func (b *Bed) IssueKey(deployment string) string {
+	b.t.Helper()
+	key, id, hash, err := keyring.Issue()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.Put(objects.KindKey, id, objects.Key{Hash: hash, Deployment: deployment})
+	return key
+}
+
+// WithdrawKey withdraws a key that IssueKey returned.
+func (b *Bed) WithdrawKey(key string) {
+	b.t.Helper()
+	id := strings.Split(key, "_")[1]
+	o, err := b.store.Get(objects.KindKey, id)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	var value objects.Key
+	if err := (objects.Object{Value: o.Value}).Decode(&value); err != nil {
+		b.t.Fatal(err)
+	}
+	value.Withdrawn = true
+	b.Put(objects.KindKey, id, value)
+}
--- /dev/null
+++ b/internal/team/keyring/doc.go
@@ -0,0 +1,2 @@
+// Package keyring makes callers' keys and checks them against their hashes.
+package keyring
--- /dev/null
+++ b/internal/team/keyring/keyring.go
@@ -0,0 +1,62 @@
+package keyring
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+const (
+	keyPrefix   = "hr"
+	idBytes     = 6
+	secretBytes = 24
+)
+
+// Issue returns a new key as the caller gets it, its public id and the hash
+// to store.
+func Issue() (key, id, hash string, err error) {
+	raw := make([]byte, idBytes+secretBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", "", "", fmt.Errorf("issue key: %w", err)
+	}
+	id = hex.EncodeToString(raw[:idBytes])
+	secret := hex.EncodeToString(raw[idBytes:])
+	return keyPrefix + "_" + id + "_" + secret, id, hashOf(secret), nil
+}
+
+// Check returns the deployment of a caller's key and the key's id, or a
+// Failure of a request that did not run.
+func Check(s *hawthornrail.Snapshot, credential string) (hawthornrail.Deployment, string, error) {
+	parts := strings.Split(credential, "_")
+	if len(parts) != 3 || parts[0] != keyPrefix {
+		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeUnauthorized, "no valid key came with the request")
+	}
+	k, ok := s.Key(parts[1])
+	if !ok || subtle.ConstantTimeCompare([]byte(k.Hash()), []byte(hashOf(parts[2]))) != 1 {
+		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeUnauthorized, "no valid key came with the request")
+	}
+	if k.Withdrawn() {
+		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", k.ID())
+	}
+	d, ok := s.Deployment(k.Deployment())
+	if !ok {
+		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeForbidden, "deployment %s does not exist", k.Deployment())
+	}
+	return d, k.ID(), nil
+}
+
+// Working reports whether a key that was checked before still works.
+func Working(s *hawthornrail.Snapshot, id string) bool {
+	k, ok := s.Key(id)
+	return ok && !k.Withdrawn()
+}
+
+func hashOf(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/team/rate/bucket.go
@@ -0,0 +1,43 @@
+package rate
+
+import "time"
+
+// Bucket is a token bucket; it starts empty.
+type Bucket struct {
+	rate   float64
+	burst  float64
+	tokens float64
+	last   time.Time
+}
+
+// NewBucket returns an empty bucket with a rate in tokens per second.
+func NewBucket(rate, burst float64, now time.Time) *Bucket {
+	return &Bucket{rate: rate, burst: burst, last: now}
+}
+
+// Take takes one token, or returns how long it takes until there is one.
+func (b *Bucket) Take(now time.Time) (time.Duration, bool) {
+	b.refill(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	if b.rate <= 0 {
+		return time.Minute, false
+	}
+	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+}
+
+// Resize sets a new rate and burst from now on.
+func (b *Bucket) Resize(rate, burst float64, now time.Time) {
+	b.refill(now)
+	b.rate, b.burst = rate, burst
+	b.tokens = min(b.tokens, burst)
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if passed := now.Sub(b.last); passed > 0 {
+		b.tokens = min(b.burst, b.tokens+b.rate*passed.Seconds())
+	}
+	b.last = now
+}
--- /dev/null
+++ b/internal/team/rate/doc.go
@@ -0,0 +1,2 @@
+// Package rate counts requests against the teams' rates.
+package rate
--- /dev/null
+++ b/internal/vm/convert/doc.go
@@ -0,0 +1,2 @@
+// Package convert turns domain types into the messages between VMs and back.
+package convert
--- /dev/null
+++ b/internal/vm/dial/doc.go
@@ -0,0 +1,2 @@
+// Package dial opens TCP connections by IP address and port.
+package dial
--- /dev/null
+++ b/internal/vm/fleet/doc.go
@@ -0,0 +1,3 @@
+// Package fleet carries requests, program steps and program creation between
+// the VMs.
+package fleet
--- /dev/null
+++ b/internal/vm/fleet/receive.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/vm/convert"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// Receiver serves what other VMs ask of this one.
+type Receiver struct {
+	config   hawthornrail.Configuration
+	secret   []byte
+	local    *home.Home
+	replicas *replica.Store
+}
+
+// NewReceiver returns a receiver for the programs homed here and the replicas
+// kept here.
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store) *Receiver {
+	return &Receiver{config: config, secret: secret, local: local, replicas: replicas}
+}
+
+// Handle serves one stream; it implements peer.Handler.
+func (v *Receiver) Handle(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
+	switch k := open.GetKind().(type) {
+	case *vmpb.Open_Call:
+		v.call(ctx, k.Call, s)
+	case *vmpb.Open_Step:
+		v.step(k.Step, s)
+	case *vmpb.Open_CreateProgram:
+		v.createChild(ctx, k.CreateProgram, s)
+	case *vmpb.Open_EndProgram:
+		v.endProgram(ctx, k.EndProgram, s)
+	}
+}
+
+func (v *Receiver) call(ctx context.Context, m *vmpb.Call, s *peer.Stream) {
+	d, ok := v.config.Snapshot().Deployment(m.GetDeployment())
+	err := error(hawthornrail.NotRun(hawthornrail.CodeConfigStale, "deployment %s is not known here yet", m.GetDeployment()))
+	if ok && d.Team() == m.GetTeam() {
+		err = v.local.Serve(ctx, convert.CallFromWire(m, d), streamWriter{s})
+	}
+	_ = s.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_End{End: convert.EndToWire(err)}})
+}
+
+func (v *Receiver) step(m *vmpb.Step, s *peer.Stream) {
+	reply := &vmpb.StepReply{Accepted: true}
+	if err := v.accept(m, s.From()); err != nil {
+		reply = &vmpb.StepReply{Reason: err.Error()}
+	}
+	_ = s.Send(reply)
+}
+
+func (v *Receiver) accept(m *vmpb.Step, from hawthornrail.Instance) error {
+	step, err := convert.StepFromWire(m)
+	if err != nil {
+		return err
+	}
+	if home := convert.InstanceFromWire(m.GetHome()); home != from {
+		return fmt.Errorf("step of %s came from %s", home, from)
+	}
+	return v.replicas.Accept(from, step)
+}
+
+func (v *Receiver) createChild(ctx context.Context, m *vmpb.CreateProgram, s *peer.Stream) {
+	id, err := ownedProgram(m.GetParentId(), m.GetTeam(), v.secret)
+	if err == nil {
+		id, err = v.local.CreateChild(ctx, id, convert.BudgetFromWire(m.GetBudget()))
+	}
+	_ = s.Send(programReply(id, err))
+}
+
+func (v *Receiver) endProgram(ctx context.Context, m *vmpb.EndProgram, s *peer.Stream) {
+	id, err := ownedProgram(m.GetProgramId(), m.GetTeam(), v.secret)
+	if err == nil {
+		err = v.local.End(ctx, id, m.GetReason())
+	}
+	_ = s.Send(programReply(id, err))
+}
+
+func ownedProgram(s, team string, secret []byte) (hawthornrail.ProgramID, error) {
+	id, err := hawthornrail.ParseProgramID(s)
+	if err != nil {
+		return id, hawthornrail.NewFailure(hawthornrail.CodeBadRequest, hawthornrail.VerdictNotRun, err)
+	}
+	if !id.Belongs(team, secret) {
+		return id, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known to the team", id)
+	}
+	return id, nil
+}
+
+func programReply(id hawthornrail.ProgramID, err error) *vmpb.ProgramReply {
+	if err != nil {
+		return &vmpb.ProgramReply{Failure: convert.EndToWire(err)}
+	}
+	return &vmpb.ProgramReply{ProgramId: id.String()}
+}
+
+// streamWriter writes an answer to the VM that forwarded the call.
+type streamWriter struct {
+	stream *peer.Stream
+}
+
+// Head sends the status and the media type.
+func (w streamWriter) Head(status int, contentType string) error {
+	return w.stream.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_Head{Head: &vmpb.CallHead{
+		Status: int32(status), ContentType: contentType,
+	}}})
+}
+
+// Chunk sends a part of the body.
+func (w streamWriter) Chunk(data []byte) error {
+	return w.stream.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_Chunk{Chunk: &vmpb.CallChunk{Data: data}}})
+}
--- /dev/null
+++ b/internal/vm/peer/client.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	keepAliveInterval  = 5 * time.Second
+	writeTimeout       = 2 * time.Second
+	streamCloseTimeout = 10 * time.Second
+	streamWindowBytes  = 1 << 20
+)
+
+// ErrUnsent means that a request provably did not reach the other VM.
+var ErrUnsent = errors.New("request was not sent")
+
+// Client keeps one connection to each VM that it talks to.
+type Client struct {
+	identity identity
+	clock    hawthornrail.Clock
+	dialer   hawthornrail.Dialer
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the connection to one address.
+type link struct {
+	mu      sync.Mutex
+	session *yamux.Session
+	remote  hawthornrail.Instance
+}
+
+// NewClient returns a client that proves itself as self under secret.
+func NewClient(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
+	return &Client{
+		identity: identity{self: self, secret: secret},
+		clock:    clock,
+		dialer:   dialer,
+		links:    make(map[string]*link),
+	}
+}
+
+// Exchange is one request's stream at the asking end.
+type Exchange struct {
+	stream net.Conn
+	reader *bufio.Reader
+	remote hawthornrail.Instance
+	stop   func() bool
+}
+
+// Open sends the first message of a new stream to the VM at an address; an
+// error that wraps ErrUnsent means that the VM can't have seen it.
+func (c *Client) Open(ctx context.Context, address string, open *vmpb.Open) (*Exchange, error) {
+	l := c.link(address)
+	session, remote, err := c.connect(ctx, l, address)
+	if err != nil {
+		return nil, errors.Join(ErrUnsent, err)
+	}
+	stream, err := session.Open()
+	if err != nil {
+		l.drop(session)
+		return nil, errors.Join(ErrUnsent, fmt.Errorf("open stream to %s: %w", address, err))
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	open.TraceParent = traces.Parent(ctx)
+	if err := WriteMessage(stream, open); err != nil {
+		stop()
+		_ = stream.Close()
+		return nil, err
+	}
+	return &Exchange{stream: stream, reader: bufio.NewReader(stream), remote: remote, stop: stop}, nil
+}
+
+// Remote returns the instance at the other end.
+func (e *Exchange) Remote() hawthornrail.Instance { return e.remote }
+
+// Receive reads the next message into m.
+func (e *Exchange) Receive(m proto.Message) error { return ReadMessage(e.reader, m) }
+
+// Close ends the exchange; the other end's context is cancelled.
+func (e *Exchange) Close() {
+	e.stop()
+	_ = e.stream.Close()
+}
+
+// Ask opens a stream, reads one reply into reply and closes the stream.
+func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
+	e, err := c.Open(ctx, address, open)
+	if err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	defer e.Close()
+	if err := e.Receive(reply); err != nil {
+		if ctx.Err() != nil {
+			return e.remote, fmt.Errorf("ask %s: %w", address, ctx.Err())
+		}
+		return e.remote, err
+	}
+	return e.remote, nil
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.mu.Lock()
+		if l.session != nil {
+			_ = l.session.Close()
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (c *Client) link(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[address]
+	if !ok {
+		l = &link{}
+		c.links[address] = l
+	}
+	return l
+}
+
+func (c *Client) connect(ctx context.Context, l *link, address string) (*yamux.Session, hawthornrail.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil && !l.session.IsClosed() {
+		return l.session, l.remote, nil
+	}
+	conn, err := c.dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, hawthornrail.Instance{}, fmt.Errorf("dial VM: %w", err)
+	}
+	remote, err := c.identity.handshake(conn, true, c.clock.Now())
+	if err != nil {
+		_ = conn.Close()
+		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
+	}
+	l.session, l.remote = session, remote
+	return session, remote, nil
+}
+
+func (l *link) drop(session *yamux.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session == session {
+		l.session = nil
+	}
+	_ = session.Close()
+}
+
+// Send writes a reply on a serving stream.
+func (s *Stream) Send(m proto.Message) error { return WriteMessage(s.conn, m) }
--- /dev/null
+++ b/internal/vm/peer/handshake.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+const (
+	nonceBytes       = 32
+	maxHelloBytes    = 512
+	handshakeTimeout = 3 * time.Second
+)
+
+// ErrUnauthenticated means that the other end does not hold the fleet's
+// secret.
+var ErrUnauthenticated = errors.New("peer is not authenticated")
+
+// identity is what a VM proves to another one: who it is, under the fleet's
+// secret.
+type identity struct {
+	self   hawthornrail.Instance
+	secret []byte
+}
+
+// handshake exchanges nonces and proofs over a new connection and returns the
+// instance at the other end; dialer tells the two ends apart, so that a proof
+// can't be reflected.
+func (i identity) handshake(conn net.Conn, dialer bool, now time.Time) (hawthornrail.Instance, error) {
+	if err := conn.SetDeadline(now.Add(handshakeTimeout)); err != nil {
+		return hawthornrail.Instance{}, fmt.Errorf("handshake: %w", err)
+	}
+	mine := make([]byte, nonceBytes)
+	if _, err := rand.Read(mine); err != nil {
+		return hawthornrail.Instance{}, fmt.Errorf("handshake nonce: %w", err)
+	}
+	hello := append(mine, i.self.String()...)
+	if err := writeBlock(conn, hello); err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	other, err := readBlock(conn)
+	if err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	if len(other) < nonceBytes {
+		return hawthornrail.Instance{}, fmt.Errorf("short hello: %w", ErrUnauthenticated)
+	}
+	if err := writeBlock(conn, i.proof(hello, other, dialer)); err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	proof, err := readBlock(conn)
+	if err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	if !hmac.Equal(proof, i.proof(other, hello, !dialer)) {
+		return hawthornrail.Instance{}, ErrUnauthenticated
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return hawthornrail.Instance{}, fmt.Errorf("handshake: %w", err)
+	}
+	return hawthornrail.ParseInstance(string(other[nonceBytes:]))
+}
+
+func (i identity) proof(prover, verifier []byte, dialer bool) []byte {
+	m := hmac.New(sha256.New, i.secret)
+	role := byte('l')
+	if dialer {
+		role = 'd'
+	}
+	m.Write([]byte{role})
+	m.Write(binary.BigEndian.AppendUint32(nil, uint32(len(prover))))
+	m.Write(prover)
+	m.Write(verifier)
+	return m.Sum(nil)
+}
+
+func writeBlock(w io.Writer, data []byte) error {
+	block := binary.BigEndian.AppendUint16(nil, uint16(len(data)))
+	if _, err := w.Write(append(block, data...)); err != nil {
+		return fmt.Errorf("write handshake: %w", err)
+	}
+	return nil
+}
+
+func readBlock(r io.Reader) ([]byte, error) {
+	var size [2]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, fmt.Errorf("read handshake: %w", err)
+	}
+	n := binary.BigEndian.Uint16(size[:])
+	if n > maxHelloBytes {
+		return nil, fmt.Errorf("hello of %d bytes: %w", n, ErrUnauthenticated)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, fmt.Errorf("read handshake: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/vm/peer/peer_test.go
@@ -0,0 +1,65 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/dial"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+var (
+	serving = hawthornrail.NewInstance("vm1", "dc1", 7)
+	asking  = hawthornrail.NewInstance("vm2", "dc1", 9)
+)
+
+func startServer(t *testing.T, secret string, handler peer.Handler) string {
+	t.Helper()
+	s := peer.NewServer(serving, []byte(secret), clock.Real(), events.Discard())
+	address, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(handler) }()
+	t.Cleanup(s.Close)
+	return address.String()
+}
+
+func ask(t *testing.T, address, secret string) (hawthornrail.Instance, error) {
+	t.Helper()
+	c := peer.NewClient(asking, []byte(secret), clock.Real(), dial.New(nil))
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var reply vmpb.StepReply
+	return c.Ask(ctx, address, &vmpb.Open{Kind: &vmpb.Open_Step{Step: &vmpb.Step{}}}, &reply)
+}
+
+func TestHandshake(t *testing.T) {
+	handler := func(_ context.Context, _ *vmpb.Open, s *peer.Stream) {
+		if s.From() == asking {
+			_ = s.Send(&vmpb.StepReply{Accepted: true})
+		}
+	}
+	address := startServer(t, "fleet secret", handler)
+	t.Run("both ends learn who the other is", func(t *testing.T) {
+		remote, err := ask(t, address, "fleet secret")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if remote != serving {
+			t.Errorf("got %s, want %s", remote, serving)
+		}
+	})
+	t.Run("another secret is rejected before anything is sent", func(t *testing.T) {
+		if _, err := ask(t, address, "another secret"); !errors.Is(err, peer.ErrUnsent) {
+			t.Errorf("got %v, want %v", err, peer.ErrUnsent)
+		}
+	})
+}
--- /dev/null
+++ b/internal/vm/peer/server.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// Stream is one request's stream at the serving end.
+type Stream struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	from   hawthornrail.Instance
+}
+
+// From returns the instance that opened the stream.
+func (s *Stream) From() hawthornrail.Instance { return s.from }
+
+// Handler serves the streams that other VMs open.
+type Handler func(ctx context.Context, open *vmpb.Open, s *Stream)
+
+// Server accepts connections of other VMs.
+type Server struct {
+	identity identity
+	clock    hawthornrail.Clock
+	log      events.Logger
+	handler  Handler
+	listener net.Listener
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	wait     sync.WaitGroup
+}
+
+// NewServer returns a server that proves itself as self under secret.
+func NewServer(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, log events.Logger) *Server {
+	return &Server{
+		identity: identity{self: self, secret: secret},
+		clock:    clock,
+		log:      log,
+		sessions: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// Listen binds the address, an IP and a port.
+func (s *Server) Listen(address string) (net.Addr, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for VMs: %w", err)
+	}
+	s.listener = l
+	return l.Addr(), nil
+}
+
+// Serve passes streams to handler until the server is closed.
+func (s *Server) Serve(handler Handler) error {
+	s.handler = handler
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept VM: %w", err)
+		}
+		s.wait.Add(1)
+		go func() {
+			defer s.wait.Done()
+			s.serveConn(conn)
+		}()
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	from, err := s.identity.handshake(conn, false, s.clock.Now())
+	if err != nil {
+		s.log.Event(events.PeerRejected).Err(err).Str("address", conn.RemoteAddr().String()).Emit()
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	s.track(session, true)
+	defer s.track(session, false)
+	defer func() { _ = session.Close() }()
+	for {
+		stream, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveStream(&Stream{conn: stream, reader: bufio.NewReader(stream), from: from})
+	}
+}
+
+func (s *Server) track(session *yamux.Session, add bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if add {
+		s.sessions[session] = struct{}{}
+		return
+	}
+	delete(s.sessions, session)
+}
+
+// serveStream cancels the handler's context when the other end goes away.
+func (s *Server) serveStream(stream *Stream) {
+	defer func() { _ = stream.conn.Close() }()
+	var open vmpb.Open
+	if err := ReadMessage(stream.reader, &open); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(traces.WithParent(context.Background(), open.GetTraceParent()))
+	defer cancel()
+	go func() {
+		_, _ = stream.reader.ReadByte()
+		cancel()
+	}()
+	s.handler(ctx, &open, stream)
+}
+
+// Close stops accepting and closes every connection.
+func (s *Server) Close() {
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	s.mu.Lock()
+	for session := range s.sessions {
+		_ = session.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.LogOutput = io.Discard
+	c.KeepAliveInterval = keepAliveInterval
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = streamWindowBytes
+	c.StreamCloseTimeout = streamCloseTimeout
+	return c
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,118 @@
+package hawthornrail
+
+// Request is one caller's call of a model or a service.
+type Request struct {
+	credential     string
+	keyID          string
+	deployment     Deployment
+	program        string
+	callNumber     uint64
+	model          string
+	service        string
+	method         string
+	path           string
+	contentType    string
+	body           []byte
+	idempotencyKey string
+	idempotent     bool
+	stream         bool
+	keepHistory    bool
+	endsProgram    bool
+}
+
+// NewModelRequest returns a chat-completions call of a model; model calls are
+// idempotent.
+func NewModelRequest(model string, body []byte, stream bool) *Request {
+	return &Request{
+		model: model, body: body, stream: stream, idempotent: true,
+		method: "POST", path: "/v1/chat/completions", contentType: "application/json",
+	}
+}
+
+// NewServiceRequest returns a call of a plain service.
+func NewServiceRequest(service, method, path, contentType string, body []byte) *Request {
+	return &Request{service: service, method: method, path: path, contentType: contentType, body: body}
+}
+
+// SetCredential keeps the caller's key until the request is identified.
+func (r *Request) SetCredential(key string) { r.credential = key }
+
+// Identify drops the credential and sets the key's id and deployment.
+func (r *Request) Identify(keyID string, d Deployment) {
+	r.credential, r.keyID, r.deployment = "", keyID, d
+}
+
+// SetProgram sets the program's id and the call's number in it.
+func (r *Request) SetProgram(id string, number uint64) { r.program, r.callNumber = id, number }
+
+// SetIdempotency sets the caller's idempotency key and whether the endpoint
+// may see the request more than once.
+func (r *Request) SetIdempotency(key string, idempotent bool) {
+	r.idempotencyKey, r.idempotent = key, idempotent
+}
+
+// SetKeepHistory makes the home put the program's history before the
+// request's messages.
+func (r *Request) SetKeepHistory(keep bool) { r.keepHistory = keep }
+
+// SetEndsProgram makes this call the program's last one.
+func (r *Request) SetEndsProgram(ends bool) { r.endsProgram = ends }
+
+// Credential returns the caller's key, or nothing once identified.
+func (r *Request) Credential() string { return r.credential }
+
+// KeyID returns the public id of the caller's key.
+func (r *Request) KeyID() string { return r.keyID }
+
+// Deployment returns the deployment that the request runs under.
+func (r *Request) Deployment() Deployment { return r.deployment }
+
+// Team returns the team that the request runs for.
+func (r *Request) Team() string { return r.deployment.Team() }
+
+// Program returns the program's id, or nothing for a single call.
+func (r *Request) Program() string { return r.program }
+
+// CallNumber returns the call's number in its program, from 1.
+func (r *Request) CallNumber() uint64 { return r.callNumber }
+
+// Model returns the model, or nothing for a service call.
+func (r *Request) Model() string { return r.model }
+
+// Service returns the service, or nothing for a model call.
+func (r *Request) Service() string { return r.service }
+
+// Target returns the model or the service.
+func (r *Request) Target() string {
+	if r.model != "" {
+		return r.model
+	}
+	return r.service
+}
+
+// Method returns the HTTP method.
+func (r *Request) Method() string { return r.method }
+
+// Path returns the path at the endpoint.
+func (r *Request) Path() string { return r.path }
+
+// ContentType returns the media type of the body.
+func (r *Request) ContentType() string { return r.contentType }
+
+// Body returns the request's body.
+func (r *Request) Body() []byte { return r.body }
+
+// IdempotencyKey returns the caller's idempotency key, or nothing.
+func (r *Request) IdempotencyKey() string { return r.idempotencyKey }
+
+// Idempotent reports whether an endpoint may see the request more than once.
+func (r *Request) Idempotent() bool { return r.idempotent }
+
+// Stream reports whether the caller wants a streamed answer.
+func (r *Request) Stream() bool { return r.stream }
+
+// KeepHistory reports whether the home adds the program's history.
+func (r *Request) KeepHistory() bool { return r.keepHistory }
+
+// EndsProgram reports whether the call is the program's last one.
+func (r *Request) EndsProgram() bool { return r.endsProgram }
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the property tests with fresh seeds and many more checks.
+set -eu
+cd "$(dirname "$0")/.."
+checks=${SOAK_CHECKS:-20000}
+props=$(go list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
+echo "soak: $checks checks a property, fresh seeds; a failure prints its seed"
+exec go test -count=1 -timeout 60m $props -rapid.checks="$checks"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs every check. Tests listed in KNOWN-RED.txt run apart and do not count.
+set -u
+cd "$(dirname "$0")/.."
+export CGO_ENABLED=1
+export PATH="$(go env GOPATH)/bin:$PATH"
+seed=${RAPID_SEED:-20261204}
+
+failed() {
+  echo "test: failed $*"
+  exit 1
+}
+
+scripts/setup.sh || failed set-up
+unformatted=$(gofumpt -l .) || failed formatter
+[ -z "$unformatted" ] || failed "formatter: $unformatted"
+golangci-lint run ./... || failed linter
+make -s build || failed build
+ldd bin/hawthornrail | grep -q 'libc\.so' || failed "hawthornrail is not linked to libc"
+
+known=$(grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+echo "test: property tests run with -rapid.seed=$seed"
+skip=()
+[ -z "$known" ] || skip=(-skip "^($known)$")
+# Only packages that use rapid know its flag.
+props=$(go list -f '{{if or .TestGoFiles .XTestGoFiles}}{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}{{end}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
+rest=$(go list ./... | grep -vxF "$props")
+go test -race -count=1 -p 4 "${skip[@]}" $rest || failed tests
+[ -z "$props" ] || go test -race -count=1 -p 4 "${skip[@]}" $props -rapid.seed="$seed" || failed "property tests"
+if [ -n "$known" ]; then
+  echo "test: known red, not counted:"
+  cat KNOWN-RED.txt
+  go test -count=1 -run "^($known)$" ./... 2>&1 | grep -v 'no test files' | sed 's/^/known-red: /'
+fi
+echo "test: ok"
