Keep a list of VMs by probing one at a time

Cause: forwarding, takeover and rates need to know which instance of a VM is there; the platform's list lags and is away in an outage.

Ruled out: heartbeats from every VM to every other (bytes grow with the fleet: 340 VMs at 60 bytes a second each is 20 KB/s a VM).

--- a/interfaces.go
+++ b/interfaces.go
@@ -207,6 +207,16 @@
 	Dispatch(ctx context.Context, e Endpoint, r *Request, requestID string, w AnswerWriter) (Answer, error)
 }
 
+// Membership tells which VMs there are, as far as this one has heard.
+type Membership interface {
+	// Self returns this VM's entry.
+	Self() Member
+	// Members returns all other VMs by name, also those that do not answer.
+	Members() []Member
+	// Member returns the newest instance heard of a VM.
+	Member(vm string) (Member, bool)
+}
+
 // Replicator keeps a second copy of every program tree of this VM.
 type Replicator interface {
 	// Replicate returns once the copy holds the step, or a Failure with the
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -19,6 +19,7 @@
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
+	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 )
 
@@ -37,6 +38,8 @@
 	Receiver   *fleet.Receiver
 	Home       *home.Home
 	Replicas   *replica.Store
+	Table      *members.Table
+	Prober     *members.Prober
 	Callers    *server.Server
 }
 
@@ -95,6 +98,7 @@
 		p.in.Log.Event(events.ListenerFailed).Err(failure).Emit()
 	}
 	p.drain()
+	p.in.Table.Leave()
 	p.shutdown()
 	stop()
 	p.wait.Wait()
@@ -115,6 +119,7 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
+	p.start(func() error { p.in.Prober.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
@@ -25,6 +26,7 @@
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
+	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 )
 
@@ -53,6 +55,9 @@
 		},
 		newPeerServer,
 		newPeerClient,
+		newTable,
+		func(t *members.Table) hawthornrail.Membership { return t },
+		members.NewProber,
 		newReplicator,
 		replica.NewStore,
 		newHome,
@@ -111,6 +116,10 @@
 	return fleet.NewReplicator(i, c, p)
 }
 
+func newTable(i hawthornrail.Instance, s settings.Settings) *members.Table {
+	return members.NewTable(hawthornrail.NewMember(i, s.PeerAddress(), false, time.Time{}))
+}
+
 type homeIn struct {
 	dig.In
 
@@ -137,12 +146,12 @@
 	})
 }
 
-func newForwarder(i hawthornrail.Instance, c hawthornrail.Configuration, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
+func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
 	return fleet.NewForwarder(i, c, p, h, s.Secret())
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, r)
+func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
+	return fleet.NewReceiver(c, s.Secret(), h, r, m)
 }
 
 func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
--- a/internal/vm/convert/convert.go
+++ b/internal/vm/convert/convert.go
@@ -83,3 +83,31 @@
 	f := hawthornrail.NewFailure(hawthornrail.Code(m.GetCode()), verdict, fmt.Errorf("%s", m.GetMessage()))
 	return f.WithRetryAfter(time.Duration(m.GetRetryAfterMs()) * time.Millisecond)
 }
+
+// MemberToWire returns the message of a member.
+func MemberToWire(m hawthornrail.Member) *vmpb.Member {
+	return &vmpb.Member{Instance: InstanceToWire(m.Instance()), Address: m.Address(), Leaving: m.Leaving()}
+}
+
+// MemberFromWire returns the member of a message; it has not been heard.
+func MemberFromWire(m *vmpb.Member) hawthornrail.Member {
+	return hawthornrail.NewMember(InstanceFromWire(m.GetInstance()), m.GetAddress(), m.GetLeaving(), time.Time{})
+}
+
+// MembersToWire returns the messages of members.
+func MembersToWire(members []hawthornrail.Member) []*vmpb.Member {
+	list := make([]*vmpb.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, MemberToWire(m))
+	}
+	return list
+}
+
+// MembersFromWire returns the members of messages.
+func MembersFromWire(messages []*vmpb.Member) []hawthornrail.Member {
+	list := make([]hawthornrail.Member, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, MemberFromWire(m))
+	}
+	return list
+}
--- a/internal/vm/fleet/forward.go
+++ b/internal/vm/fleet/forward.go
@@ -18,16 +18,16 @@
 // Forwarder serves requests at the home of their program; it implements
 // hawthornrail.Handler.
 type Forwarder struct {
-	self   hawthornrail.Instance
-	config hawthornrail.Configuration
-	client *peer.Client
-	local  *home.Home
-	secret []byte
+	self    hawthornrail.Instance
+	members hawthornrail.Membership
+	client  *peer.Client
+	local   *home.Home
+	secret  []byte
 }
 
 // NewForwarder returns a forwarder that serves local programs itself.
-func NewForwarder(self hawthornrail.Instance, config hawthornrail.Configuration, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
-	return &Forwarder{self: self, config: config, client: client, local: local, secret: secret}
+func NewForwarder(self hawthornrail.Instance, members hawthornrail.Membership, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
+	return &Forwarder{self: self, members: members, client: client, local: local, secret: secret}
 }
 
 // Serve runs the request here if its program is homed here, and asks the home
@@ -58,11 +58,11 @@
 }
 
 func (f *Forwarder) address(id hawthornrail.ProgramID) (string, error) {
-	vm, ok := f.config.Snapshot().VM(id.Home().VM())
+	m, ok := f.members.Member(id.Home().VM())
 	if !ok {
-		return "", unreachable(fmt.Errorf("VM %s is not listed", id.Home().VM()))
+		return "", unreachable(fmt.Errorf("VM %s is not known", id.Home().VM()))
 	}
-	return vm.Address(), nil
+	return m.Address(), nil
 }
 
 func unreachable(err error) error {
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -8,6 +8,7 @@
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
+	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -18,12 +19,13 @@
 	secret   []byte
 	local    *home.Home
 	replicas *replica.Store
+	prober   *members.Prober
 }
 
 // NewReceiver returns a receiver for the programs homed here and the replicas
 // kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store) *Receiver {
-	return &Receiver{config: config, secret: secret, local: local, replicas: replicas}
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober) *Receiver {
+	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober}
 }
 
 // Handle serves one stream; it implements peer.Handler.
@@ -33,6 +35,8 @@
 		v.call(ctx, k.Call, s)
 	case *vmpb.Open_Step:
 		v.step(k.Step, s)
+	case *vmpb.Open_Heartbeat:
+		_ = s.Send(v.prober.Answer(k.Heartbeat))
 	case *vmpb.Open_CreateProgram:
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
--- /dev/null
+++ b/internal/vm/members/table_test.go
@@ -0,0 +1,86 @@
+package members_test
+
+import (
+	"testing"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/vm/members"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func member(vm string, incarnation uint64, leaving bool) hawthornrail.Member {
+	return hawthornrail.NewMember(hawthornrail.NewInstance(vm, "dc1", incarnation), "10.0.0.1:1", leaving, time.Time{})
+}
+
+func assertMember(t *testing.T, table *members.Table, incarnation uint64, leaving bool) {
+	t.Helper()
+	m, ok := table.Member("vm2")
+	if !ok || m.Instance().Incarnation() != incarnation || m.Leaving() != leaving {
+		t.Errorf("got incarnation %d leaving %t, want %d %t", m.Instance().Incarnation(), m.Leaving(), incarnation, leaving)
+	}
+}
+
+func TestMerge(t *testing.T) {
+	newTable := func() *members.Table {
+		table := members.NewTable(member("vm1", 1, false))
+		table.Answered(member("vm2", 5, false), now)
+		return table
+	}
+	t.Run("older incarnation is ignored", func(t *testing.T) {
+		table := newTable()
+		table.Heard([]hawthornrail.Member{member("vm2", 4, true)})
+		assertMember(t, table, 5, false)
+	})
+	t.Run("leaving is kept for the incarnation", func(t *testing.T) {
+		table := newTable()
+		table.Heard([]hawthornrail.Member{member("vm2", 5, true)})
+		table.Heard([]hawthornrail.Member{member("vm2", 5, false)})
+		assertMember(t, table, 5, true)
+	})
+	t.Run("later incarnation is not leaving", func(t *testing.T) {
+		table := newTable()
+		table.Heard([]hawthornrail.Member{member("vm2", 5, true)})
+		table.Heard([]hawthornrail.Member{member("vm2", 6, false)})
+		assertMember(t, table, 6, false)
+	})
+	t.Run("VM that is listed no longer is dropped once silent", func(t *testing.T) {
+		table := newTable()
+		table.List(nil, now.Add(time.Second))
+		if len(table.Members()) != 0 {
+			t.Errorf("got %v, want none", table.Members())
+		}
+	})
+}
+
+// A change reaches every VM by the time that each has probed all others once,
+// whatever order they do it in.
+func TestNewsSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 12
+		var tables []*members.Table
+		for i := range size {
+			tables = append(tables, members.NewTable(member(string(rune('a'+i)), 1, false)))
+		}
+		tables[0].Answered(member("vm2", 9, true), now)
+		all := make([]int, size)
+		for i := range all {
+			all[i] = i
+		}
+		order := rapid.SliceOfN(rapid.Permutation(all), size, size).Draw(t, "order")
+		for round := range size {
+			for i := range tables {
+				j := order[i][round]
+				tables[j].Heard(tables[i].News())
+				tables[i].Heard(tables[j].News())
+			}
+		}
+		for i, table := range tables {
+			if m, ok := table.Member("vm2"); !ok || m.Instance().Incarnation() != 9 {
+				t.Fatalf("VM %d has not heard of the change", i)
+			}
+		}
+	})
+}
