Secure the connections of callers and VMs with TLS

Cause: callers' keys and programs' histories travelled in the clear; VMs proved themselves by the fleet's secret but did not encrypt.

Ruled out: verifying peers by IP names in certificates (VMs are replaced at any time and dialled by IP), so the chain is verified against the fleet's authority and the certificate's name against the VM that the handshake claims to be.

A certificate, or plain = true, is now required: TLS is off only by an explicit setting.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -21,6 +22,7 @@
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
 // processIn are the parts that run for as long as the process does.
@@ -110,9 +112,9 @@
 	if _, err := p.in.PeerServer.Listen(p.in.Settings.PeerAddress()); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", p.in.Settings.CallerAddress())
+	callers, err := listenCallers(p.in.Settings)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
 	operators, err := net.Listen("tcp", p.in.Settings.OperatorAddress())
 	if err != nil {
@@ -126,6 +128,22 @@
 	return nil
 }
 
+// listenCallers listens with TLS unless the settings switch it off.
+func listenCallers(s settings.Settings) (net.Listener, error) {
+	l, err := net.Listen("tcp", s.CallerAddress())
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	if s.CallerPlain() {
+		return l, nil
+	}
+	config, err := vmtls.ForCallers(s.CallerCertificate(), s.CallerKey())
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return tls.NewListener(l, config), nil
+}
+
 func (p *process) start(f func() error) {
 	p.wait.Add(1)
 	go func() {
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -28,6 +28,7 @@
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
 // container provides every part of the process.
@@ -53,6 +54,7 @@
 		func(c hawthornrail.Configuration, k hawthornrail.Clock) hawthornrail.Admitter {
 			return rate.NewStatic(c, k)
 		},
+		newMutual,
 		newPeerServer,
 		newPeerClient,
 		newTable,
@@ -104,12 +106,20 @@
 	return pool.New(c, s.DataCentre())
 }
 
-func newPeerServer(i hawthornrail.Instance, s settings.Settings, k hawthornrail.Clock, l events.Logger) *peer.Server {
-	return peer.NewServer(i, s.Secret(), k, l.Layer("peer"))
+// newMutual returns nil where the settings switch TLS between VMs off.
+func newMutual(s settings.Settings) (*vmtls.Mutual, error) {
+	if s.PeerPlain() {
+		return nil, nil
+	}
+	return vmtls.NewMutual(s.PeerCertificate(), s.PeerKey(), s.PeerAuthority())
+}
+
+func newPeerServer(i hawthornrail.Instance, s settings.Settings, m *vmtls.Mutual, k hawthornrail.Clock, l events.Logger) *peer.Server {
+	return peer.NewServer(i, s.Secret(), m, k, l.Layer("peer"))
 }
 
-func newPeerClient(i hawthornrail.Instance, s settings.Settings, k hawthornrail.Clock, d hawthornrail.Dialer) *peer.Client {
-	return peer.NewClient(i, s.Secret(), k, d)
+func newPeerClient(i hawthornrail.Instance, s settings.Settings, m *vmtls.Mutual, k hawthornrail.Clock, d hawthornrail.Dialer) *peer.Client {
+	return peer.NewClient(i, s.Secret(), m, k, d)
 }
 
 func newReplicator(i hawthornrail.Instance, c hawthornrail.Configuration, p *peer.Client) hawthornrail.Replicator {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -44,7 +44,10 @@
 }
 
 type callerSection struct {
-	Address string `toml:"address"`
+	Address     string `toml:"address"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Plain       bool   `toml:"plain"`
 }
 
 type operatorSection struct {
@@ -52,8 +55,12 @@
 }
 
 type peerSection struct {
-	Address string `toml:"address"`
-	Secret  string `toml:"secret"`
+	Address     string `toml:"address"`
+	Secret      string `toml:"secret"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+	Plain       bool   `toml:"plain"`
 }
 
 type platformSection struct {
@@ -210,6 +217,8 @@
 	if f.Traces.Exporter == "file" && f.Traces.File == "" {
 		c.fail(toml.Key{"traces", "file"}, "the file exporter needs a file")
 	}
+	c.tlsFiles("caller", f.Caller.Plain, tlsFile{"certificate", f.Caller.Certificate}, tlsFile{"key", f.Caller.Key})
+	c.tlsFiles("peer", f.Peer.Plain, tlsFile{"certificate", f.Peer.Certificate}, tlsFile{"key", f.Peer.Key}, tlsFile{"authority", f.Peer.Authority})
 	secret, err := hex.DecodeString(f.Peer.Secret)
 	if err != nil || len(secret) < minSecretBytes {
 		c.fail(toml.Key{"peer", "secret"}, "want at least %d bytes in hexadecimal", minSecretBytes)
@@ -236,6 +245,25 @@
 	}
 }
 
+// tlsFile is a key that names a PEM file.
+type tlsFile struct {
+	key  string
+	path string
+}
+
+// tlsFiles wants every file, or the explicit setting that switches TLS off.
+func (c *checker) tlsFiles(section string, plain bool, files ...tlsFile) {
+	for _, f := range files {
+		key := toml.Key{section, f.key}
+		if plain && f.path != "" {
+			c.fail(key, "TLS is switched off by plain = true; remove one of the two")
+		}
+		if !plain && f.path == "" {
+			c.fail(key, "is missing; want a PEM file, or plain = true to do without TLS")
+		}
+	}
+}
+
 func (c *checker) positive(key toml.Key, value int64) {
 	if value <= 0 {
 		c.fail(key, "must be above 0")
@@ -271,6 +299,27 @@
 // CallerAddress returns the address that callers reach.
 func (s Settings) CallerAddress() string { return s.file.Caller.Address }
 
+// CallerCertificate returns the PEM file of the callers' certificate.
+func (s Settings) CallerCertificate() string { return s.file.Caller.Certificate }
+
+// CallerKey returns the PEM file of that certificate's key.
+func (s Settings) CallerKey() string { return s.file.Caller.Key }
+
+// CallerPlain reports whether callers are served without TLS.
+func (s Settings) CallerPlain() bool { return s.file.Caller.Plain }
+
+// PeerCertificate returns the PEM file of this VM's certificate.
+func (s Settings) PeerCertificate() string { return s.file.Peer.Certificate }
+
+// PeerKey returns the PEM file of that certificate's key.
+func (s Settings) PeerKey() string { return s.file.Peer.Key }
+
+// PeerAuthority returns the PEM file of the fleet's authority.
+func (s Settings) PeerAuthority() string { return s.file.Peer.Authority }
+
+// PeerPlain reports whether VMs talk without TLS.
+func (s Settings) PeerPlain() bool { return s.file.Peer.Plain }
+
 // OperatorAddress returns the address that operators reach.
 func (s Settings) OperatorAddress() string { return s.file.Operator.Address }
 
--- a/internal/operator/settings/settings_test.go
+++ b/internal/operator/settings/settings_test.go
@@ -12,11 +12,14 @@
 data_centre = "dc1"
 [caller]
 address = "10.0.0.1:8080"
+certificate = "caller.pem"
+key = "caller.key"
 [operator]
 address = "10.0.0.1:9100"
 [peer]
 address = "10.0.0.1:7000"
 secret = "00112233445566778899aabbccddeeff"
+plain = true
 [platform]
 address = "10.0.0.9:9000"
 `
@@ -31,6 +34,8 @@
 [peer]
 address = "10.0.0.1:7000"
 secret = "0011"
+plain = true
+key = "vm.key"
 [platform]
 address = "10.0.0.9"
 [limits]
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -36,8 +36,8 @@
 func (v *VM) settings() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "[vm]\nname = %s\ndata_centre = %s\n", quote(v.Name), quote(v.DataCentre))
-	fmt.Fprintf(&text, "[caller]\naddress = %s\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
-	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\n", quote(v.Peer), quote(fleetSecret))
+	fmt.Fprintf(&text, "[caller]\naddress = %s\nplain = true\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
+	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\nplain = true\n", quote(v.Peer), quote(fleetSecret))
 	fmt.Fprintf(&text, "[platform]\naddress = %s\n[log]\nlevel = \"debug\"\n", quote(v.bed.platform))
 	text.WriteString(v.bed.options.Settings)
 	text.WriteString("\n[test.routes]\n")
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -44,9 +45,10 @@
 }
 
 // NewClient returns a client that proves itself as self under secret.
-func NewClient(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
+// mutual is nil where the settings switch TLS off.
+func NewClient(self hawthornrail.Instance, secret []byte, mutual *vmtls.Mutual, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
 	return &Client{
-		identity: identity{self: self, secret: secret},
+		identity: identity{self: self, secret: secret, mutual: mutual},
 		clock:    clock,
 		dialer:   dialer,
 		links:    make(map[string]*link),
@@ -146,7 +148,7 @@
 	if err != nil {
 		return nil, hawthornrail.Instance{}, fmt.Errorf("dial VM: %w", err)
 	}
-	remote, err := c.identity.handshake(conn, true, c.clock.Now())
+	conn, remote, err := c.identity.secure(conn, true, c.clock.Now())
 	if err != nil {
 		_ = conn.Close()
 		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
--- a/internal/vm/peer/handshake.go
+++ b/internal/vm/peer/handshake.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
 const (
@@ -29,6 +31,24 @@
 type identity struct {
 	self   hawthornrail.Instance
 	secret []byte
+	mutual *vmtls.Mutual
+}
+
+// secure wraps a connection in TLS, if it is on, and performs the handshake.
+func (i identity) secure(conn net.Conn, dialer bool, now time.Time) (net.Conn, hawthornrail.Instance, error) {
+	if i.mutual == nil {
+		remote, err := i.handshake(conn, dialer, now)
+		return conn, remote, err
+	}
+	secured := tls.Server(conn, i.mutual.Config())
+	if dialer {
+		secured = tls.Client(conn, i.mutual.Config())
+	}
+	remote, err := i.handshake(secured, dialer, now)
+	if err != nil {
+		return secured, remote, err
+	}
+	return secured, remote, vmtls.CheckName(secured.ConnectionState(), remote.VM())
 }
 
 // handshake exchanges nonces and proofs over a new connection and returns the
--- a/internal/vm/peer/peer_test.go
+++ b/internal/vm/peer/peer_test.go
@@ -21,7 +21,7 @@
 
 func startServer(t *testing.T, secret string, handler peer.Handler) string {
 	t.Helper()
-	s := peer.NewServer(serving, []byte(secret), clock.Real(), events.Discard())
+	s := peer.NewServer(serving, []byte(secret), nil, clock.Real(), events.Discard())
 	address, err := s.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -33,7 +33,7 @@
 
 func ask(t *testing.T, address, secret string) (hawthornrail.Instance, error) {
 	t.Helper()
-	c := peer.NewClient(asking, []byte(secret), clock.Real(), dial.New(nil))
+	c := peer.NewClient(asking, []byte(secret), nil, clock.Real(), dial.New(nil))
 	t.Cleanup(c.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -13,6 +13,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -43,9 +44,10 @@
 }
 
 // NewServer returns a server that proves itself as self under secret.
-func NewServer(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, log events.Logger) *Server {
+// mutual is nil where the settings switch TLS off.
+func NewServer(self hawthornrail.Instance, secret []byte, mutual *vmtls.Mutual, clock hawthornrail.Clock, log events.Logger) *Server {
 	return &Server{
-		identity: identity{self: self, secret: secret},
+		identity: identity{self: self, secret: secret, mutual: mutual},
 		clock:    clock,
 		log:      log,
 		sessions: make(map[*yamux.Session]struct{}),
@@ -82,7 +84,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	from, err := s.identity.handshake(conn, false, s.clock.Now())
+	conn, from, err := s.identity.secure(conn, false, s.clock.Now())
 	if err != nil {
 		s.log.Event(events.PeerRejected).Err(err).Str("address", conn.RemoteAddr().String()).Emit()
 		_ = conn.Close()
--- /dev/null
+++ b/internal/vm/tls/doc.go
@@ -0,0 +1,3 @@
+// Package tls loads certificates and makes the TLS configurations towards
+// callers and between VMs.
+package tls
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,11 +75,13 @@
 data_centre = "dc$dc"
 [caller]
 address = "127.0.0.1:171$dc$n"
+plain = true
 [operator]
 address = "127.0.0.1:173$dc$n"
 [peer]
 address = "127.0.0.1:172$dc$n"
 secret = "$secret"
+plain = true
 [platform]
 address = "$platform"
 EOF
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,8 +25,8 @@
 # Only packages that use rapid know its flag.
 props=$(go list -f '{{if or .TestGoFiles .XTestGoFiles}}{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}{{end}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
 rest=$(go list ./... | grep -vxF "$props")
-go test -race -count=1 -p 4 "${skip[@]}" $rest || failed tests
-[ -z "$props" ] || go test -race -count=1 -p 4 "${skip[@]}" $props -rapid.seed="$seed" || failed "property tests"
+go test -race -count=1 -timeout 8m -p 4 "${skip[@]}" $rest || failed tests
+[ -z "$props" ] || go test -race -count=1 -timeout 8m -p 4 "${skip[@]}" $props -rapid.seed="$seed" || failed "property tests"
 if [ -n "$known" ]; then
   echo "test: known red, not counted:"
   cat KNOWN-RED.txt
