Measure the latency and CPU that a VM adds to a call

Cause: nobody had measured what the path costs.

The operator's port now serves profiles to look further.

--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -9,6 +9,7 @@
 	"github.com/fasthttp/router"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
@@ -43,6 +44,7 @@
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx)
 	})
+	r.GET("/debug/pprof/{profile:*}", pprofhandler.PprofHandler)
 	return &Server{http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
 }
 
--- a/internal/standin/testbed/bed.go
+++ b/internal/standin/testbed/bed.go
@@ -34,6 +34,7 @@
 	Team = "cordillera"
 
 	fleetSecret  = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+	defaultSlots = 64
 	readyTimeout = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
 )
@@ -43,6 +44,7 @@
 	DataCentres int
 	VMs         int
 	Engines     int
+	EngineSlots int
 	EngineDelay time.Duration
 	Services    int
 	ServiceTime time.Duration
@@ -52,28 +54,29 @@
 // Bed is a running fleet. The outside systems run in the test's own process;
 // the entry VMs are processes of their own.
 type Bed struct {
-	t        *testing.T
-	folder   string
-	options  Options
-	binary   string
-	store    *platform.Store
-	Platform *platform.Server
-	Engines  map[string]*engine.Engine
-	Services map[string]*service.Server
-	VMs      []*VM
-	Key      string
-	platform string
-	relays   map[string]*Relay
+	t         testing.TB
+	folder    string
+	options   Options
+	binary    string
+	store     *platform.Store
+	Platform  *platform.Server
+	Engines   map[string]*engine.Engine
+	Services  map[string]*service.Server
+	VMs       []*VM
+	Key       string
+	platform  string
+	relays    map[string]*Relay
+	addresses map[string]string
 }
 
 // New starts a bed and waits until every VM serves the first configuration;
 // the test's end stops it.
-func New(t *testing.T, options Options) *Bed {
+func New(t testing.TB, options Options) *Bed {
 	t.Helper()
 	b := &Bed{
 		t: t, folder: t.TempDir(), options: options, binary: binary(t),
 		store: platform.NewStore(), Engines: make(map[string]*engine.Engine),
-		Services: make(map[string]*service.Server), relays: make(map[string]*Relay),
+		Services: make(map[string]*service.Server), relays: make(map[string]*Relay), addresses: make(map[string]string),
 	}
 	b.Platform = platform.NewServer(b.store)
 	b.platform = b.serve(b.Platform.Handler())
@@ -109,7 +112,7 @@
 )
 
 // binary builds the program once per test process.
-func binary(t *testing.T) string {
+func binary(t testing.TB) string {
 	t.Helper()
 	buildOnce.Do(func() {
 		folder, err := os.MkdirTemp("", "hawthornrail-testbed-")
@@ -149,16 +152,18 @@
 }
 
 func (b *Bed) addEndpoints(dc string) {
+	slots := max(b.options.EngineSlots, defaultSlots)
 	for i := range b.options.Engines {
 		name := fmt.Sprintf("engine-%s-%d", dc, i+1)
 		e := engine.New(engine.Params{
-			Slots: 64, PrefillPerSecond: 1e6, DecodeInterval: b.options.EngineDelay,
+			Slots: slots, PrefillPerSecond: 1e6, DecodeInterval: b.options.EngineDelay,
 			CacheTokens: 1_000_000, CompletionTokens: 8,
 		})
-		b.Engines[name] = e
 		address := b.serve(engine.NewServer(e).Handler())
+		b.Engines[name] = e
+		b.addresses[name] = address
 		b.Put(objects.KindEndpoint, name, objects.Endpoint{
-			Kind: "engine", DataCentre: dc, Address: address, Serves: []string{Model}, Slots: 64,
+			Kind: "engine", DataCentre: dc, Address: address, Serves: []string{Model}, Slots: slots,
 		})
 	}
 	for i := range b.options.Services {
@@ -270,6 +275,19 @@
 	return b.Put(objects.KindDeployment, name, d)
 }
 
+// EngineAddress returns the address of an engine.
+func (b *Bed) EngineAddress(name string) string { return b.addresses[name] }
+
+// CPU returns the processor time that the VMs' processes have used.
+func (b *Bed) CPU() time.Duration {
+	b.t.Helper()
+	total := time.Duration(0)
+	for _, v := range b.VMs {
+		total += v.cpu()
+	}
+	return total
+}
+
 // Store returns the platform's objects.
 func (b *Bed) Store() *platform.Store { return b.store }
 
@@ -298,7 +316,7 @@
 	}
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -5,14 +5,23 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/platform/objects"
 	"hawthornrail.example/hawthornrail/internal/team/keyring"
 )
 
+const (
+	// userTimeField is the index of utime in /proc/PID/stat after the name;
+	// stime follows it.
+	userTimeField = 11
+	clockTick     = 10 * time.Millisecond
+)
+
 // VM is one entry VM's process.
 type VM struct {
 	Name       string
@@ -102,6 +111,25 @@
 // Terminate asks the process for a graceful shutdown.
 func (v *VM) Terminate() { v.signal(syscall.SIGTERM) }
 
+// cpu reads the user and system time of the process, in clock ticks.
+func (v *VM) cpu() time.Duration {
+	v.bed.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", v.process.Process.Pid))
+	if err != nil {
+		v.bed.t.Fatal(err)
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
+	var ticks int64
+	for _, field := range fields[userTimeField : userTimeField+2] {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			v.bed.t.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick
+}
+
 // Wait waits for the end of the process and returns its error.
 func (v *VM) Wait() error { return v.process.Wait() }
 
