Count requests by what became of them

Cause: operators had no counters; /metrics was empty.

A filter before all others counts totals, codes, verdicts and latency; gauges tell configuration, programs and replicas. Ruled out: counting in the caller's server, which would miss calls that end in filters without an answer.

--- /dev/null
+++ b/internal/caller/filter/observe.go
@@ -0,0 +1,28 @@
+package filter
+
+import (
+	"context"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+)
+
+// Observe counts requests and what became of them; it stands first.
+type Observe struct {
+	clock    hawthornrail.Clock
+	requests *metrics.Requests
+}
+
+// NewObserve returns the filter over the counters of requests.
+func NewObserve(clock hawthornrail.Clock, requests *metrics.Requests) *Observe {
+	return &Observe{clock: clock, requests: requests}
+}
+
+// Filter counts the request and passes it on.
+func (f *Observe) Filter(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter, next hawthornrail.Handler) error {
+	start := f.clock.Now()
+	f.requests.Begin()
+	err := next.Serve(ctx, r, w)
+	f.requests.End(err, f.clock.Since(start))
+	return err
+}
--- /dev/null
+++ b/internal/observe/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics names and keeps the counters that operators read.
+package metrics
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -6,14 +6,16 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
@@ -33,7 +35,7 @@
 	Settings   settings.Settings
 	Log        events.Logger
 	Tracer     *traces.Tracer
-	Registry   metrics.Registry
+	Registry   gometrics.Registry
 	Controller *controller.Controller
 	PeerServer *peer.Server
 	PeerClient *peer.Client
@@ -59,6 +61,7 @@
 	p := &process{in: in, failed: make(chan error, 4)}
 	p.drained, p.drain = context.WithCancel(context.Background())
 	p.operator = api.New(p.status, p.drain, in.Registry)
+	p.gauges()
 	return p
 }
 
@@ -84,6 +87,16 @@
 	return s
 }
 
+// gauges registers the values that are read when operators ask for them.
+func (p *process) gauges() {
+	metrics.Gauge(p.in.Registry, "config.revision", func() int64 { return int64(p.in.Controller.Snapshot().Revision()) })
+	metrics.Gauge(p.in.Registry, "config.age_ms", func() int64 { return p.in.Controller.Age().Milliseconds() })
+	metrics.Gauge(p.in.Registry, "programs.held", func() int64 { held, _ := p.in.Home.Count(); return int64(held) })
+	metrics.Gauge(p.in.Registry, "programs.live", func() int64 { _, live := p.in.Home.Count(); return int64(live) })
+	metrics.Gauge(p.in.Registry, "programs.replicas", func() int64 { return int64(p.in.Replicas.Count()) })
+	metrics.Gauge(p.in.Registry, "process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+}
+
 func (p *process) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/filter"
@@ -17,6 +17,7 @@
 	"hawthornrail.example/hawthornrail/internal/endpoint/service"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
@@ -39,7 +40,8 @@
 		clock.Real,
 		newLogger,
 		newTracer,
-		metrics.NewRegistry,
+		gometrics.NewRegistry,
+		metrics.NewRequests,
 		newInstance,
 		func(s settings.Settings) hawthornrail.Dialer { return dial.New(s.TestRoutes()) },
 		func(s settings.Settings, d hawthornrail.Dialer) *client.Client {
@@ -164,9 +166,28 @@
 	return fleet.NewReceiver(c, s.Secret(), h, r, m)
 }
 
-func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
-	chain := filter.Chain(f, filter.NewIdentify(c), filter.NewAuthorise(c, s.Secret()), filter.NewAdmit(a))
-	return server.New(chain, f, c, t, l.Layer("caller"), server.Options{
+type callersIn struct {
+	dig.In
+
+	Forwarder *fleet.Forwarder
+	Admitter  hawthornrail.Admitter
+	Config    hawthornrail.Configuration
+	Clock     hawthornrail.Clock
+	Requests  *metrics.Requests
+	Tracer    *traces.Tracer
+	Log       events.Logger
+	Settings  settings.Settings
+}
+
+func newCallerServer(in callersIn) *server.Server {
+	s := in.Settings
+	chain := filter.Chain(in.Forwarder,
+		filter.NewObserve(in.Clock, in.Requests),
+		filter.NewIdentify(in.Config),
+		filter.NewAuthorise(in.Config, s.Secret()),
+		filter.NewAdmit(in.Admitter),
+	)
+	return server.New(chain, in.Forwarder, in.Config, in.Tracer, in.Log.Layer("caller"), server.Options{
 		MaxBodyBytes: s.MaxBodyBytes(), ReadTimeout: s.ReadTimeout(), RequestTimeout: s.RequestTimeout(),
 	})
 }
