--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test soak generate
+.PHONY: build demo test soak fuzz latency generate
 
 # Builds both programs, linked to libc.
 build:
@@ -24,3 +24,11 @@
 # Generates the wire types from the schema; needs buf and protoc-gen-go.
 generate:
 	cd api && buf lint && buf generate
+
+# Fuzzes each decoder that reads from outside, for FUZZ_TIME each.
+fuzz:
+	scripts/fuzz.sh
+
+# Measures the latency and CPU that a VM adds to a call.
+latency:
+	$(GO) test -run '^$$' -bench AddedLatency -benchtime 2000x ./internal/operator/serve
