Hold programs by pairs and take them over

Cause: a program was served only while its first VM lived. Each holding now has a holder and a backup under the rule of package pair; the backup takes over after silence, picks a backup of its own, and settles pending calls once their dispatch deadline has passed. Requests follow a holding by asking the VMs which one holds it. Graceful shutdown hands holdings over.

Ruled out: watching the holding objects on every VM, since asking is answered from memory and also works with the platform away.

--- a/interfaces.go
+++ b/interfaces.go
@@ -217,11 +217,18 @@
 	Member(vm string) (Member, bool)
 }
 
-// Replicator keeps a second copy of every program tree of this VM.
+// Replicator keeps a second copy of every program tree that this VM holds.
 type Replicator interface {
-	// Replicate returns once the copy holds the step, or a Failure with the
-	// verdict that the step has not taken effect.
-	Replicate(ctx context.Context, s Step) error
+	// Holding returns the instance under which new trees are created here.
+	Holding() Instance
+	// Holds reports whether this VM takes the steps of the trees created
+	// under an instance.
+	Holds(holding Instance) bool
+	// Replicate calls apply once the copy holds the step; it returns a Failure
+	// with the verdict that the step has not taken effect otherwise.
+	Replicate(ctx context.Context, s Step, apply func() error) error
+	// Sync replaces the copy of a tree by one with the given steps.
+	Sync(ctx context.Context, steps []Step) error
 }
 
 // Programs starts and ends programs wherever their home is.
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
-	if err := ctx.Err(); err != nil {
+	if err := t.maySend(ctx); err != nil {
 		_ = c.Close()
 		return nil, errors.Join(ErrUnsent, err)
 	}
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -27,6 +27,13 @@
 var (
 	ProgramCreated = register(3001, zerolog.DebugLevel, "program created", "")
 	ProgramEnded   = register(3002, zerolog.DebugLevel, "program ended", "")
+	HoldingTaken   = register(3101, zerolog.WarnLevel, "holding taken over from another VM", "look at that VM")
+	HoldingLost    = register(3102, zerolog.WarnLevel, "holding taken over by another VM", "look for a pause or a cut of this VM")
+	BackupChanged  = register(3103, zerolog.InfoLevel, "holding has a new backup", "")
+	BackupMissing  = register(3104, zerolog.WarnLevel, "holding has no backup that answers", "start the VM again or restore the platform")
+	HoldingHanded  = register(3105, zerolog.InfoLevel, "holding handed over", "")
+	CallSettled    = register(3106, zerolog.WarnLevel, "outcome of a call is not known after a takeover", "")
+	HandOverFailed = register(3107, zerolog.ErrorLevel, "holding could not be handed over", "raise drain_timeout; the backup takes over")
 )
 
 // The events of configuration.
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
@@ -23,6 +24,8 @@
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 )
 
+const handOverTimeout = 10 * time.Second
+
 // processIn are the parts that run for as long as the process does.
 type processIn struct {
 	dig.In
@@ -37,6 +40,7 @@
 	PeerClient *peer.Client
 	Receiver   *fleet.Receiver
 	Home       *home.Home
+	Holdings   *fleet.Holdings
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
@@ -99,6 +103,7 @@
 	}
 	p.drain()
 	p.in.Table.Leave()
+	p.in.Holdings.Leave()
 	p.shutdown()
 	stop()
 	p.wait.Wait()
@@ -119,7 +124,10 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
+	p.in.Holdings.SetHome(p.in.Home)
+	p.in.Holdings.Start(ctx)
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
@@ -144,8 +152,17 @@
 	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
 	}
+	p.handOver()
 	_ = p.operator.Close()
 	p.in.PeerServer.Close()
 	p.in.PeerClient.Close()
 	_ = p.in.Tracer.Close(ctx)
 }
+
+// handOver gives the programs to other VMs; each one that fails is logged and
+// taken over by its backup later.
+func (p *process) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	_ = p.in.Holdings.HandOver(ctx)
+}
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -58,7 +58,9 @@
 		newTable,
 		func(t *members.Table) hawthornrail.Membership { return t },
 		members.NewProber,
-		newReplicator,
+		newHoldings,
+		func(o *fleet.Holdings) hawthornrail.Replicator { return o },
+		fleet.NewRouter,
 		replica.NewStore,
 		newHome,
 		newForwarder,
@@ -112,8 +114,24 @@
 	return peer.NewClient(i, s.Secret(), k, d)
 }
 
-func newReplicator(i hawthornrail.Instance, c hawthornrail.Configuration, p *peer.Client) hawthornrail.Replicator {
-	return fleet.NewReplicator(i, c, p)
+type holdingsIn struct {
+	dig.In
+
+	Self     hawthornrail.Instance
+	Clock    hawthornrail.Clock
+	Config   hawthornrail.Configuration
+	Members  hawthornrail.Membership
+	Client   *peer.Client
+	Platform *client.Client
+	Replicas *replica.Store
+	Log      events.Logger
+}
+
+func newHoldings(in holdingsIn) *fleet.Holdings {
+	return fleet.NewHoldings(fleet.HoldingsParts{
+		Self: in.Self, Clock: in.Clock, Config: in.Config, Members: in.Members, Client: in.Client,
+		Platform: in.Platform, Replicas: in.Replicas, Log: in.Log.Layer("holdings"),
+	})
 }
 
 func newTable(i hawthornrail.Instance, s settings.Settings) *members.Table {
@@ -146,12 +164,12 @@
 	})
 }
 
-func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
-	return fleet.NewForwarder(i, c, p, h, s.Secret())
+func newForwarder(r *fleet.Router, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
+	return fleet.NewForwarder(r, p, h, s.Secret())
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, r, m)
+func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, o *fleet.Holdings, m *members.Prober) *fleet.Receiver {
+	return fleet.NewReceiver(c, s.Secret(), h, o, m)
 }
 
 func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -16,6 +16,7 @@
 	KindEndpoint   = "endpoint"
 	KindVM         = "vm"
 	KindRoute      = "route"
+	KindHolding    = "holding"
 )
 
 // Object is a stored value with its version; versions rise over all objects.
@@ -80,6 +81,14 @@
 	Deployment string `json:"deployment"`
 }
 
+// Holding is the value of an object that says which instances hold the copies
+// of a holding.
+type Holding struct {
+	Holder string `json:"holder"`
+	Backup string `json:"backup,omitempty"`
+	Epoch  uint64 `json:"epoch"`
+}
+
 // Decode reads an object's value strictly into v.
 func (o Object) Decode(v any) error {
 	d := json.NewDecoder(bytes.NewReader(o.Value))
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -8,8 +8,10 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
+	"hawthornrail.example/hawthornrail/internal/program/pair"
 	"hawthornrail.example/hawthornrail/internal/team/keyring"
 )
 
@@ -56,6 +58,9 @@
 	request *hawthornrail.Request
 	key     callKey
 	digest  []byte
+	// sendBy is when the request may be sent at the latest, so that a VM that
+	// was paused sends nothing after another one took the program over.
+	sendBy time.Time
 }
 
 func digest(r *hawthornrail.Request) []byte {
@@ -68,8 +73,13 @@
 // claim waits for the call's turn; it returns a recorded outcome if the call
 // was made before.
 func (c *call) claim(ctx context.Context) (*hawthornrail.Outcome, error) {
+	var waited ledger.Admission
 	for {
 		c.entry.mu.Lock()
+		if c.entry.moved {
+			c.entry.mu.Unlock()
+			return nil, c.movedAfter(waited)
+		}
 		admission, err := c.entry.tree.Admit(c.key.program, c.key.number, c.digest)
 		changed := c.entry.changed
 		if err != nil {
@@ -95,7 +105,18 @@
 		if err := c.home.waitChange(ctx, changed, wait); err != nil {
 			return nil, c.waitFailure(err, admission)
 		}
+		waited = admission
+	}
+}
+
+// movedAfter refuses a call whose program moved while it waited; one that
+// waited for its own earlier try can't tell whether that ran.
+func (c *call) movedAfter(waited ledger.Admission) error {
+	f := movedFailure(c.id)
+	if waited == 0 || waited == ledger.AdmitGap {
+		return f
 	}
+	return hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, f).WithRetryAfter(movedRetryAfter)
 }
 
 func (c *call) recorded() hawthornrail.Outcome {
@@ -118,8 +139,7 @@
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
 	delete(c.entry.claimed, c.key)
-	close(c.entry.changed)
-	c.entry.changed = make(chan struct{})
+	c.entry.wake()
 }
 
 // run dispatches the call, again on other endpoints while that is allowed.
@@ -188,6 +208,7 @@
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
 	intent := hawthornrail.NewIntent(c.key.program, c.key.number, c.digest, e.Name(), c.request.Idempotent(), p.reserve)
+	c.sendBy = c.home.parts.Clock.Now().Add(pair.DispatchTimeout)
 	return c.home.step(ctx, c.entry, intent.WithMessages(p.messages))
 }
 
@@ -195,6 +216,7 @@
 	if err := c.checkKey(); err != nil {
 		return hawthornrail.Answer{}, err
 	}
+	ctx = http.WithSendBy(ctx, c.sendBy)
 	requestID := fmt.Sprintf("%s/%d", c.id, c.key.number)
 	if c.request.Model() != "" {
 		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -51,6 +51,8 @@
 type entry struct {
 	mu      sync.Mutex
 	tree    *ledger.Tree
+	doubt   bool
+	moved   bool
 	claimed map[callKey]bool
 	changed chan struct{}
 }
@@ -79,10 +81,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.trees[tree]
-	if !ok {
-		return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
+	if ok {
+		return e, nil
 	}
-	return e, nil
+	if !h.parts.Replicator.Holds(id.Home()) {
+		return nil, movedFailure(id)
+	}
+	return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
 }
 
 func (h *Home) put(e *entry) {
@@ -95,15 +100,14 @@
 
 // Create starts a program tree and returns the id of its root.
 func (h *Home) Create(ctx context.Context, team, deployment string, budget hawthornrail.Budget) (hawthornrail.ProgramID, error) {
-	id := hawthornrail.NewProgramID(h.parts.Self, h.number.Add(1), team, h.parts.Secret)
-	e := &entry{tree: ledger.NewTree(id), claimed: make(map[callKey]bool), changed: make(chan struct{})}
+	id := hawthornrail.NewProgramID(h.parts.Replicator.Holding(), h.number.Add(1), team, h.parts.Secret)
+	e := newEntry(ledger.NewTree(id))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	change := hawthornrail.NewCreateTree(team, deployment, budget, h.parts.Clock.Now())
 	if err := h.step(ctx, e, change); err != nil {
 		return id, err
 	}
-	h.put(e)
 	h.parts.Log.Event(events.ProgramCreated).Str("program", id.String()).Str("team", team).Emit()
 	return id, nil
 }
@@ -147,20 +151,34 @@
 }
 
 // step replicates a change and then applies it; the caller holds the entry's
-// lock.
+// lock. After a step of unknown outcome the whole copy is replaced first.
 func (h *Home) step(ctx context.Context, e *entry, change hawthornrail.Change) error {
 	s := e.tree.Next(change)
 	if err := e.tree.Check(s); err != nil {
 		return ledgerFailure(err)
 	}
-	if err := h.parts.Replicator.Replicate(ctx, s); err != nil {
+	if e.doubt && e.tree.Sequence() > 0 {
+		if err := h.parts.Replicator.Sync(ctx, e.tree.Steps()); err != nil {
+			return err
+		}
+		e.doubt = false
+	}
+	err := h.parts.Replicator.Replicate(ctx, s, func() error { return h.apply(e, s) })
+	if err != nil {
+		e.doubt = true
 		return err
 	}
+	e.wake()
+	return nil
+}
+
+func (h *Home) apply(e *entry, s hawthornrail.Step) error {
 	if err := e.tree.Apply(s); err != nil {
 		return ledgerFailure(err)
 	}
-	close(e.changed)
-	e.changed = make(chan struct{})
+	if s.Sequence() == 1 {
+		h.put(e)
+	}
 	return nil
 }
 
--- a/internal/program/ledger/tree.go
+++ b/internal/program/ledger/tree.go
@@ -31,6 +31,7 @@
 	deployment string
 	sequence   uint64
 	programs   []*Program
+	steps      []hawthornrail.Step
 }
 
 // NewTree returns an empty tree; its first step must be a CreateTree.
@@ -50,6 +51,23 @@
 // Sequence returns the number of the last applied step.
 func (t *Tree) Sequence() uint64 { return t.sequence }
 
+// Steps returns all steps applied so far, in order.
+func (t *Tree) Steps() []hawthornrail.Step { return t.steps }
+
+// Replay returns the tree that steps lead to.
+func Replay(steps []hawthornrail.Step) (*Tree, error) {
+	if len(steps) == 0 {
+		return nil, fmt.Errorf("replay without steps: %w", ErrSequence)
+	}
+	t := NewTree(steps[0].Tree())
+	for _, s := range steps {
+		if err := t.Apply(s); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
 // Programs returns the programs of the tree by index.
 func (t *Tree) Programs() []*Program { return t.programs }
 
@@ -94,6 +112,7 @@
 	}
 	t.applyChange(s.Change())
 	t.sequence = s.Sequence()
+	t.steps = append(t.steps, s)
 	return nil
 }
 
--- a/internal/program/pair/backup.go
+++ b/internal/program/pair/backup.go
@@ -43,14 +43,14 @@
 // Accept reports whether a step or heartbeat of an instance in an epoch may
 // be acknowledged; the first one activates the pairing.
 func (b *Backup) Accept(from hawthornrail.Instance, epoch uint64, now time.Time) bool {
-	if b.taking || b.superseded || b.right == RightNone {
+	if b.taking || b.superseded || from != b.pairing.holder || epoch != b.pairing.epoch {
 		return false
 	}
-	if from != b.pairing.holder || epoch != b.pairing.epoch {
+	b.heard = now
+	if b.right == RightNone {
 		return false
 	}
 	b.active = true
-	b.heard = now
 	return true
 }
 
@@ -152,3 +152,6 @@
 	}
 	return false
 }
+
+// Heard returns when the holder was heard last.
+func (b *Backup) Heard() time.Time { return b.heard }
--- /dev/null
+++ b/internal/program/replica/offer.go
@@ -0,0 +1,61 @@
+package replica
+
+import (
+	"fmt"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+	"hawthornrail.example/hawthornrail/internal/program/pair"
+)
+
+// Part is a part of a full copy.
+type Part struct {
+	offer pair.Offer
+	first bool
+	last  bool
+	trees [][]hawthornrail.Step
+}
+
+// NewPart returns the part of an offer with the steps of some trees.
+func NewPart(offer pair.Offer, first, last bool, trees [][]hawthornrail.Step) Part {
+	return Part{offer: offer, first: first, last: last, trees: trees}
+}
+
+// Offer takes a part of a full copy; with the last one this VM can become the
+// backup of the pairing offered.
+func (s *Store) Offer(holding hawthornrail.Instance, p Part) error {
+	trees := make([]*ledger.Tree, 0, len(p.trees))
+	for _, steps := range p.trees {
+		tree, err := ledger.Replay(steps)
+		if err != nil {
+			return fmt.Errorf("copy of %s: %w", holding, err)
+		}
+		trees = append(trees, tree)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.first {
+		s.staged[holding] = &replica{offer: p.offer, trees: make(map[string]*ledger.Tree)}
+	}
+	r, ok := s.staged[holding]
+	if !ok || r.offer != p.offer || !s.replaces(holding, p.offer) {
+		return fmt.Errorf("copy of %s: %w", holding, ErrRefused)
+	}
+	for _, t := range trees {
+		r.trees[t.ID().String()] = t
+	}
+	if p.last {
+		r.backup = pair.NewBackup(p.offer, s.clock.Now())
+		s.copies[holding] = r
+		delete(s.staged, holding)
+	}
+	return nil
+}
+
+func (s *Store) replaces(holding hawthornrail.Instance, o pair.Offer) bool {
+	if s.leaving {
+		return false
+	}
+	r, ok := s.copies[holding]
+	return !ok || o.Replaces(r.backup)
+}
--- /dev/null
+++ b/internal/program/replica/takeover.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+	"hawthornrail.example/hawthornrail/internal/program/pair"
+)
+
+// Due is a holding that this VM may take over now.
+type Due struct {
+	holding hawthornrail.Instance
+	change  pair.Change
+}
+
+// Holding returns the holding.
+func (d Due) Holding() hawthornrail.Instance { return d.holding }
+
+// Change returns how it may be taken over.
+func (d Due) Change() pair.Change { return d.change }
+
+// Taken is a holding that this VM has taken over.
+type Taken struct {
+	holding hawthornrail.Instance
+	pairing pair.Pairing
+	trees   []*ledger.Tree
+}
+
+// Holding returns the holding.
+func (t Taken) Holding() hawthornrail.Instance { return t.holding }
+
+// Pairing returns the pairing after the takeover.
+func (t Taken) Pairing() pair.Pairing { return t.pairing }
+
+// Trees returns the trees of the holding.
+func (t Taken) Trees() []*ledger.Tree { return t.trees }
+
+// Tick forgets superseded copies and returns what may be taken over; ended
+// tells whether an instance is known to have ended.
+func (s *Store) Tick(ended func(hawthornrail.Instance) bool) []Due {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	var due []Due
+	for holding, r := range s.copies {
+		r.backup.Tick(now)
+		if r.backup.Superseded() {
+			delete(s.copies, holding)
+			continue
+		}
+		change := r.backup.MayTakeOver(now, ended(r.backup.Pairing().Holder()))
+		if change != pair.ChangeNone {
+			due = append(due, Due{holding: holding, change: change})
+		}
+	}
+	return due
+}
+
+// Begin stops acknowledging steps of a holding and returns the pairing that a
+// conditional update shall store over found.
+func (s *Store) Begin(holding hawthornrail.Instance, found pair.Pairing) (pair.Pairing, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.copies[holding]
+	if !ok {
+		return pair.Pairing{}, false
+	}
+	return r.backup.Begin(found)
+}
+
+// TakeAlone takes a holding over by the solo right.
+func (s *Store) TakeAlone(holding hawthornrail.Instance) (Taken, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.copies[holding]
+	if !ok {
+		return Taken{}, false
+	}
+	p, ok := r.backup.BeginAlone()
+	if !ok {
+		return Taken{}, false
+	}
+	return s.take(holding, r, p), true
+}
+
+// Observe takes what the platform holds; it returns the holding if that shows
+// that the takeover took effect.
+func (s *Store) Observe(holding hawthornrail.Instance, found pair.Pairing) (Taken, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.copies[holding]
+	if !ok || !r.backup.Observe(found) {
+		return Taken{}, false
+	}
+	return s.take(holding, r, found), true
+}
+
+// HandOver takes a holding over from a holder that released it.
+func (s *Store) HandOver(holding, from hawthornrail.Instance, epoch uint64) (Taken, Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.copies[holding]
+	if !ok {
+		return Taken{}, Answer{}, fmt.Errorf("hand-over of %s: %w", holding, ErrRefused)
+	}
+	p, ok := r.backup.HandOver(from, epoch)
+	if !ok {
+		return Taken{}, Answer{resigned: r.resignedFor(from, epoch)}, fmt.Errorf("hand-over of %s: %w", holding, ErrRefused)
+	}
+	return s.take(holding, r, p), Answer{accepted: true}, nil
+}
+
+func (s *Store) take(holding hawthornrail.Instance, r *replica, p pair.Pairing) Taken {
+	delete(s.copies, holding)
+	t := Taken{holding: holding, pairing: p}
+	for _, tree := range r.trees {
+		t.trees = append(t.trees, tree)
+	}
+	return t
+}
+
+// Resign gives up all copies and takes no more.
+func (s *Store) Resign() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for _, r := range s.copies {
+		r.backup.Resign()
+	}
+}
+
+// Needed returns the number of copies whose holder was heard within a time
+// and may still be without another backup.
+func (s *Store) Needed(within time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.copies {
+		if r.backup.Active() && s.clock.Since(r.backup.Heard()) < within {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/testbed/call.go
+++ b/internal/standin/testbed/call.go
@@ -74,10 +74,11 @@
 	return reply
 }
 
-// CreateProgram starts a program at a VM and returns its id.
+// CreateProgram starts a program at a VM, again while it is refused as not
+// run, and returns its id.
 func (v *VM) CreateProgram(key string) string {
 	v.bed.t.Helper()
-	reply := v.Call(key, http.MethodPost, "/v1/programs", nil, nil)
+	reply := Retry(func() Reply { return v.Call(key, http.MethodPost, "/v1/programs", nil, nil) })
 	var created struct {
 		ProgramID string `json:"program_id"`
 	}
--- a/internal/vm/fleet/forward.go
+++ b/internal/vm/fleet/forward.go
@@ -13,24 +13,26 @@
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-const unreachableRetryAfter = time.Second
+const (
+	unreachableRetryAfter = 300 * time.Millisecond
+	maxHops               = 3
+)
 
 // Forwarder serves requests at the home of their program; it implements
 // hawthornrail.Handler.
 type Forwarder struct {
-	self    hawthornrail.Instance
-	members hawthornrail.Membership
-	client  *peer.Client
-	local   *home.Home
-	secret  []byte
+	router *Router
+	client *peer.Client
+	local  *home.Home
+	secret []byte
 }
 
 // NewForwarder returns a forwarder that serves local programs itself.
-func NewForwarder(self hawthornrail.Instance, members hawthornrail.Membership, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
-	return &Forwarder{self: self, members: members, client: client, local: local, secret: secret}
+func NewForwarder(router *Router, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
+	return &Forwarder{router: router, client: client, local: local, secret: secret}
 }
 
-// Serve runs the request here if its program is homed here, and asks the home
+// Serve runs the request here if its program is held here, and asks its holder
 // otherwise; a request without a program becomes a program of one call.
 func (f *Forwarder) Serve(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
 	if r.Program() == "" {
@@ -40,10 +42,12 @@
 	if err != nil {
 		return hawthornrail.NewFailure(hawthornrail.CodeBadRequest, hawthornrail.VerdictNotRun, err)
 	}
-	if id.Home() == f.self {
-		return f.local.Serve(ctx, r, w)
-	}
-	return f.ask(ctx, id, r, w)
+	return f.router.follow(ctx, id, func(address string) error {
+		if address == "" {
+			return f.local.Serve(ctx, r, w)
+		}
+		return f.ask(ctx, address, r, w)
+	})
 }
 
 func (f *Forwarder) serveSingle(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
@@ -57,24 +61,12 @@
 	return f.local.Serve(ctx, r, w)
 }
 
-func (f *Forwarder) address(id hawthornrail.ProgramID) (string, error) {
-	m, ok := f.members.Member(id.Home().VM())
-	if !ok {
-		return "", unreachable(fmt.Errorf("VM %s is not known", id.Home().VM()))
-	}
-	return m.Address(), nil
-}
-
 func unreachable(err error) error {
 	f := hawthornrail.NewFailure(hawthornrail.CodeHomeUnreachable, hawthornrail.VerdictNotRun, err)
 	return f.WithRetryAfter(unreachableRetryAfter)
 }
 
-func (f *Forwarder) ask(ctx context.Context, id hawthornrail.ProgramID, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
-	address, err := f.address(id)
-	if err != nil {
-		return err
-	}
+func (f *Forwarder) ask(ctx context.Context, address string, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
 	open := &vmpb.Open{Kind: &vmpb.Open_Call{Call: convert.CallToWire(r)}}
 	exchange, err := f.client.Open(ctx, address, open)
 	if errors.Is(err, peer.ErrUnsent) {
@@ -139,13 +131,19 @@
 	if budget == nil {
 		return "", hawthornrail.NotRun(hawthornrail.CodeBadRequest, "a sub-agent needs a budget")
 	}
-	if id.Home() == f.self {
-		child, err := f.local.CreateChild(ctx, id, *budget)
-		return child.String(), err
-	}
-	return f.askProgram(ctx, id, &vmpb.Open{Kind: &vmpb.Open_CreateProgram{CreateProgram: &vmpb.CreateProgram{
-		Team: d.Team(), ParentId: parent, Budget: convert.BudgetToWire(*budget),
-	}}})
+	var created string
+	err = f.router.follow(ctx, id, func(address string) error {
+		if address == "" {
+			child, err := f.local.CreateChild(ctx, id, *budget)
+			created = child.String()
+			return err
+		}
+		created, err = f.askProgram(ctx, address, &vmpb.Open{Kind: &vmpb.Open_CreateProgram{CreateProgram: &vmpb.CreateProgram{
+			Team: d.Team(), ParentId: parent, Budget: convert.BudgetToWire(*budget),
+		}}})
+		return err
+	})
+	return created, err
 }
 
 // End ends a program at its home.
@@ -154,26 +152,24 @@
 	if err != nil {
 		return err
 	}
-	if id.Home() == f.self {
-		return f.local.End(ctx, id, reason)
-	}
-	_, err = f.askProgram(ctx, id, &vmpb.Open{Kind: &vmpb.Open_EndProgram{EndProgram: &vmpb.EndProgram{
-		Team: team, ProgramId: program, Reason: reason,
-	}}})
-	return err
+	return f.router.follow(ctx, id, func(address string) error {
+		if address == "" {
+			return f.local.End(ctx, id, reason)
+		}
+		_, err := f.askProgram(ctx, address, &vmpb.Open{Kind: &vmpb.Open_EndProgram{EndProgram: &vmpb.EndProgram{
+			Team: team, ProgramId: program, Reason: reason,
+		}}})
+		return err
+	})
 }
 
 func (f *Forwarder) owned(team, program string) (hawthornrail.ProgramID, error) {
 	return ownedProgram(program, team, f.secret)
 }
 
-func (f *Forwarder) askProgram(ctx context.Context, id hawthornrail.ProgramID, open *vmpb.Open) (string, error) {
-	address, err := f.address(id)
-	if err != nil {
-		return "", err
-	}
+func (f *Forwarder) askProgram(ctx context.Context, address string, open *vmpb.Open) (string, error) {
 	var reply vmpb.ProgramReply
-	_, err = f.client.Ask(ctx, address, open, &reply)
+	_, err := f.client.Ask(ctx, address, open, &reply)
 	if errors.Is(err, peer.ErrUnsent) {
 		return "", unreachable(err)
 	}
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -15,6 +15,8 @@
 
 // Receiver serves what other VMs ask of this one.
 type Receiver struct {
+	self     hawthornrail.Instance
+	holdings *Holdings
 	config   hawthornrail.Configuration
 	secret   []byte
 	local    *home.Home
@@ -22,10 +24,13 @@
 	prober   *members.Prober
 }
 
-// NewReceiver returns a receiver for the programs homed here and the replicas
+// NewReceiver returns a receiver for the programs held here and the replicas
 // kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober) *Receiver {
-	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober}
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, holdings *Holdings, prober *members.Prober) *Receiver {
+	return &Receiver{
+		self: holdings.parts.Self, config: config, secret: secret, local: local,
+		holdings: holdings, replicas: holdings.parts.Replicas, prober: prober,
+	}
 }
 
 // Handle serves one stream; it implements peer.Handler.
@@ -41,6 +46,8 @@
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
 		v.endProgram(ctx, k.EndProgram, s)
+	default:
+		v.pairing(open, s)
 	}
 }
 
@@ -69,7 +76,7 @@
 	if home := convert.InstanceFromWire(m.GetHome()); home != from {
 		return fmt.Errorf("step of %s came from %s", home, from)
 	}
-	return v.replicas.Accept(from, step)
+	return v.replicas.Step(from, m.GetEpoch(), step)
 }
 
 func (v *Receiver) createChild(ctx context.Context, m *vmpb.CreateProgram, s *peer.Stream) {
