--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -22,7 +22,18 @@
 	Programs       int    `json:"programs"`
 	LivePrograms   int    `json:"live_programs"`
 	Replicas       int    `json:"replicas"`
-	Leaving        bool   `json:"leaving"`
+	// SoloReplicas is the number of holdings that may be taken over here
+	// without the platform.
+	SoloReplicas int       `json:"solo_replicas"`
+	Holdings     []Holding `json:"holdings"`
+	Leaving      bool      `json:"leaving"`
+}
+
+// Holding is the JSON form of a holding whose steps the VM takes.
+type Holding struct {
+	Holding string `json:"holding"`
+	Epoch   uint64 `json:"epoch"`
+	Backup  string `json:"backup"`
 }
 
 // Server answers operators.
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -82,6 +82,14 @@
 	s := api.StatusOf(p.in.Self, p.in.Controller)
 	s.Programs, s.LivePrograms = p.in.Home.Count()
 	s.Replicas = p.in.Replicas.Count()
+	s.SoloReplicas = p.in.Replicas.CountSolo()
+	for holding, pairing := range p.in.Holdings.Pairings() {
+		h := api.Holding{Holding: holding.String(), Epoch: pairing.Epoch()}
+		if !pairing.Backup().IsZero() {
+			h.Backup = pairing.Backup().String()
+		}
+		s.Holdings = append(s.Holdings, h)
+	}
 	s.Leaving = p.drained.Err() != nil
 	return s
 }
--- a/internal/program/pair/backup.go
+++ b/internal/program/pair/backup.go
@@ -155,3 +155,6 @@
 
 // Heard returns when the holder was heard last.
 func (b *Backup) Heard() time.Time { return b.heard }
+
+// Solo reports whether the backup may take over without the platform.
+func (b *Backup) Solo() bool { return b.right == RightSolo }
--- a/internal/program/replica/store.go
+++ b/internal/program/replica/store.go
@@ -142,3 +142,17 @@
 	}
 	return n
 }
+
+// CountSolo returns the number of holdings that this VM may take over without
+// the platform.
+func (s *Store) CountSolo() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.copies {
+		if r.backup.Solo() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -17,6 +17,7 @@
 
 	mu     sync.Mutex
 	counts map[string]int
+	begun  int
 	keys   int
 }
 
@@ -36,6 +37,9 @@
 
 func (s *Server) execute(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	s.mu.Lock()
+	s.begun++
+	s.mu.Unlock()
 	time.Sleep(s.delay)
 	s.mu.Lock()
 	s.counts[id]++
@@ -65,3 +69,10 @@
 	defer s.mu.Unlock()
 	return maps.Clone(s.counts)
 }
+
+// Begun returns how many requests arrived.
+func (s *Server) Begun() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.begun
+}
--- a/internal/vm/fleet/holdings.go
+++ b/internal/vm/fleet/holdings.go
@@ -142,11 +142,17 @@
 	return ok
 }
 
-// Count returns the number of holdings whose steps this VM takes.
-func (o *Holdings) Count() int {
+// Pairings returns the holdings whose steps this VM takes.
+func (o *Holdings) Pairings() map[hawthornrail.Instance]pair.Pairing {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.held)
+	all := make(map[hawthornrail.Instance]pair.Pairing, len(o.held))
+	for holding, h := range o.held {
+		h.mu.Lock()
+		all[holding] = h.holder.Pairing()
+		h.mu.Unlock()
+	}
+	return all
 }
 
 func (o *Holdings) find(holding hawthornrail.Instance) (*held, bool) {
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -21,6 +22,14 @@
 	writeTimeout       = 2 * time.Second
 	streamCloseTimeout = 10 * time.Second
 	streamWindowBytes  = 1 << 20
+
+	// pingInterval and pingTimeout bound how long a request waits for a VM
+	// that was paused or cut off.
+	pingInterval = 500 * time.Millisecond
+	pingTimeout  = time.Second
+	// redialDelay is the time after a failed connection in which no other one
+	// is tried, so that requests do not queue for it.
+	redialDelay = 200 * time.Millisecond
 )
 
 // ErrUnsent means that a request provably did not reach the other VM.
@@ -41,6 +50,11 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	remote  hawthornrail.Instance
+	failed  time.Time
+	err     error
+
+	pending  atomic.Int64
+	watching atomic.Bool
 }
 
 // NewClient returns a client that proves itself as self under secret.
@@ -59,6 +73,7 @@
 	reader *bufio.Reader
 	remote hawthornrail.Instance
 	stop   func() bool
+	link   *link
 }
 
 // Open sends the first message of a new stream to the VM at an address; an
@@ -74,14 +89,17 @@
 		l.drop(session)
 		return nil, errors.Join(ErrUnsent, fmt.Errorf("open stream to %s: %w", address, err))
 	}
+	l.pending.Add(1)
+	c.watch(l)
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	open.TraceParent = traces.Parent(ctx)
 	if err := WriteMessage(stream, open); err != nil {
 		stop()
 		_ = stream.Close()
+		l.pending.Add(-1)
 		return nil, err
 	}
-	return &Exchange{stream: stream, reader: bufio.NewReader(stream), remote: remote, stop: stop}, nil
+	return &Exchange{stream: stream, reader: bufio.NewReader(stream), remote: remote, stop: stop, link: l}, nil
 }
 
 // Remote returns the instance at the other end.
@@ -94,6 +112,7 @@
 func (e *Exchange) Close() {
 	e.stop()
 	_ = e.stream.Close()
+	e.link.pending.Add(-1)
 }
 
 // Ask opens a stream, reads one reply into reply and closes the stream.
@@ -142,12 +161,30 @@
 	if l.session != nil && !l.session.IsClosed() {
 		return l.session, l.remote, nil
 	}
+	if l.err != nil && c.clock.Since(l.failed) < redialDelay {
+		return nil, hawthornrail.Instance{}, l.err
+	}
+	session, remote, err := c.dial(ctx, address)
+	if err != nil {
+		l.failed, l.err = c.clock.Now(), err
+		return nil, hawthornrail.Instance{}, err
+	}
+	l.session, l.remote, l.err = session, remote, nil
+	return session, remote, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*yamux.Session, hawthornrail.Instance, error) {
 	conn, err := c.dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, hawthornrail.Instance{}, fmt.Errorf("dial VM: %w", err)
 	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	remote, err := c.identity.handshake(conn, true, c.clock.Now())
+	if err == nil && !stop() {
+		err = ctx.Err()
+	}
 	if err != nil {
+		stop()
 		_ = conn.Close()
 		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
 	}
@@ -156,10 +193,51 @@
 		_ = conn.Close()
 		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
 	}
-	l.session, l.remote = session, remote
 	return session, remote, nil
 }
 
+// watch pings the other end while requests wait for it, and closes the
+// session when it does not answer.
+func (c *Client) watch(l *link) {
+	if l.watching.Swap(true) {
+		return
+	}
+	go func() {
+		for {
+			c.clock.Sleep(pingInterval)
+			if l.pending.Load() == 0 {
+				l.watching.Store(false)
+				if l.pending.Load() == 0 || l.watching.Swap(true) {
+					return
+				}
+			}
+			if session := l.current(); session != nil && !c.alive(session) {
+				l.drop(session)
+			}
+		}
+	}()
+}
+
+func (l *link) current() *yamux.Session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session
+}
+
+func (c *Client) alive(session *yamux.Session) bool {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := session.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err == nil
+	case <-c.clock.After(pingTimeout):
+		return false
+	}
+}
+
 func (l *link) drop(session *yamux.Session) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/vm/peer/handshake.go
+++ b/internal/vm/peer/handshake.go
@@ -17,7 +17,7 @@
 const (
 	nonceBytes       = 32
 	maxHelloBytes    = 512
-	handshakeTimeout = 3 * time.Second
+	handshakeTimeout = time.Second
 )
 
 // ErrUnauthenticated means that the other end does not hold the fleet's
