Let a holder go on after its backup's VM started again

Cause: with the platform away, a holder that granted its backup the solo right had to refuse for good when that backup died, also after the outage. It now regains the right when the backup's VM runs again and either was down before it could take over, or no other VM, each running since before, was offered a later copy.

--- a/internal/program/pair/holder.go
+++ b/internal/program/pair/holder.go
@@ -14,6 +14,7 @@
 	offered    uint64
 	attempt    Pairing
 	acked      time.Time
+	sent       time.Time
 	released   bool
 	superseded bool
 }
@@ -50,8 +51,34 @@
 
 func (h *Holder) attempting() bool { return h.attempt.epoch != 0 }
 
-// Acknowledged records that the backup accepted a heartbeat.
-func (h *Holder) Acknowledged(now time.Time) { h.acked = now }
+// Acknowledged records that the backup accepted a heartbeat sent at a time.
+func (h *Holder) Acknowledged(sent, now time.Time) {
+	h.acked = now
+	if sent.After(h.sent) {
+		h.sent = sent
+	}
+}
+
+// Ended records that the backup's instance had ended before a time. If that
+// is too early for it to have taken over, no other instance has a right.
+func (h *Holder) Ended(before time.Time) {
+	if h.provable() && before.Before(h.sent.Add(TakeoverTimeout-clockMargin)) {
+		h.right = RightSolo
+	}
+}
+
+// Unclaimed records that the backup's instance has ended, and that every other
+// VM, each in a run that began before a time, was never offered a later copy.
+// If all ran when the backup was alive, it took no step as a holder.
+func (h *Holder) Unclaimed(began time.Time) {
+	if h.provable() && began.Before(h.sent) {
+		h.right = RightSolo
+	}
+}
+
+func (h *Holder) provable() bool {
+	return !h.attempting() && !h.released && !h.superseded && !h.pairing.backup.IsZero() && !h.sent.IsZero()
+}
 
 // Silent reports whether the backup has not answered for too long.
 func (h *Holder) Silent(now time.Time) bool { return now.Sub(h.acked) >= ReplaceTimeout }
@@ -115,7 +142,7 @@
 // Adopt puts a decided pairing into force.
 func (h *Holder) Adopt(next Pairing, now time.Time) {
 	h.pairing, h.attempt, h.offered = next, Pairing{}, max(h.offered, next.epoch)
-	h.right, h.grant, h.acked = RightShared, 0, now
+	h.right, h.grant, h.acked, h.sent = RightShared, 0, now, time.Time{}
 }
 
 // Observe takes the pairing that the platform holds and reports whether it
--- a/internal/program/pair/pairing.go
+++ b/internal/program/pair/pairing.go
@@ -17,6 +17,9 @@
 	// DispatchTimeout is how long after an intent its request may be sent.
 	DispatchTimeout = 800 * time.Millisecond
 
+	// clockMargin allows for two VMs' clocks that run at different speeds.
+	clockMargin = 50 * time.Millisecond
+
 	// maxTickGap is the gap between two ticks that shows that the process
 	// itself was stopped; silence is then counted anew.
 	maxTickGap = 500 * time.Millisecond
--- a/internal/program/replica/offer.go
+++ b/internal/program/replica/offer.go
@@ -41,6 +41,7 @@
 	if !ok || r.offer != p.offer || !s.replaces(holding, p.offer) {
 		return fmt.Errorf("copy of %s: %w", holding, ErrRefused)
 	}
+	s.seen[holding] = max(s.seen[holding], p.offer.Next().Epoch())
 	for _, t := range trees {
 		r.trees[t.ID().String()] = t
 	}
@@ -59,3 +60,10 @@
 	r, ok := s.copies[holding]
 	return !ok || o.Replaces(r.backup)
 }
+
+// Seen returns the highest epoch of a holding that a copy was offered for.
+func (s *Store) Seen(holding hawthornrail.Instance) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[holding]
+}
--- a/internal/program/replica/store.go
+++ b/internal/program/replica/store.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	copies  map[hawthornrail.Instance]*replica
 	staged  map[hawthornrail.Instance]*replica
+	seen    map[hawthornrail.Instance]uint64
 	leaving bool
 }
 
@@ -37,6 +38,7 @@
 		clock:  clock,
 		copies: make(map[hawthornrail.Instance]*replica),
 		staged: make(map[hawthornrail.Instance]*replica),
+		seen:   make(map[hawthornrail.Instance]uint64),
 	}
 }
 
--- a/internal/vm/fleet/held.go
+++ b/internal/vm/fleet/held.go
@@ -137,6 +137,7 @@
 	if p.Backup().IsZero() || released {
 		return
 	}
+	sent := h.holdings.parts.Clock.Now()
 	reply, err := h.ask(ctx, address, p.Backup(), &vmpb.Open{Kind: &vmpb.Open_PairBeat{PairBeat: message}})
 	if err != nil {
 		return
@@ -148,7 +149,7 @@
 		return
 	}
 	if reply.GetAccepted() {
-		h.holder.Acknowledged(h.holdings.parts.Clock.Now())
+		h.holder.Acknowledged(sent, h.holdings.parts.Clock.Now())
 		h.holder.Returned(reply.GetReturned())
 	}
 	if reply.GetResigned() {
--- a/internal/vm/fleet/holdings.go
+++ b/internal/vm/fleet/holdings.go
@@ -40,9 +40,10 @@
 // Holdings are the holdings whose steps this VM takes; they implement
 // hawthornrail.Replicator.
 type Holdings struct {
-	parts HoldingsParts
-	home  *home.Home
-	ctx   context.Context
+	parts   HoldingsParts
+	started time.Time
+	home    *home.Home
+	ctx     context.Context
 
 	mu      sync.Mutex
 	own     *held
@@ -55,7 +56,7 @@
 // NewHoldings returns the holdings of a new process: one without programs.
 func NewHoldings(parts HoldingsParts) *Holdings {
 	o := &Holdings{
-		parts: parts, held: make(map[hawthornrail.Instance]*held),
+		parts: parts, started: parts.Clock.Now(), held: make(map[hawthornrail.Instance]*held),
 		taking: make(map[hawthornrail.Instance]bool),
 	}
 	o.own = newHeld(o, parts.Self, 1)
@@ -123,6 +124,9 @@
 	}
 }
 
+// uptime returns how long this process has run, or somewhat less.
+func (o *Holdings) uptime() time.Duration { return o.parts.Clock.Since(o.started) }
+
 func (o *Holdings) platformAway() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/vm/fleet/pairing.go
+++ b/internal/vm/fleet/pairing.go
@@ -87,9 +87,12 @@
 	if err != nil {
 		return &vmpb.WhoHoldsReply{}
 	}
-	epoch := v.holdings.epoch(holding)
-	if epoch == 0 {
-		return &vmpb.WhoHoldsReply{}
+	reply := &vmpb.WhoHoldsReply{
+		Epoch: v.holdings.epoch(holding), SeenEpoch: v.replicas.Seen(holding),
+		UptimeMs: v.holdings.uptime().Milliseconds(),
+	}
+	if reply.GetEpoch() > 0 {
+		reply.Holder = v.self.String()
 	}
-	return &vmpb.WhoHoldsReply{Holder: v.self.String(), Epoch: epoch}
+	return reply
 }
--- a/internal/vm/fleet/replace.go
+++ b/internal/vm/fleet/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -19,6 +20,7 @@
 	if h.settle(ctx) {
 		return
 	}
+	h.askRestarted(ctx)
 	h.mu.Lock()
 	change := h.holder.MayReplace()
 	h.mu.Unlock()
@@ -60,13 +62,66 @@
 	return append(append(after, before...), others...)
 }
 
-// greet returns the instance that answers at a VM's address.
-func (h *held) greet(ctx context.Context, v hawthornrail.VM) (hawthornrail.Instance, bool) {
+// askRestarted finds out whether the backup's VM runs a later instance, and
+// since when.
+func (h *held) askRestarted(ctx context.Context) {
+	h.mu.Lock()
+	p, address := h.holder.Pairing(), h.address
+	h.mu.Unlock()
+	if p.Backup().IsZero() {
+		return
+	}
+	reply, remote, err := h.whoHolds(ctx, address)
+	if err != nil || remote.VM() != p.Backup().VM() || remote.Incarnation() <= p.Backup().Incarnation() {
+		return
+	}
+	now := h.holdings.parts.Clock.Now()
+	h.mu.Lock()
+	h.holder.Ended(now.Add(-time.Duration(reply.GetUptimeMs()) * time.Millisecond))
+	proved := h.holder.MayReplace() != pair.ChangeNone
+	h.mu.Unlock()
+	if proved {
+		return
+	}
+	if began, ok := h.askOffered(ctx, p); ok {
+		h.mu.Lock()
+		h.holder.Unclaimed(began)
+		h.mu.Unlock()
+	}
+}
+
+// askOffered asks every other VM whether it was offered a later copy; it
+// returns when the last of them began to run.
+func (h *held) askOffered(ctx context.Context, p pair.Pairing) (time.Time, bool) {
+	var latest time.Time
+	for _, v := range h.holdings.parts.Config.Snapshot().VMs() {
+		if v.Name() == p.Holder().VM() || v.Name() == p.Backup().VM() {
+			continue
+		}
+		reply, _, err := h.whoHolds(ctx, v.Address())
+		if err != nil || reply.GetSeenEpoch() > p.Epoch() || reply.GetEpoch() > 0 {
+			return latest, false
+		}
+		began := h.holdings.parts.Clock.Now().Add(-time.Duration(reply.GetUptimeMs()) * time.Millisecond)
+		if began.After(latest) {
+			latest = began
+		}
+	}
+	return latest, true
+}
+
+func (h *held) whoHolds(ctx context.Context, address string) (*vmpb.WhoHoldsReply, hawthornrail.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, pairTimeout)
 	defer cancel()
 	var reply vmpb.WhoHoldsReply
 	open := &vmpb.Open{Kind: &vmpb.Open_WhoHolds{WhoHolds: &vmpb.WhoHolds{Holding: h.holding.String()}}}
-	remote, err := h.holdings.parts.Client.Ask(ctx, v.Address(), open, &reply)
+	remote, err := h.holdings.parts.Client.Ask(ctx, address, open, &reply)
+	return &reply, remote, err
+}
+
+// greet returns the instance that answers at a VM's address.
+func (h *held) greet(ctx context.Context, v hawthornrail.VM) (hawthornrail.Instance, bool) {
+	reply, remote, err := h.whoHolds(ctx, v.Address())
 	if err != nil {
 		return remote, false
 	}
