--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
@@ -27,6 +28,8 @@
 	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
+const handOverTimeout = 10 * time.Second
+
 // processIn are the parts that run for as long as the process does.
 type processIn struct {
 	dig.In
@@ -41,6 +44,7 @@
 	PeerClient *peer.Client
 	Receiver   *fleet.Receiver
 	Home       *home.Home
+	Holdings   *fleet.Holdings
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
@@ -83,6 +87,14 @@
 	s := api.StatusOf(p.in.Self, p.in.Controller)
 	s.Programs, s.LivePrograms = p.in.Home.Count()
 	s.Replicas = p.in.Replicas.Count()
+	s.SoloReplicas = p.in.Replicas.CountSolo()
+	for holding, pairing := range p.in.Holdings.Pairings() {
+		h := api.Holding{Holding: holding.String(), Epoch: pairing.Epoch()}
+		if !pairing.Backup().IsZero() {
+			h.Backup = pairing.Backup().String()
+		}
+		s.Holdings = append(s.Holdings, h)
+	}
 	s.Leaving = p.drained.Err() != nil
 	return s
 }
@@ -114,6 +126,7 @@
 	}
 	p.drain()
 	p.in.Table.Leave()
+	p.in.Holdings.Leave()
 	p.shutdown()
 	stop()
 	p.wait.Wait()
@@ -134,7 +147,10 @@
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
+	p.in.Holdings.SetHome(p.in.Home)
+	p.in.Holdings.Start(ctx)
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
@@ -175,8 +191,17 @@
 	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
 	}
+	p.handOver()
 	_ = p.operator.Close()
 	p.in.PeerServer.Close()
 	p.in.PeerClient.Close()
 	_ = p.in.Tracer.Close(ctx)
 }
+
+// handOver gives the programs to other VMs; each one that fails is logged and
+// taken over by its backup later.
+func (p *process) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	_ = p.in.Holdings.HandOver(ctx)
+}
