Record outcomes until the replica holds them

Cause: a crash-point property over receipt, intent, dispatch, outcome, end and answer found three faults. A call that ran was answered as not run when the step that ends its program failed, or when the caller had ended the program meanwhile. A call whose outcome could not be replicated stayed pending for good. A service call lost its deadline with its caller.

Ruled out: answering the caller before the outcome is held, because a takeover would then answer a repeat with may_have_run.

Conclusion: a failed record step goes on in the background, an answer whose outcome is held stays whole, and a service call keeps a deadline.

--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -200,8 +200,9 @@
 		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
 	}
 	if !c.request.Idempotent() {
-		// Cancelling would leave it open whether the request ran.
-		ctx = context.WithoutCancel(ctx)
+		detached, cancel := detach(ctx)
+		defer cancel()
+		ctx = detached
 	}
 	return c.home.parts.Services.Dispatch(ctx, e, p.request, requestID, w)
 }
@@ -215,27 +216,6 @@
 	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
 }
 
-// record replicates the outcome even when the caller has gone.
-func (c *call) record(answer hawthornrail.Answer, err error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	c.entry.mu.Lock()
-	defer c.entry.mu.Unlock()
-	outcome := hawthornrail.NewAnsweredOutcome(c.key.program, c.key.number, answer.Status(), answer.ContentType(), answer.Body()).
-		WithReply(answer.Reply()).WithUsedTokens(answer.Usage().Total())
-	if err != nil {
-		f := hawthornrail.AsFailure(err)
-		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
-	}
-	if err := c.home.step(ctx, c.entry, outcome); err != nil {
-		return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
-	}
-	if err == nil && c.request.EndsProgram() {
-		return c.home.step(ctx, c.entry, hawthornrail.NewEnd(c.key.program, "completed"))
-	}
-	return nil
-}
-
 // replay answers a call from its recorded outcome.
 func replay(o hawthornrail.Outcome, w hawthornrail.AnswerWriter) error {
 	if o.Verdict() != hawthornrail.VerdictRan {
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -36,10 +36,11 @@
 
 // Home holds the program trees of this VM.
 type Home struct {
-	parts  Parts
-	number atomic.Uint64
-	seed   maphash.Seed
-	shards [shardCount]shard
+	parts     Parts
+	number    atomic.Uint64
+	recording atomic.Int64
+	seed      maphash.Seed
+	shards    [shardCount]shard
 }
 
 type shard struct {
