Find the first run of a request by its idempotency key

Cause: the key of a request outside a program was not used, so that a repeat ran again.

Ruled out: a home chosen by hash over the list of VMs, which changes between request and repeat; docs/design/0002-at-most-once.md has the reasons.

--- a/interfaces.go
+++ b/interfaces.go
@@ -231,3 +231,11 @@
 	// End ends a program of a team.
 	End(ctx context.Context, team, id, reason string) error
 }
+
+// Claims decides which program runs a request that callers repeat under an
+// idempotency key.
+type Claims interface {
+	// Claim returns the program that first claimed a team's key: the offered
+	// one or an earlier one.
+	Claim(ctx context.Context, team, key, program string) (string, error)
+}
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -19,6 +19,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
+	"hawthornrail.example/hawthornrail/internal/platform/claims"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
@@ -61,6 +62,7 @@
 		newReplicator,
 		replica.NewStore,
 		newHome,
+		claims.New,
 		newForwarder,
 		newReceiver,
 		newCallerServer,
@@ -146,8 +148,8 @@
 	})
 }
 
-func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
-	return fleet.NewForwarder(i, c, p, h, s.Secret())
+func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, k *claims.Claims, s settings.Settings) *fleet.Forwarder {
+	return fleet.NewForwarder(i, c, p, h, k, s.Secret())
 }
 
 func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
--- a/internal/vm/fleet/forward.go
+++ b/internal/vm/fleet/forward.go
@@ -22,12 +22,13 @@
 	members hawthornrail.Membership
 	client  *peer.Client
 	local   *home.Home
+	claims  hawthornrail.Claims
 	secret  []byte
 }
 
 // NewForwarder returns a forwarder that serves local programs itself.
-func NewForwarder(self hawthornrail.Instance, members hawthornrail.Membership, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
-	return &Forwarder{self: self, members: members, client: client, local: local, secret: secret}
+func NewForwarder(self hawthornrail.Instance, members hawthornrail.Membership, client *peer.Client, local *home.Home, claims hawthornrail.Claims, secret []byte) *Forwarder {
+	return &Forwarder{self: self, members: members, client: client, local: local, claims: claims, secret: secret}
 }
 
 // Serve runs the request here if its program is homed here, and asks the home
@@ -46,17 +47,6 @@
 	return f.ask(ctx, id, r, w)
 }
 
-func (f *Forwarder) serveSingle(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
-	d := r.Deployment()
-	id, err := f.local.Create(ctx, d.Team(), d.Name(), d.Budget())
-	if err != nil {
-		return err
-	}
-	r.SetProgram(id.String(), 1)
-	r.SetEndsProgram(true)
-	return f.local.Serve(ctx, r, w)
-}
-
 func (f *Forwarder) address(id hawthornrail.ProgramID) (string, error) {
 	m, ok := f.members.Member(id.Home().VM())
 	if !ok {
--- a/verdict.go
+++ b/verdict.go
@@ -58,6 +58,7 @@
 	CodeHomeUnreachable  Code = "home_unreachable"
 	CodeReplicaUnreached Code = "replica_unreachable"
 	CodeMoved            Code = "program_moved"
+	CodeClaimUnreached   Code = "claim_unreachable"
 	CodeLeaving          Code = "leaving"
 	CodeConfigStale      Code = "config_stale"
 	CodeInternal         Code = "internal"
