Tell whole answers from cut, doubled and late ones

Ruled out: kept connections with a check for waiting bytes before each use, because a late answer can still arrive after the check. A connection a call costs one round trip within the data centre.

Conclusion: calls use new connections, streams end at their first end marker, and the token limit of a call is enforced here and not left to the engine.

--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -59,6 +59,7 @@
 	s.http = &fasthttp.Server{
 		Handler: s.routes(), Name: "hawthornrail",
 		MaxRequestBodySize: options.MaxBodyBytes, ReadTimeout: options.ReadTimeout,
+		WriteTimeout:          options.RequestTimeout,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 		ErrorHandler: s.connectionError,
 	}
--- a/internal/endpoint/engine/answer.go
+++ b/internal/endpoint/engine/answer.go
@@ -10,19 +10,30 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
-// errNotWhole means that an answer ended before the engine finished it.
-var errNotWhole = errors.New("answer is not whole")
+var (
+	// errNotWhole means that an answer ended before the engine finished it.
+	errNotWhole = errors.New("answer is not whole")
+	// errOverLimit means that the engine generated more than it was allowed.
+	errOverLimit = errors.New("engine went past the token limit")
+)
 
 const (
-	eventPrefix = "data: "
-	lastEvent   = "[DONE]"
+	eventPrefix    = "data: "
+	lastEvent      = "[DONE]"
+	maxAnswerBytes = 32 << 20
 )
 
 // assembler collects an answer and extracts the assistant's message and the
 // usage from it.
 type assembler struct {
 	stream bool
+	limit  uint64
 	body   bytes.Buffer
+	parsed int
+	text   strings.Builder
+	tokens uint64
+	usage  hawthornrail.Usage
+	done   bool
 }
 
 type message struct {
@@ -51,7 +62,68 @@
 	return hawthornrail.NewUsage(c.Usage.PromptTokens, c.Usage.CompletionTokens, c.Usage.Details.CachedTokens)
 }
 
-func (a *assembler) add(chunk []byte) { a.body.Write(chunk) }
+// add takes a part of the answer and returns how many of its bytes belong to
+// it: whatever follows the last event is left out.
+func (a *assembler) add(chunk []byte) (int, error) {
+	before := a.body.Len()
+	a.body.Write(chunk)
+	if a.body.Len() > maxAnswerBytes {
+		return 0, fmt.Errorf("more than %d bytes: %w", maxAnswerBytes, errNotWhole)
+	}
+	for a.stream && !a.done {
+		line, ok := a.nextLine()
+		if !ok {
+			break
+		}
+		if err := a.addLine(line); err != nil {
+			return 0, err
+		}
+	}
+	if a.done {
+		a.body.Truncate(a.parsed)
+	}
+	return a.body.Len() - before, nil
+}
+
+func (a *assembler) nextLine() ([]byte, bool) {
+	rest := a.body.Bytes()[a.parsed:]
+	end := bytes.IndexByte(rest, '\n')
+	if end < 0 {
+		return nil, false
+	}
+	a.parsed += end + 1
+	return rest[:end+1], true
+}
+
+func (a *assembler) addLine(line []byte) error {
+	data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(eventPrefix))
+	if !ok {
+		return nil
+	}
+	if string(data) == lastEvent {
+		a.done = true
+		return nil
+	}
+	var c completion
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("event: %w: %w", errNotWhole, err)
+	}
+	if len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" {
+		a.text.WriteString(c.Choices[0].Delta.Content)
+		a.tokens++
+	}
+	if c.Usage.PromptTokens > 0 {
+		a.usage = c.usage()
+	}
+	return a.checkLimit(max(a.tokens, a.usage.CompletionTokens()))
+}
+
+func (a *assembler) checkLimit(tokens uint64) error {
+	if a.limit > 0 && tokens > a.limit {
+		return fmt.Errorf("%w of %d", errOverLimit, a.limit)
+	}
+	return nil
+}
 
 // finish returns the assistant's message as JSON and the usage.
 func (a *assembler) finish() ([]byte, hawthornrail.Usage, error) {
@@ -65,39 +137,19 @@
 	if len(c.Choices) == 0 {
 		return nil, hawthornrail.Usage{}, fmt.Errorf("no choice: %w", errNotWhole)
 	}
+	if err := a.checkLimit(c.Usage.CompletionTokens); err != nil {
+		return nil, hawthornrail.Usage{}, err
+	}
 	reply, err := encodeReply(c.Choices[0].Message.Content)
 	return reply, c.usage(), err
 }
 
 func (a *assembler) finishStream() ([]byte, hawthornrail.Usage, error) {
-	var text strings.Builder
-	var usage hawthornrail.Usage
-	done := false
-	for line := range bytes.Lines(a.body.Bytes()) {
-		data, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(eventPrefix))
-		if !ok {
-			continue
-		}
-		if string(data) == lastEvent {
-			done = true
-			break
-		}
-		var c completion
-		if err := json.Unmarshal(data, &c); err != nil {
-			return nil, usage, fmt.Errorf("event: %w: %w", errNotWhole, err)
-		}
-		if len(c.Choices) > 0 {
-			text.WriteString(c.Choices[0].Delta.Content)
-		}
-		if c.Usage.PromptTokens > 0 {
-			usage = c.usage()
-		}
-	}
-	if !done {
-		return nil, usage, errNotWhole
+	if !a.done {
+		return nil, a.usage, errNotWhole
 	}
-	reply, err := encodeReply(text.String())
-	return reply, usage, err
+	reply, err := encodeReply(a.text.String())
+	return reply, a.usage, err
 }
 
 func encodeReply(content string) ([]byte, error) {
--- a/internal/endpoint/engine/engine.go
+++ b/internal/endpoint/engine/engine.go
@@ -36,7 +36,7 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	fill(ctx, request, e, r, requestID)
-	exchange, err := d.transport.Do(ctx, e.Address(), request, false)
+	exchange, err := d.transport.Do(ctx, e.Address(), request, true)
 	if errors.Is(err, http.ErrUnsent) {
 		return answer, fail(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictNotRun, e, err)
 	}
@@ -68,28 +68,55 @@
 }
 
 func receive(e hawthornrail.Endpoint, r *hawthornrail.Request, exchange *http.Exchange, w hawthornrail.AnswerWriter) (hawthornrail.Answer, error) {
-	a := assembler{stream: r.Stream()}
+	a := &assembler{stream: r.Stream() && exchange.Status() == nethttp.StatusOK, limit: r.ReplyLimit()}
+	if err := copyAnswer(a, exchange, w); err != nil {
+		return hawthornrail.Answer{}, cut(e, err)
+	}
+	if exchange.Status() != nethttp.StatusOK {
+		if !exchange.Framed() {
+			return hawthornrail.Answer{}, cut(e, errNotWhole)
+		}
+		return hawthornrail.NewAnswer(exchange.Status(), exchange.ContentType(), a.body.Bytes(), nil, hawthornrail.Usage{}), nil
+	}
+	reply, usage, err := a.finish()
+	if err != nil {
+		return hawthornrail.Answer{}, cut(e, err)
+	}
+	return hawthornrail.NewAnswer(exchange.Status(), exchange.ContentType(), a.body.Bytes(), reply, usage), nil
+}
+
+// copyAnswer passes the answer on up to its end.
+func copyAnswer(a *assembler, exchange *http.Exchange, w hawthornrail.AnswerWriter) error {
 	chunk := make([]byte, copyBytes)
-	for {
-		n, err := exchange.Read(chunk)
-		if n > 0 {
-			a.add(chunk[:n])
-			if err := w.Chunk(chunk[:n]); err != nil {
-				return hawthornrail.Answer{}, fail(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, e, err)
+	for !a.done {
+		n, readErr := exchange.Read(chunk)
+		used, err := a.add(chunk[:n])
+		if err != nil {
+			return err
+		}
+		if used > 0 {
+			if err := w.Chunk(chunk[:used]); err != nil {
+				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			break
+		if errors.Is(readErr, io.EOF) {
+			return nil
 		}
-		if err != nil {
-			return hawthornrail.Answer{}, fail(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, e, err)
+		if readErr != nil && !a.done {
+			return readErr
 		}
 	}
-	reply, usage, err := a.finish()
-	if err != nil && exchange.Status() == nethttp.StatusOK {
-		return hawthornrail.Answer{}, fail(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, e, err)
+	return nil
+}
+
+// cut is the failure of an answer that is not whole; an engine that goes on
+// past its limit is not asked again.
+func cut(e hawthornrail.Endpoint, err error) error {
+	code := hawthornrail.CodeAnswerCut
+	if errors.Is(err, errOverLimit) {
+		code = hawthornrail.CodeBudget
 	}
-	return hawthornrail.NewAnswer(exchange.Status(), exchange.ContentType(), a.body.Bytes(), reply, usage), nil
+	return fail(code, hawthornrail.VerdictMayHaveRun, e, err)
 }
 
 func fail(code hawthornrail.Code, verdict hawthornrail.Verdict, e hawthornrail.Endpoint, err error) error {
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -17,6 +17,10 @@
 const (
 	idleTimeout  = 5 * time.Second
 	maxIdleConns = 64
+
+	// closeDelimited is the content length of a body that ends with its
+	// connection.
+	closeDelimited = -2
 )
 
 // ErrUnsent means that no byte of the request left this VM.
@@ -59,7 +63,8 @@
 // Do sends a request to an address and reads the response's header; ctx
 // closes the connection, which cancels the request at the endpoint. With
 // fresh set it uses a new connection, so that a stale one can't leave it open
-// whether the request was sent.
+// whether the request was sent, and no late answer to an earlier request can
+// be taken for this one's.
 func (t *Transport) Do(ctx context.Context, address string, request *fasthttp.Request, fresh bool) (*Exchange, error) {
 	c, err := t.connect(ctx, address, fresh)
 	if err != nil {
@@ -88,6 +93,7 @@
 	}
 	e.response = fasthttp.AcquireResponse()
 	e.response.StreamBody = true
+	e.response.SkipBody = request.Header.IsHead()
 	if err := e.response.ReadLimitBody(e.conn.reader, 0); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
@@ -100,6 +106,11 @@
 // ContentType returns the media type of the body.
 func (e *Exchange) ContentType() string { return string(e.response.Header.ContentType()) }
 
+// Framed reports whether the body's end can be told from a cut connection.
+func (e *Exchange) Framed() bool {
+	return e.response.SkipBody || e.response.Header.ContentLength() != closeDelimited
+}
+
 // Read reads the body; io.EOF means that the body is whole as framed.
 func (e *Exchange) Read(p []byte) (int, error) {
 	body := e.response.BodyStream()
@@ -117,7 +128,7 @@
 // Close gives the connection back if the body was read to its end.
 func (e *Exchange) Close() {
 	live := e.stop()
-	keep := live && e.finished && e.response != nil && !e.response.ConnectionClose()
+	keep := live && e.finished && e.response != nil && !e.response.ConnectionClose() && e.conn.reader.Buffered() == 0
 	if e.response != nil {
 		_ = e.response.CloseBodyStream()
 	}
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -13,7 +13,13 @@
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 )
 
-const copyBytes = 16 << 10
+const (
+	copyBytes      = 16 << 10
+	maxAnswerBytes = 32 << 20
+)
+
+// errNotWhole means that the end of an answer can't be told from a cut.
+var errNotWhole = errors.New("answer is not whole")
 
 // Dispatcher sends requests to service endpoints; it implements
 // hawthornrail.Dispatcher.
@@ -42,7 +48,7 @@
 		request.Header.Set("traceparent", parent)
 	}
 	request.SetBody(r.Body())
-	exchange, err := d.transport.Do(ctx, e.Address(), request, !r.Idempotent())
+	exchange, err := d.transport.Do(ctx, e.Address(), request, true)
 	if errors.Is(err, http.ErrUnsent) {
 		return answer, hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictNotRun, fmt.Errorf("endpoint %s: %w", e.Name(), err))
 	}
@@ -57,6 +63,17 @@
 	if err := w.Head(exchange.Status(), exchange.ContentType()); err != nil {
 		return hawthornrail.Answer{}, hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, err)
 	}
+	body, err := readBody(exchange, w)
+	if err != nil {
+		return hawthornrail.Answer{}, hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", e.Name(), err))
+	}
+	return hawthornrail.NewAnswer(exchange.Status(), exchange.ContentType(), body, nil, hawthornrail.Usage{}), nil
+}
+
+func readBody(exchange *http.Exchange, w hawthornrail.AnswerWriter) ([]byte, error) {
+	if !exchange.Framed() {
+		return nil, fmt.Errorf("body without a length: %w", errNotWhole)
+	}
 	var body bytes.Buffer
 	chunk := make([]byte, copyBytes)
 	for {
@@ -68,11 +85,13 @@
 			_ = w.Chunk(chunk[:n])
 		}
 		if errors.Is(err, io.EOF) {
-			break
+			return body.Bytes(), nil
 		}
 		if err != nil {
-			return hawthornrail.Answer{}, hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", e.Name(), err))
+			return nil, err
+		}
+		if body.Len() > maxAnswerBytes {
+			return nil, fmt.Errorf("more than %d bytes: %w", maxAnswerBytes, errNotWhole)
 		}
 	}
-	return hawthornrail.NewAnswer(exchange.Status(), exchange.ContentType(), body.Bytes(), nil, hawthornrail.Usage{}), nil
 }
--- a/internal/program/home/body.go
+++ b/internal/program/home/body.go
@@ -74,6 +74,7 @@
 	request := hawthornrail.NewModelRequest(c.request.Model(), body, c.request.Stream())
 	request.Identify(c.request.KeyID(), c.request.Deployment())
 	request.SetProgram(c.request.Program(), c.request.CallNumber())
+	request.SetReplyLimit(reply)
 	p.request = request
 	return nil
 }
--- a/request.go
+++ b/request.go
@@ -18,6 +18,7 @@
 	stream         bool
 	keepHistory    bool
 	endsProgram    bool
+	replyLimit     uint64
 }
 
 // NewModelRequest returns a chat-completions call of a model; model calls are
@@ -58,6 +59,12 @@
 // SetEndsProgram makes this call the program's last one.
 func (r *Request) SetEndsProgram(ends bool) { r.endsProgram = ends }
 
+// SetReplyLimit sets the most completion tokens that an engine may generate.
+func (r *Request) SetReplyLimit(tokens uint64) { r.replyLimit = tokens }
+
+// ReplyLimit returns the most completion tokens, or 0 for no limit.
+func (r *Request) ReplyLimit() uint64 { return r.replyLimit }
+
 // Credential returns the caller's key, or nothing once identified.
 func (r *Request) Credential() string { return r.credential }
 
