Keep callers' keys out of endpoints, logs and traces

Cause: a key in the path stood in the log and the trace of the refused request. Query strings never reached services, so that stock lookups lost their parameters.

Ruled out: matching only the key that came with the request, because a second one may stand in the query or a cookie.

Conclusion: only method, path, query without keys, media type and body go on, and messages are cleared of whatever has a key's form.

--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -124,7 +125,7 @@
 func (s *Server) callService(ctx *fasthttp.RequestCtx) {
 	name, _ := ctx.UserValue("service").(string)
 	path, _ := ctx.UserValue("path").(string)
-	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path,
+	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path+query(ctx),
 		string(ctx.Request.Header.ContentType()), append([]byte{}, ctx.PostBody()...))
 	idempotent := ctx.IsGet() || ctx.IsHead() || string(ctx.Request.Header.Peek(HeaderIdempotent)) == "true"
 	r.SetIdempotency(string(ctx.Request.Header.Peek(headerIdempotencyKey)), idempotent)
@@ -174,16 +175,17 @@
 func (s *Server) run(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
 	ctx, span := s.tracer.Start(ctx, "entry")
 	err := s.handler.Serve(ctx, r, w)
-	traces.Finish(span, err)
 	if err == nil {
+		traces.Finish(span, nil)
 		return nil
 	}
 	f := hawthornrail.AsFailure(err)
+	traces.Finish(span, errors.New(withoutKeys(f.Error())))
 	event := events.RequestFailed
 	if f.Verdict() == hawthornrail.VerdictNotRun {
 		event = events.RequestRefused
 	}
-	s.log.Event(event).Str("code", string(f.Code())).Str("verdict", f.Verdict().String()).Str("team", r.Team()).Err(f).Emit()
+	s.log.Event(event).Str("code", string(f.Code())).Str("verdict", f.Verdict().String()).Str("team", r.Team()).Str("error", withoutKeys(f.Error())).Emit()
 	return f
 }
 
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -44,7 +44,11 @@
 	if recorded != nil {
 		return replay(*recorded, w)
 	}
-	defer c.release()
+	defer func() {
+		if !c.recording {
+			c.release()
+		}
+	}()
 	return c.run(ctx, w)
 }
 
@@ -56,6 +60,8 @@
 	request *hawthornrail.Request
 	key     callKey
 	digest  []byte
+	// recording means that the outcome is recorded in the background.
+	recording bool
 }
 
 func digest(r *hawthornrail.Request) []byte {
--- a/internal/program/home/record.go
+++ b/internal/program/home/record.go
@@ -37,9 +37,11 @@
 	if recordErr == nil {
 		return nil
 	}
+	c.recording = true
 	c.home.recording.Add(1)
 	go func() {
 		defer c.home.recording.Add(-1)
+		defer c.release()
 		c.home.recordLater(c.entry, outcome, ends)
 	}()
 	if c.entry.settled(outcome) {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -12,6 +12,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// callerKeyPrefix starts every key of a caller.
+const callerKeyPrefix = "hr_"
+
 // Server serves an Engine over the chat-completions protocol.
 type Server struct {
 	engine *Engine
@@ -43,7 +46,7 @@
 		ctx.Error(err.Error(), http.StatusBadRequest)
 		return
 	}
-	if key := string(ctx.Request.Header.Peek("Authorization")); strings.Contains(key, "hr_") {
+	if strings.Contains(ctx.Request.String(), callerKeyPrefix) {
 		s.engine.sawCallerKey()
 	}
 	program := string(ctx.Request.Header.Peek("X-Program-Id"))
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// callerKeyPrefix starts every key of a caller.
+const callerKeyPrefix = "hr_"
+
 // Server executes requests and counts each one by its request id.
 type Server struct {
 	delay time.Duration
@@ -40,12 +44,12 @@
 	s.mu.Lock()
 	s.counts[id]++
 	n := s.counts[id]
-	if len(ctx.Request.Header.Peek("Authorization")) > 0 {
+	if strings.Contains(ctx.Request.String(), callerKeyPrefix) {
 		s.keys++
 	}
 	s.mu.Unlock()
 	ctx.SetContentType("application/json")
-	if err := json.NewEncoder(ctx).Encode(map[string]any{"request_id": id, "execution": n, "path": string(ctx.Path())}); err != nil {
+	if err := json.NewEncoder(ctx).Encode(map[string]any{"request_id": id, "execution": n, "path": string(ctx.Path()), "query": string(ctx.URI().QueryString())}); err != nil {
 		ctx.Error(err.Error(), http.StatusInternalServerError)
 	}
 }
@@ -59,6 +63,13 @@
 	}
 }
 
+// KeysSeen returns how many requests carried a caller's key.
+func (s *Server) KeysSeen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys
+}
+
 // Executions returns how often each request id ran.
 func (s *Server) Executions() map[string]int {
 	s.mu.Lock()
