Enforce wall time and end programs that used their budget up

Cause: wall time was not enforced at all, a program without calls left was refused for good but never ended, and an engine's answer could outlast its program.

Ruled out: cancelling service calls at the wall time, which would leave open whether they ran.

Before: no check of wall time.

Conclusion: admission, dispatch and a sweeper check the wall time of a program and of its ancestors; a program that can make no call any more ends.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -120,6 +120,7 @@
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/program/home/body.go
+++ b/internal/program/home/body.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return prepared{}, ledgerFailure(err)
 	}
+	if err := c.expired(program); err != nil {
+		return prepared{}, err
+	}
 	p := prepared{request: c.request, reserve: serviceTokenCost}
 	kind := hawthornrail.ServiceEndpoint
 	if c.request.Model() != "" {
--- /dev/null
+++ b/internal/program/home/budget.go
@@ -0,0 +1,105 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+)
+
+const (
+	sweepInterval = time.Second
+
+	reasonWallTime = "wall time used up"
+	reasonBudget   = "budget used up"
+)
+
+// expired refuses a call whose program's wall time is over; the caller holds
+// the entry's lock.
+func (c *call) expired(p *ledger.Program) error {
+	if c.home.parts.Clock.Now().Before(c.entry.tree.Deadline(p)) {
+		return nil
+	}
+	return hawthornrail.NotRun(hawthornrail.CodeBudget, "the program's wall time is used up")
+}
+
+// withinWallTime returns a context that ends with the program's wall time.
+func (c *call) withinWallTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	p, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.entry.tree.Deadline(p).Sub(c.home.parts.Clock.Now()))
+}
+
+// endExhausted ends a program that was refused because of its budget and
+// can't make that call later either.
+func (c *call) endExhausted(ctx context.Context, refusal error, tokens uint64) {
+	var f *hawthornrail.Failure
+	if !errors.As(refusal, &f) || f.Code() != hawthornrail.CodeBudget || f.Verdict() != hawthornrail.VerdictNotRun {
+		return
+	}
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	p, err := c.entry.tree.Program(c.key.program)
+	if err != nil || p.Ended() != "" {
+		return
+	}
+	reason := reasonBudget
+	if c.expired(p) != nil {
+		reason = reasonWallTime
+	} else if !c.entry.tree.Exhausted(p, tokens) {
+		return
+	}
+	// A program that can't be ended now is refused again or swept later.
+	_ = c.home.end(ctx, c.entry, p, reason)
+}
+
+// end takes the step that ends a program; the caller holds the entry's lock.
+func (h *Home) end(ctx context.Context, e *entry, p *ledger.Program, reason string) error {
+	if err := h.step(ctx, e, hawthornrail.NewEnd(p.Index(), reason)); err != nil {
+		return err
+	}
+	h.parts.Log.Event(events.ProgramEnded).Str("program", e.tree.ID().Child(p.Index()).String()).Str("reason", reason).Emit()
+	return nil
+}
+
+// RunSweeper ends programs whose wall time is over until ctx ends.
+func (h *Home) RunSweeper(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.parts.Clock.After(sweepInterval):
+			h.Sweep(ctx)
+		}
+	}
+}
+
+// Sweep ends every program whose wall time is over.
+func (h *Home) Sweep(ctx context.Context) {
+	for i := range h.shards {
+		for _, e := range h.shards[i].entries() {
+			h.sweep(ctx, e)
+		}
+	}
+}
+
+func (h *Home) sweep(ctx context.Context, e *entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := h.parts.Clock.Now()
+	for _, p := range e.tree.Programs() {
+		if p.Ended() != "" || now.Before(e.tree.Deadline(p)) {
+			continue
+		}
+		if err := h.end(ctx, e, p, reasonWallTime); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/home/budget_test.go
@@ -0,0 +1,234 @@
+package home_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/policy/fair"
+	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+	"pgregory.net/rapid"
+)
+
+// account is the naive record of what one program and those below it used.
+type account struct {
+	id       hawthornrail.ProgramID
+	parent   int
+	budget   hawthornrail.Budget
+	created  time.Time
+	calls    uint64
+	tokens   uint64
+	children uint32
+}
+
+// spender is an engine that generates as much as it likes, and the accounts
+// of what the programs used there.
+type spender struct {
+	clock    *clockwork.FakeClock
+	steps    []hawthornrail.Step
+	holder   *holder
+	accounts []*account
+	generate uint64
+	fails    bool
+	loses    bool
+	err      error
+}
+
+// holder is the replica of one home.
+type holder struct {
+	*spender
+	replaced atomic.Bool
+}
+
+// Replicate holds a step, unless outcomes are lost.
+func (r *holder) Replicate(_ context.Context, step hawthornrail.Step) error {
+	_, outcome := step.Change().(hawthornrail.Outcome)
+	if r.replaced.Load() || (r.loses && outcome) {
+		return hawthornrail.NotRun(hawthornrail.CodeMoved, "injected")
+	}
+	r.steps = append(r.steps[:step.Sequence()-1], step)
+	return nil
+}
+
+// Dispatch generates up to the limit at which the answer is cut.
+func (s *spender) Dispatch(_ context.Context, _ hawthornrail.Endpoint, r *hawthornrail.Request, _ string, w hawthornrail.AnswerWriter) (hawthornrail.Answer, error) {
+	prompt, completion := uint64(len(r.Body())/8), min(s.generate, r.ReplyLimit())
+	id, err := hawthornrail.ParseProgramID(r.Program())
+	if err != nil {
+		return hawthornrail.Answer{}, err
+	}
+	s.spend(int(id.Index()), prompt+completion)
+	if s.generate > r.ReplyLimit() {
+		return hawthornrail.Answer{}, hawthornrail.NewFailure(hawthornrail.CodeBudget, hawthornrail.VerdictMayHaveRun, errInjected)
+	}
+	if s.fails {
+		return hawthornrail.Answer{}, hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, errInjected)
+	}
+	_ = w.Head(200, "application/json")
+	return hawthornrail.NewAnswer(200, "application/json", nil, []byte("{}"), hawthornrail.NewUsage(prompt, completion, 0)), nil
+}
+
+// spend counts a call for a program and everything above it.
+func (s *spender) spend(index int, tokens uint64) {
+	for {
+		a := s.accounts[index]
+		a.calls++
+		a.tokens += tokens
+		if !s.clock.Now().Before(a.created.Add(a.budget.WallTime())) {
+			s.err = fmt.Errorf("call of program %d after its wall time", index)
+		}
+		if a.calls > a.budget.Calls() || a.tokens > a.budget.Tokens() {
+			s.err = fmt.Errorf("program %d used %d calls and %d tokens of %v", index, a.calls, a.tokens, a.budget)
+		}
+		if index == a.parent {
+			return
+		}
+		index = a.parent
+	}
+}
+
+// grow counts a sub-agent for everything above it.
+func (s *spender) grow(parent int, a *account) {
+	a.parent = parent
+	s.accounts = append(s.accounts, a)
+	for depth := uint32(1); ; depth++ {
+		p := s.accounts[parent]
+		p.children++
+		if p.children > p.budget.Children() || depth > p.budget.Depth() {
+			s.err = fmt.Errorf("program %d has %d sub-agents at depth %d of %v", parent, p.children, depth, p.budget)
+		}
+		if parent == p.parent {
+			return
+		}
+		parent = p.parent
+	}
+}
+
+func (s *spender) home(vm string) *home.Home {
+	s.holder = &holder{spender: s}
+	return home.New(home.Parts{
+		Self: hawthornrail.NewInstance(vm, "dc1", 1), Secret: []byte("secret"), Clock: s.clock,
+		Replicator: s.holder, Queue: fair.Unbounded{}, Picker: picker{}, Engines: s, Services: s,
+		Tracer: traces.NewNone(), Log: events.Discard(), RetryLimit: 1, DefaultReply: 20,
+	})
+}
+
+func (s *spender) takeOver(id hawthornrail.ProgramID) *home.Home {
+	s.holder.replaced.Store(true)
+	tree := ledger.NewTree(id)
+	for _, step := range s.steps {
+		_ = tree.Apply(step)
+	}
+	for _, change := range tree.Unresolved() {
+		step := tree.Next(change)
+		_ = tree.Apply(step)
+		s.steps = append(s.steps, step)
+	}
+	h := s.home("vm2")
+	h.Adopt(tree)
+	return h
+}
+
+// No program exceeds its budget at a naive account of what its engine
+// generated, with sub-agents, lost acknowledgements, failures and takeovers.
+func TestBudgetAtNaiveAccount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &spender{clock: clockwork.NewFakeClock()}
+		h := s.home("vm1")
+		budget := hawthornrail.NewBudget(12, 400, 10*time.Minute, 2, 3)
+		id, err := h.Create(context.Background(), "team", "deployment", budget)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.accounts = []*account{{id: id, budget: budget, created: s.clock.Now()}}
+		next := []uint64{1}
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			index := rapid.IntRange(0, len(s.accounts)-1).Draw(t, "program")
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				s.loses, s.generate = true, rapid.Uint64Range(1, 60).Draw(t, "generate")
+				_ = s.call(h, index, next[index])
+				s.loses = false
+				h = s.takeOver(id)
+			case 1:
+				s.clock.Advance(time.Duration(rapid.IntRange(1, 120).Draw(t, "seconds")) * time.Second)
+			case 2:
+				_ = h.End(context.Background(), s.accounts[index].id, "ended")
+			case 3, 4:
+				b := hawthornrail.NewBudget(rapid.Uint64Range(1, 8).Draw(t, "calls"), rapid.Uint64Range(10, 300).Draw(t, "tokens"),
+					time.Duration(rapid.IntRange(1, 10).Draw(t, "minutes"))*time.Minute, uint32(rapid.IntRange(0, 1).Draw(t, "depth")), uint32(rapid.IntRange(0, 2).Draw(t, "children")))
+				child, err := h.CreateChild(context.Background(), s.accounts[index].id, b)
+				if err == nil {
+					s.grow(index, &account{id: child, budget: b, created: s.clock.Now()})
+					next = append(next, 1)
+				}
+			default:
+				s.generate = rapid.Uint64Range(1, 60).Draw(t, "generate")
+				s.fails = rapid.Bool().Draw(t, "fails")
+				if s.call(h, index, next[index]) == nil {
+					next[index]++
+				}
+			}
+			if s.err != nil {
+				t.Fatal(s.err)
+			}
+		}
+	})
+}
+
+func (s *spender) call(h *home.Home, index int, number uint64) error {
+	r := hawthornrail.NewModelRequest("counter", []byte(`{"messages":[{"role":"user","content":"hello"}]}`), false)
+	r.Identify("", hawthornrail.NewDeployment("deployment", "team", 1))
+	r.SetProgram(s.accounts[index].id.String(), number)
+	return h.Serve(context.Background(), r, &collector{})
+}
+
+// A looping program and one whose wall time is over end with a clear answer.
+func TestLoopingProgramEnds(t *testing.T) {
+	start := func(budget hawthornrail.Budget) (*spender, *home.Home) {
+		s := &spender{clock: clockwork.NewFakeClock(), generate: 1}
+		h := s.home("vm1")
+		id, _ := h.Create(context.Background(), "team", "deployment", budget)
+		s.accounts = []*account{{id: id, budget: budget, created: s.clock.Now()}}
+		return s, h
+	}
+	t.Run("calls", func(t *testing.T) {
+		s, h := start(hawthornrail.NewBudget(3, 10000, time.Hour, 0, 0))
+		for n := uint64(1); n <= 3; n++ {
+			assertRefusal(t, s.call(h, 0, n), "")
+		}
+		assertRefusal(t, s.call(h, 0, 4), hawthornrail.CodeBudget)
+		assertRefusal(t, s.call(h, 0, 4), hawthornrail.CodeProgramEnded)
+	})
+	t.Run("wall time at admission", func(t *testing.T) {
+		s, h := start(hawthornrail.NewBudget(3, 10000, time.Hour, 0, 0))
+		s.clock.Advance(time.Hour)
+		assertRefusal(t, s.call(h, 0, 1), hawthornrail.CodeBudget)
+		assertRefusal(t, s.call(h, 0, 1), hawthornrail.CodeProgramEnded)
+	})
+	t.Run("wall time by the sweeper", func(t *testing.T) {
+		s, h := start(hawthornrail.NewBudget(3, 10000, time.Hour, 0, 0))
+		s.clock.Advance(time.Hour)
+		h.Sweep(context.Background())
+		if _, live := h.Count(); live > 0 {
+			t.Errorf("%d live programs", live)
+		}
+	})
+}
+
+func assertRefusal(t *testing.T, err error, want hawthornrail.Code) {
+	t.Helper()
+	switch {
+	case want == "" && err != nil, want != "" && err == nil:
+		t.Errorf("got %v, want %q", err, want)
+	case err != nil && (hawthornrail.AsFailure(err).Code() != want || hawthornrail.VerdictOf(err) != hawthornrail.VerdictNotRun):
+		t.Errorf("got %v, want %s", err, want)
+	}
+}
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -19,6 +19,7 @@
 	sameCallWait     = 2 * time.Minute
 	recordTimeout    = 5 * time.Second
 	serviceTokenCost = 0
+	minModelTokens   = 2
 )
 
 // Serve runs a call of a program homed here, or answers it from its record.
@@ -132,6 +133,7 @@
 func (c *call) run(ctx context.Context, w hawthornrail.AnswerWriter) error {
 	p, err := c.prepare()
 	if err != nil {
+		c.endExhausted(ctx, err, minModelTokens)
 		return err
 	}
 	var tried []string
@@ -143,6 +145,7 @@
 		}
 		tried = append(tried, endpoint)
 		if !c.mayRetry(ctx, err, counted, len(tried)) {
+			c.endExhausted(ctx, err, p.reserve)
 			return err
 		}
 	}
@@ -193,6 +196,13 @@
 func (c *call) intend(ctx context.Context, e hawthornrail.Endpoint, p prepared) error {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
+	program, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return ledgerFailure(err)
+	}
+	if err := c.expired(program); err != nil {
+		return err
+	}
 	intent := hawthornrail.NewIntent(c.key.program, c.key.number, c.digest, e.Name(), c.request.Idempotent(), p.reserve)
 	return c.home.step(ctx, c.entry, intent.WithMessages(p.messages))
 }
@@ -203,6 +213,8 @@
 	}
 	requestID := fmt.Sprintf("%s/%d", c.id, c.key.number)
 	if c.request.Model() != "" {
+		ctx, cancel := c.withinWallTime(ctx)
+		defer cancel()
 		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
 	}
 	if !c.request.Idempotent() {
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -140,11 +140,7 @@
 	if p.Ended() != "" {
 		return nil
 	}
-	if err := h.step(ctx, e, hawthornrail.NewEnd(id.Index(), reason)); err != nil {
-		return err
-	}
-	h.parts.Log.Event(events.ProgramEnded).Str("program", id.String()).Str("reason", reason).Emit()
-	return nil
+	return h.end(ctx, e, p, reason)
 }
 
 // step replicates a change and then applies it; the caller holds the entry's
