Have engines release the memory of ended programs until they confirm

Cause: nothing asked an engine to release what it held for a program.

Ruled out: a list of live programs to compare with, because a program that this VM does not know may live elsewhere; only an end in a record held here is taken as proof.

Before: memory of ended programs stayed.

Conclusion: each engine is asked once a round by each VM whose ended programs used it, with backoff from 1 s to 30 s, and swept every 30 s.

--- /dev/null
+++ b/internal/endpoint/engine/memory.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	nethttp "net/http"
+	"net/url"
+
+	"github.com/valyala/fasthttp"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/http"
+)
+
+var errUnconfirmed = errors.New("not confirmed")
+
+// Memory asks engines what they hold for programs and has it released; it
+// implements hawthornrail.EngineMemory.
+type Memory struct {
+	transport *http.Transport
+}
+
+// NewMemory returns the memory of engines reached over a transport.
+func NewMemory(transport *http.Transport) *Memory { return &Memory{transport: transport} }
+
+// Release returns once the engine confirms that it holds nothing for a
+// program.
+func (m *Memory) Release(ctx context.Context, e hawthornrail.Endpoint, program string) error {
+	_, err := m.ask(ctx, e, nethttp.MethodDelete, "/cache/"+url.PathEscape(program))
+	return err
+}
+
+// Held returns the programs that the engine holds memory for.
+func (m *Memory) Held(ctx context.Context, e hawthornrail.Endpoint) ([]string, error) {
+	body, err := m.ask(ctx, e, nethttp.MethodGet, "/cache")
+	if err != nil {
+		return nil, err
+	}
+	var tokens map[string]int
+	if err := json.Unmarshal(body, &tokens); err != nil {
+		return nil, fmt.Errorf("cache of %s: %w", e.Name(), err)
+	}
+	programs := make([]string, 0, len(tokens))
+	for program := range tokens {
+		programs = append(programs, program)
+	}
+	return programs, nil
+}
+
+func (m *Memory) ask(ctx context.Context, e hawthornrail.Endpoint, method, path string) ([]byte, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + e.Address() + path)
+	exchange, err := m.transport.Do(ctx, e.Address(), request, true)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s at %s: %w", method, path, e.Name(), err)
+	}
+	defer exchange.Close()
+	body, err := io.ReadAll(exchange)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s at %s: %w", method, path, e.Name(), err)
+	}
+	if exchange.Status() != nethttp.StatusOK || !exchange.Framed() {
+		return nil, fmt.Errorf("%s %s at %s: status %d: %w", method, path, e.Name(), exchange.Status(), errUnconfirmed)
+	}
+	return body, nil
+}
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -27,6 +27,8 @@
 var (
 	ProgramCreated = register(3001, zerolog.DebugLevel, "program created", "")
 	ProgramEnded   = register(3002, zerolog.DebugLevel, "program ended", "")
+
+	MemoryUnconfirmed = register(3020, zerolog.WarnLevel, "engine does not confirm a release of memory", "none unless it lasts; then look at the engine")
 )
 
 // The events of configuration.
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -17,6 +17,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
@@ -37,6 +38,7 @@
 	PeerClient *peer.Client
 	Receiver   *fleet.Receiver
 	Home       *home.Home
+	Memory     *memory.Controller
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
@@ -121,6 +123,7 @@
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
 	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
+	p.start(func() error { p.in.Memory.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -23,6 +23,7 @@
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
@@ -62,6 +63,7 @@
 		newReplicator,
 		replica.NewStore,
 		newHome,
+		newMemory,
 		claims.New,
 		newForwarder,
 		newReceiver,
@@ -148,6 +150,10 @@
 	})
 }
 
+func newMemory(h *home.Home, t *http.Transport, c hawthornrail.Configuration, k hawthornrail.Clock, l events.Logger) *memory.Controller {
+	return memory.New(h, engine.NewMemory(t), c, k, l.Layer("memory"))
+}
+
 func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, k *claims.Claims, s settings.Settings) *fleet.Forwarder {
 	return fleet.NewForwarder(i, c, p, h, k, s.Secret())
 }
--- /dev/null
+++ b/internal/program/memory/controller.go
@@ -0,0 +1,210 @@
+package memory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+)
+
+const (
+	roundInterval  = time.Second
+	sweepInterval  = 30 * time.Second
+	requestTimeout = 2 * time.Second
+	firstBackoff   = time.Second
+	maxBackoff     = 30 * time.Second
+)
+
+// Controller releases engine memory of the programs that ended here. A
+// program that has ended never lives again, so that an old record can't make
+// it release the memory of a live one.
+type Controller struct {
+	programs hawthornrail.FinishedPrograms
+	engines  hawthornrail.EngineMemory
+	config   hawthornrail.Configuration
+	clock    hawthornrail.Clock
+	log      events.Logger
+
+	mu       sync.Mutex
+	releases map[holding]*release
+}
+
+// holding is what one engine may hold for one program.
+type holding struct {
+	program  string
+	endpoint string
+}
+
+// release is the state of having a holding released.
+type release struct {
+	confirmed bool
+	due       time.Time
+	backoff   time.Duration
+}
+
+// New returns a controller that has released nothing yet.
+func New(programs hawthornrail.FinishedPrograms, engines hawthornrail.EngineMemory, config hawthornrail.Configuration, clock hawthornrail.Clock, log events.Logger) *Controller {
+	return &Controller{
+		programs: programs, engines: engines, config: config, clock: clock, log: log,
+		releases: make(map[holding]*release),
+	}
+}
+
+// Run releases and sweeps until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	swept := c.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.clock.After(roundInterval):
+		}
+		c.Release(ctx)
+		if c.clock.Since(swept) >= sweepInterval {
+			c.Sweep(ctx)
+			swept = c.clock.Now()
+		}
+	}
+}
+
+// Unconfirmed returns the number of holdings whose release is not confirmed.
+func (c *Controller) Unconfirmed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range c.releases {
+		if !r.confirmed {
+			n++
+		}
+	}
+	return n
+}
+
+// Release asks every engine once for what is due there.
+func (c *Controller) Release(ctx context.Context) {
+	c.refresh()
+	c.eachEngine(c.due(), func(e hawthornrail.Endpoint, due []holding) {
+		for i, h := range due {
+			if err := c.release(ctx, e, h); err != nil {
+				// An engine that does not answer is asked once a round.
+				c.postpone(due[i:])
+				c.log.Event(events.MemoryUnconfirmed).Str("endpoint", e.Name()).Err(err).Emit()
+				return
+			}
+			c.confirm(h)
+		}
+	})
+}
+
+// Sweep looks for memory that came back after its release, as that of an
+// answer which the engine finished late.
+func (c *Controller) Sweep(ctx context.Context) {
+	c.refresh()
+	c.eachEngine(c.confirmed(), func(e hawthornrail.Endpoint, confirmed []holding) {
+		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		programs, err := c.engines.Held(ctx, e)
+		if err != nil {
+			return
+		}
+		held := make(map[string]bool, len(programs))
+		for _, p := range programs {
+			held[p] = true
+		}
+		for _, h := range confirmed {
+			if held[h.program] {
+				c.repeat(h)
+			}
+		}
+	})
+}
+
+// eachEngine runs f for every engine of the configuration, side by side.
+func (c *Controller) eachEngine(holdings map[string][]holding, f func(e hawthornrail.Endpoint, list []holding)) {
+	snapshot := c.config.Snapshot()
+	var wait sync.WaitGroup
+	for name, list := range holdings {
+		e, ok := snapshot.Endpoint(name)
+		if !ok || e.Kind() != hawthornrail.EngineEndpoint {
+			continue
+		}
+		wait.Go(func() { f(e, list) })
+	}
+	wait.Wait()
+}
+
+// refresh takes in programs that ended and forgets those whose record is gone.
+func (c *Controller) refresh() {
+	finished := make(map[holding]bool)
+	for _, p := range c.programs.Finished() {
+		for _, e := range p.Endpoints() {
+			finished[holding{p.ID().String(), e}] = true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for h := range finished {
+		if c.releases[h] == nil {
+			c.releases[h] = &release{due: c.clock.Now(), backoff: firstBackoff}
+		}
+	}
+	for h := range c.releases {
+		if !finished[h] {
+			delete(c.releases, h)
+		}
+	}
+}
+
+func (c *Controller) due() map[string][]holding {
+	now := c.clock.Now()
+	return c.selected(func(r *release) bool { return !r.confirmed && !now.Before(r.due) })
+}
+
+func (c *Controller) confirmed() map[string][]holding {
+	return c.selected(func(r *release) bool { return r.confirmed })
+}
+
+func (c *Controller) selected(want func(r *release) bool) map[string][]holding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	selected := make(map[string][]holding)
+	for h, r := range c.releases {
+		if want(r) {
+			selected[h.endpoint] = append(selected[h.endpoint], h)
+		}
+	}
+	return selected
+}
+
+func (c *Controller) release(ctx context.Context, e hawthornrail.Endpoint, h holding) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return c.engines.Release(ctx, e, h.program)
+}
+
+func (c *Controller) confirm(h holding) {
+	c.change(h, func(r *release) { r.confirmed = true })
+}
+
+func (c *Controller) repeat(h holding) {
+	c.change(h, func(r *release) { *r = release{due: c.clock.Now(), backoff: firstBackoff} })
+}
+
+func (c *Controller) postpone(list []holding) {
+	for _, h := range list {
+		c.change(h, func(r *release) {
+			r.due = c.clock.Now().Add(r.backoff)
+			r.backoff = min(2*r.backoff, maxBackoff)
+		})
+	}
+}
+
+func (c *Controller) change(h holding, f func(r *release)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.releases[h]; r != nil {
+		f(r)
+	}
+}
--- /dev/null
+++ b/internal/program/memory/doc.go
@@ -0,0 +1,3 @@
+// Package memory has engines release what they hold for programs that ended,
+// again until they confirm it.
+package memory
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,14 +10,21 @@
 
 // Params are the engine's speeds and sizes.
 type Params struct {
-	Slots             int
-	PrefillPerSecond  float64
-	DecodeInterval    time.Duration
-	CacheTokens       int
-	CompletionTokens  int
-	LoadReportLag     time.Duration
-	IgnoreFencing     bool
-	DisableReleaseAck bool
+	Slots            int
+	PrefillPerSecond float64
+	DecodeInterval   time.Duration
+	CacheTokens      int
+	CompletionTokens int
+	LoadReportLag    time.Duration
+	IgnoreFencing    bool
+}
+
+// Faults switches the engine's failures.
+type Faults struct {
+	// LoseReleases carries releases out and closes the connection unanswered.
+	LoseReleases bool
+	// Cut closes every connection that brings a request.
+	Cut bool
 }
 
 // Engine batches requests into a limited number of slots and keeps the
@@ -37,6 +44,20 @@
 	prefill uint64
 	fence   uint64
 	orders  []Order
+	faults  Faults
+}
+
+// SetFaults switches the engine's failures.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
 }
 
 // New returns an engine with empty slots and an empty cache.
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -31,7 +31,13 @@
 	r.GET("/cache", func(ctx *fasthttp.RequestCtx) { reply(ctx, s.engine.Held()) })
 	r.DELETE("/cache/{program}", s.release)
 	r.POST("/orders", s.order)
-	return r.Handler
+	return func(ctx *fasthttp.RequestCtx) {
+		if s.engine.currentFaults().Cut {
+			_ = ctx.Conn().Close()
+			return
+		}
+		r.Handler(ctx)
+	}
 }
 
 type completionRequest struct {
@@ -107,6 +113,10 @@
 func (s *Server) release(ctx *fasthttp.RequestCtx) {
 	program, _ := ctx.UserValue("program").(string)
 	s.engine.Release(program)
+	if s.engine.currentFaults().LoseReleases {
+		_ = ctx.Conn().Close()
+		return
+	}
 	reply(ctx, map[string]string{"released": program})
 }
 
