--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -28,6 +28,7 @@
 	SoloReplicas int       `json:"solo_replicas"`
 	Holdings     []Holding `json:"holdings"`
 	Leaving      bool      `json:"leaving"`
+	Ready        bool      `json:"ready"`
 }
 
 // Holding is the JSON form of a holding whose steps the VM takes.
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -21,6 +21,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
@@ -45,6 +46,7 @@
 	Receiver   *fleet.Receiver
 	Home       *home.Home
 	Holdings   *fleet.Holdings
+	Memory     *memory.Controller
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
@@ -95,6 +97,7 @@
 		}
 		s.Holdings = append(s.Holdings, h)
 	}
+	s.Ready = p.in.Holdings.Ready()
 	s.Leaving = p.drained.Err() != nil
 	return s
 }
@@ -151,6 +154,8 @@
 	p.in.Holdings.Start(ctx)
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
 	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
+	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
+	p.start(func() error { p.in.Memory.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -20,9 +20,11 @@
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
+	"hawthornrail.example/hawthornrail/internal/platform/claims"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
@@ -67,6 +69,8 @@
 		fleet.NewRouter,
 		replica.NewStore,
 		newHome,
+		newMemory,
+		claims.New,
 		newForwarder,
 		newReceiver,
 		newCallerServer,
@@ -176,8 +180,12 @@
 	})
 }
 
-func newForwarder(r *fleet.Router, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
-	return fleet.NewForwarder(r, p, h, s.Secret())
+func newForwarder(r *fleet.Router, p *peer.Client, h *home.Home, k *claims.Claims, s settings.Settings) *fleet.Forwarder {
+	return fleet.NewForwarder(r, p, h, k, s.Secret())
+}
+
+func newMemory(h *home.Home, t *http.Transport, c hawthornrail.Configuration, k hawthornrail.Clock, l events.Logger) *memory.Controller {
+	return memory.New(h, engine.NewMemory(t), c, k, l.Layer("memory"))
 }
 
 func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, o *fleet.Holdings, m *members.Prober) *fleet.Receiver {
@@ -188,6 +196,7 @@
 	dig.In
 
 	Forwarder *fleet.Forwarder
+	Holdings  *fleet.Holdings
 	Admitter  hawthornrail.Admitter
 	Config    hawthornrail.Configuration
 	Clock     hawthornrail.Clock
@@ -207,5 +216,6 @@
 	)
 	return server.New(chain, in.Forwarder, in.Config, in.Tracer, in.Log.Layer("caller"), server.Options{
 		MaxBodyBytes: s.MaxBodyBytes(), ReadTimeout: s.ReadTimeout(), RequestTimeout: s.RequestTimeout(),
+		Ready: in.Holdings.Ready,
 	})
 }
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -21,6 +21,7 @@
 	sameCallWait     = 2 * time.Minute
 	recordTimeout    = 5 * time.Second
 	serviceTokenCost = 0
+	minModelTokens   = 2
 )
 
 // Serve runs a call of a program homed here, or answers it from its record.
@@ -46,7 +47,11 @@
 	if recorded != nil {
 		return replay(*recorded, w)
 	}
-	defer c.release()
+	defer func() {
+		if !c.recording {
+			c.release()
+		}
+	}()
 	return c.run(ctx, w)
 }
 
@@ -61,6 +66,8 @@
 	// sendBy is when the request may be sent at the latest, so that a VM that
 	// was paused sends nothing after another one took the program over.
 	sendBy time.Time
+	// recording means that the outcome is recorded in the background.
+	recording bool
 }
 
 func digest(r *hawthornrail.Request) []byte {
@@ -146,6 +153,7 @@
 func (c *call) run(ctx context.Context, w hawthornrail.AnswerWriter) error {
 	p, err := c.prepare()
 	if err != nil {
+		c.endExhausted(ctx, err, minModelTokens)
 		return err
 	}
 	var tried []string
@@ -157,6 +165,7 @@
 		}
 		tried = append(tried, endpoint)
 		if !c.mayRetry(ctx, err, counted, len(tried)) {
+			c.endExhausted(ctx, err, p.reserve)
 			return err
 		}
 	}
@@ -207,6 +216,13 @@
 func (c *call) intend(ctx context.Context, e hawthornrail.Endpoint, p prepared) error {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
+	program, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return ledgerFailure(err)
+	}
+	if err := c.expired(program); err != nil {
+		return err
+	}
 	intent := hawthornrail.NewIntent(c.key.program, c.key.number, c.digest, e.Name(), c.request.Idempotent(), p.reserve)
 	c.sendBy = c.home.parts.Clock.Now().Add(pair.DispatchTimeout)
 	return c.home.step(ctx, c.entry, intent.WithMessages(p.messages))
@@ -219,11 +235,14 @@
 	ctx = http.WithSendBy(ctx, c.sendBy)
 	requestID := fmt.Sprintf("%s/%d", c.id, c.key.number)
 	if c.request.Model() != "" {
+		ctx, cancel := c.withinWallTime(ctx)
+		defer cancel()
 		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
 	}
 	if !c.request.Idempotent() {
-		// Cancelling would leave it open whether the request ran.
-		ctx = context.WithoutCancel(ctx)
+		detached, cancel := detach(ctx)
+		defer cancel()
+		ctx = detached
 	}
 	return c.home.parts.Services.Dispatch(ctx, e, p.request, requestID, w)
 }
@@ -237,27 +256,6 @@
 	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
 }
 
-// record replicates the outcome even when the caller has gone.
-func (c *call) record(answer hawthornrail.Answer, err error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	c.entry.mu.Lock()
-	defer c.entry.mu.Unlock()
-	outcome := hawthornrail.NewAnsweredOutcome(c.key.program, c.key.number, answer.Status(), answer.ContentType(), answer.Body()).
-		WithReply(answer.Reply()).WithUsedTokens(answer.Usage().Total())
-	if err != nil {
-		f := hawthornrail.AsFailure(err)
-		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
-	}
-	if err := c.home.step(ctx, c.entry, outcome); err != nil {
-		return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
-	}
-	if err == nil && c.request.EndsProgram() {
-		return c.home.step(ctx, c.entry, hawthornrail.NewEnd(c.key.program, "completed"))
-	}
-	return nil
-}
-
 // replay answers a call from its recorded outcome.
 func replay(o hawthornrail.Outcome, w hawthornrail.AnswerWriter) error {
 	if o.Verdict() != hawthornrail.VerdictRan {
--- a/internal/program/home/holding.go
+++ b/internal/program/home/holding.go
@@ -107,18 +107,15 @@
 func (h *Home) settleTree(ctx context.Context, e *entry) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range e.tree.Programs() {
-		for _, c := range p.Pending() {
-			if e.claimed[callKey{p.Index(), c.Number()}] {
-				continue
-			}
-			outcome := hawthornrail.NewOutcome(p.Index(), c.Number(), hawthornrail.VerdictMayHaveRun, hawthornrail.CodeAnswerCut)
-			if err := h.step(ctx, e, outcome); err != nil {
-				return false
-			}
-			h.parts.Log.Event(events.CallSettled).Str("program", e.tree.ID().Child(p.Index()).String()).
-				Uint64("call", c.Number()).Emit()
+	for _, outcome := range e.tree.Unresolved() {
+		if e.claimed[callKey{outcome.Program(), outcome.Number()}] {
+			continue
+		}
+		if err := h.step(ctx, e, outcome); err != nil {
+			return false
 		}
+		h.parts.Log.Event(events.CallSettled).Str("program", e.tree.ID().Child(outcome.Program()).String()).
+			Uint64("call", outcome.Number()).Emit()
 	}
 	return true
 }
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -36,10 +36,11 @@
 
 // Home holds the program trees of this VM.
 type Home struct {
-	parts  Parts
-	number atomic.Uint64
-	seed   maphash.Seed
-	shards [shardCount]shard
+	parts     Parts
+	number    atomic.Uint64
+	recording atomic.Int64
+	seed      maphash.Seed
+	shards    [shardCount]shard
 }
 
 type shard struct {
@@ -143,11 +144,7 @@
 	if p.Ended() != "" {
 		return nil
 	}
-	if err := h.step(ctx, e, hawthornrail.NewEnd(id.Index(), reason)); err != nil {
-		return err
-	}
-	h.parts.Log.Event(events.ProgramEnded).Str("program", id.String()).Str("reason", reason).Emit()
-	return nil
+	return h.end(ctx, e, p, reason)
 }
 
 // step replicates a change and then applies it; the caller holds the entry's
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -83,13 +83,14 @@
 // LogFile returns the path of the process's log.
 func (v *VM) LogFile() string { return filepath.Join(v.bed.folder, v.Name+".log") }
 
-// WaitReady waits until the VM holds the newest configuration.
+// WaitReady waits until the VM holds the newest configuration and can start
+// programs.
 func (v *VM) WaitReady() {
 	v.bed.t.Helper()
 	_, revision := v.bed.store.List("")
 	v.bed.Eventually(readyTimeout, "VM "+v.Name+" is ready", func() bool {
 		s, err := readStatus(v.Operator)
-		return err == nil && s.ConfigRevision >= revision
+		return err == nil && s.ConfigRevision >= revision && s.Ready
 	})
 }
 
--- a/internal/vm/fleet/held.go
+++ b/internal/vm/fleet/held.go
@@ -117,6 +117,21 @@
 	return h.holder.Superseded() || now.Sub(h.usable) > stuckTimeout
 }
 
+// Ready reports whether programs can be started here: this VM's own holding
+// has a backup that answers, or needs none, and the VM is not leaving.
+func (o *Holdings) Ready() bool {
+	o.mu.Lock()
+	own, leaving := o.own, o.leaving
+	o.mu.Unlock()
+	if leaving || o.parts.Config.Snapshot().Revision() == 0 {
+		return false
+	}
+	single := own.single()
+	own.mu.Lock()
+	defer own.mu.Unlock()
+	return own.stepsNow(single, o.parts.Clock.Now())
+}
+
 func (h *held) stepsNow(single bool, now time.Time) bool {
 	if h.replacing || !h.holder.MayStep(single) {
 		return false
