Decide rates over the fleet by parts, grants and a change rule

Cause: every VM had an equal fixed share; load that is sprayed unevenly was refused within its rate, and shares did not follow changes safely.

Ruled out: a central bucket (one VM's death stops the team), shares that follow liveness (two views of the fleet can both mint).

Conclusion: the pure code stands; it is not wired in yet.

--- /dev/null
+++ b/internal/team/rate/account.go
@@ -0,0 +1,301 @@
+package rate
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/team/share"
+)
+
+const (
+	// demandWindow is the time constant of the estimate of demand.
+	demandWindow = time.Second
+	// lowWater and highWater are the demand, as time, below which a VM asks
+	// for tokens and up to which it does.
+	lowWater  = 150 * time.Millisecond
+	highWater = 400 * time.Millisecond
+	// prefetchDemand is the demand in requests per second from which a VM
+	// holds tokens before a request needs them.
+	prefetchDemand = 1
+	// reserve is the own demand, as time, that a holder does not lend.
+	reserve = 100 * time.Millisecond
+	// maxAsks bounds the holders that are asked at once.
+	maxAsks = 3
+	// giveBackBefore is how long before its end an unused loan is returned.
+	giveBackBefore = share.GrantLife / 4
+	// queryInterval is the time between two queries of a VM's plan, and
+	// slowQueryInterval that once the VM has been silent for slowQueryAfter.
+	queryInterval     = 250 * time.Millisecond
+	slowQueryInterval = 2 * time.Second
+	slowQueryAfter    = 5 * time.Second
+	minRetryAfter     = 10 * time.Millisecond
+	// amountSlack absorbs the rounding of token sums.
+	amountSlack = 1e-9
+)
+
+// view is what a VM last heard of a holder's bucket.
+type view struct {
+	tokens  float64
+	at      time.Time
+	blocked time.Time
+}
+
+// Account counts one team's requests on one VM: the VM's own part, what it
+// borrows and what it lends. It is not safe for concurrent use.
+type Account struct {
+	self     hawthornrail.Instance
+	change   *share.Change
+	holder   *Holder
+	borrower *Borrower
+	views    map[string]view
+	queried  map[string]time.Time
+	followed time.Time
+	demand   float64
+	arrived  time.Time
+	refused  float64
+}
+
+// NewAccount returns an account of an instance whose process started at a
+// time; it has no part until it follows a plan.
+func NewAccount(self hawthornrail.Instance, started, now time.Time) *Account {
+	return &Account{
+		self:     self,
+		change:   share.NewChange(self.VM(), started),
+		holder:   NewHolder(started, now),
+		borrower: NewBorrower(),
+		arrived:  now,
+	}
+}
+
+// Follow takes the plan of newer configuration.
+func (a *Account) Follow(p share.Plan, now time.Time) {
+	epoch := a.change.Epoch()
+	a.resize(now)
+	a.change.Follow(p, now)
+	if a.change.Epoch() != epoch {
+		a.followed, a.queried = now, nil
+	}
+	a.resize(now)
+}
+
+func (a *Account) resize(now time.Time) { a.holder.Resize(a.change.Usable(now), now) }
+
+// Admit takes one token, or says when there will be one.
+func (a *Account) Admit(now time.Time) (time.Duration, bool) {
+	a.count(now)
+	return a.Retry(now)
+}
+
+// Retry is Admit for a request that has been counted before.
+func (a *Account) Retry(now time.Time) (time.Duration, bool) {
+	a.resize(now)
+	if a.borrower.Tokens(now)+a.holder.Tokens(now) < 1-amountSlack {
+		a.refused++
+		return a.retryAfter(now), false
+	}
+	a.refused = max(0, a.refused-1)
+	taken := a.borrower.Take(1, now)
+	a.holder.Take(1-taken, now)
+	return 0, true
+}
+
+func (a *Account) count(now time.Time) {
+	a.decay(now)
+	a.demand += 1 / demandWindow.Seconds()
+}
+
+func (a *Account) decay(now time.Time) {
+	if passed := now.Sub(a.arrived); passed > 0 {
+		factor := math.Exp(-passed.Seconds() / demandWindow.Seconds())
+		a.demand *= factor
+		a.refused *= factor
+		a.arrived = now
+	}
+}
+
+// retryAfter is when the nearest holder has a token, spread over the time
+// that the fleet needs for the callers that were refused lately.
+func (a *Account) retryAfter(now time.Time) time.Duration {
+	wait := a.holder.Wait(1, now)
+	for _, v := range a.change.Plan().Holders() {
+		if known, ok := a.views[v.Name()]; ok {
+			wait = min(wait, max(0, known.blocked.Sub(now)))
+		}
+	}
+	wait = max(wait, minRetryAfter)
+	plan := a.change.Plan()
+	total := plan.Rate() * float64(len(plan.Holders()))
+	if total > 0 {
+		spread := time.Duration(a.refused / total * float64(time.Second))
+		wait += time.Duration(rand.Int64N(int64(min(spread, idleRetryAfter)) + 1))
+	}
+	return roundUp(wait, time.Millisecond)
+}
+
+func roundUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit * unit }
+
+// Asks returns what to send to holders now; short says that a request finds
+// no token.
+func (a *Account) Asks(short bool, now time.Time) []Ask {
+	a.decay(now)
+	have := a.borrower.Tokens(now) + a.holder.Tokens(now)
+	asked, _ := a.borrower.Asked("", now)
+	low := a.demand * lowWater.Seconds()
+	if a.demand >= prefetchDemand {
+		low++
+	}
+	if short {
+		low = max(low, 1)
+	}
+	if have+asked >= low {
+		return nil
+	}
+	want := a.demand*highWater.Seconds() + 1 - have - asked
+	return a.askHolders(want, now)
+}
+
+func (a *Account) askHolders(want float64, now time.Time) []Ask {
+	var asks []Ask
+	for _, v := range a.lenders(now) {
+		if want <= 0 || len(asks) == maxAsks {
+			break
+		}
+		asks = append(asks, a.borrower.Ask(v.Name(), want, now))
+		want -= max(0, a.estimate(v.Name(), now))
+	}
+	return asks
+}
+
+// lenders returns the holders that may have tokens, the fullest first and
+// those of the own data centre before others that are about as full.
+func (a *Account) lenders(now time.Time) []hawthornrail.VM {
+	var list []hawthornrail.VM
+	for _, v := range a.change.Plan().Holders() {
+		_, pending := a.borrower.Asked(v.Name(), now)
+		if v.Name() == a.self.VM() || pending || now.Before(a.views[v.Name()].blocked) {
+			continue
+		}
+		list = append(list, v)
+	}
+	slices.SortStableFunc(list, func(x, y hawthornrail.VM) int {
+		return cmp.Compare(a.rank(y, now), a.rank(x, now))
+	})
+	return list
+}
+
+func (a *Account) rank(v hawthornrail.VM, now time.Time) float64 {
+	score := a.estimate(v.Name(), now)
+	if v.DataCentre() == a.self.DataCentre() {
+		score *= 2
+	}
+	return score
+}
+
+// estimate guesses the tokens of a holder from its last reply.
+func (a *Account) estimate(vm string, now time.Time) float64 {
+	part := a.change.Plan().Part(vm)
+	known, ok := a.views[vm]
+	if !ok {
+		return part.Burst() / 2
+	}
+	return min(part.Burst(), known.tokens+part.Rate()*now.Sub(known.at).Seconds())
+}
+
+// Lend answers the ask of another VM.
+func (a *Account) Lend(from hawthornrail.Instance, ask Ask, now time.Time) Reply {
+	a.resize(now)
+	a.decay(now)
+	for _, s := range ask.Settled() {
+		a.holder.Settle(NewGrantID(from, s.Number()), s.Unused(), now)
+	}
+	tokens := a.holder.Tokens(now)
+	limit := max(tokens/2, tokens-a.demand*reserve.Seconds())
+	amount := a.holder.Lend(NewGrantID(from, ask.Number()), min(ask.Amount(), limit), now)
+	var wait time.Duration
+	if ask.Amount() > 0 && amount < min(1, ask.Amount()) {
+		wait = a.holder.Wait(min(1, ask.Amount()), now)
+	}
+	return Reply{number: ask.Number(), amount: amount, left: a.holder.Tokens(now), wait: wait}
+}
+
+// Granted takes the reply of a holder.
+func (a *Account) Granted(holder string, r Reply, now time.Time) {
+	a.borrower.Granted(r, now)
+	if a.views == nil {
+		a.views = make(map[string]view)
+	}
+	a.views[holder] = view{tokens: r.Left(), at: now, blocked: now.Add(r.Wait())}
+}
+
+// Lost takes the news that a holder did not answer.
+func (a *Account) Lost(holder string, now time.Time) {
+	if a.views == nil {
+		a.views = make(map[string]view)
+	}
+	a.views[holder] = view{at: now, blocked: now.Add(share.GrantLife)}
+}
+
+// Returns gives unused loans back before they end and returns what to tell
+// their holders.
+func (a *Account) Returns(now time.Time) []Ask {
+	a.decay(now)
+	if a.borrower.Tokens(now) > 0 {
+		a.borrower.GiveBack(now.Add(giveBackBefore), now)
+	}
+	var asks []Ask
+	for _, holder := range a.borrower.Owed() {
+		asks = append(asks, a.borrower.Ask(holder, 0, now))
+	}
+	return asks
+}
+
+// Queries returns the VMs to which State is to be sent now.
+func (a *Account) Queries(now time.Time) []string {
+	interval := queryInterval
+	if now.Sub(a.followed) >= slowQueryAfter {
+		interval = slowQueryInterval
+	}
+	var due []string
+	for _, vm := range a.change.Unconfirmed() {
+		if last, ok := a.queried[vm]; ok && now.Sub(last) < interval {
+			continue
+		}
+		if a.queried == nil {
+			a.queried = make(map[string]time.Time)
+		}
+		a.queried[vm] = now
+		due = append(due, vm)
+	}
+	return due
+}
+
+// State returns the plan that this VM holds and the epoch that an answer to
+// it belongs to.
+func (a *Account) State(now time.Time) (share.State, uint64) {
+	return a.change.State(now), a.change.Epoch()
+}
+
+// Told takes the state that another VM sent.
+func (a *Account) Told(s share.State, now time.Time) {
+	a.resize(now)
+	a.change.Told(s, now)
+	a.resize(now)
+}
+
+// Answered takes the state that answers one of this VM's in an epoch.
+func (a *Account) Answered(epoch uint64, s share.State, now time.Time) {
+	a.resize(now)
+	a.change.Answered(epoch, s, now)
+	a.resize(now)
+}
+
+// Idle reports whether nothing would be lost with the account.
+func (a *Account) Idle(now time.Time) bool {
+	a.decay(now)
+	return a.change.Complete() && a.change.Plan().Part(a.self.VM()) == share.Part{} &&
+		a.demand < 0.01 && a.borrower.Idle(now) && len(a.holder.grants) == 0
+}
--- /dev/null
+++ b/internal/team/rate/property_test.go
@@ -0,0 +1,108 @@
+package rate_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const scheduleLength = 40 * time.Second
+
+// No team gets more than its rate and burst, summed over all VMs.
+func TestNoMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawSchedule(t, "")
+		f.run(scheduleLength)
+		assertWithinRate(t, f)
+	})
+}
+
+// The judge of TestNoMoreThanRateAndBurst finds rules that break the promise.
+func TestJudgeCatchesNaiveRules(t *testing.T) {
+	for _, naive := range []naiveRule{startsFull, lendsTwice, usesUnreleased} {
+		t.Run(string(naive), func(t *testing.T) {
+			schedules := rapid.Custom(func(t *rapid.T) *fleet { return drawSchedule(t, naive) })
+			for seed := range 1000 {
+				f := schedules.Example(seed)
+				f.run(scheduleLength)
+				if f.judge.failed != "" {
+					t.Logf("caught with seed %d: %s", seed, f.judge.failed)
+					return
+				}
+			}
+			t.Error("not caught in 1,000 schedules")
+		})
+	}
+}
+
+func drawSchedule(t *rapid.T, naive naiveRule) *fleet {
+	vms := someVMs(rapid.IntRange(1, 10).Draw(t, "vms"), rapid.IntRange(1, 3).Draw(t, "centres"))
+	rps := rapid.Float64Range(0.5, 60).Draw(t, "rate")
+	burst := rapid.Float64Range(1, 80).Draw(t, "burst")
+	f := newFleet(rapid.Uint64().Draw(t, "seed"), rps, burst, vms)
+	f.naive = naive
+	f.loss = rapid.SampledFrom([]float64{0, 0.05, 0.4}).Draw(t, "loss")
+	f.double = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "double")
+	f.drift = rapid.SampledFrom([]float64{0, maxDrift}).Draw(t, "drift")
+	for _, m := range f.machines {
+		f.start(m)
+	}
+	for range rapid.IntRange(0, 12).Draw(t, "actions") {
+		drawAction(t, f)
+	}
+	f.spray(rapid.SampledFrom([]float64{0.5, 1, 4}).Draw(t, "load") * rps)
+	return f
+}
+
+// spray sends requests over the machines, most of them to a few.
+func (f *fleet) spray(rps float64) {
+	for at := time.Duration(0); at < scheduleLength; at += time.Duration(f.rng.ExpFloat64() / rps * float64(time.Second)) {
+		i := min(f.rng.IntN(len(f.machines)), f.rng.IntN(len(f.machines)))
+		f.at(at, func() { f.request(f.machines[i]) })
+	}
+}
+
+func drawAction(t *rapid.T, f *fleet) {
+	at := time.Duration(rapid.IntRange(0, int(scheduleLength/time.Millisecond)).Draw(t, "at")) * time.Millisecond
+	last := time.Duration(rapid.IntRange(0, 20000).Draw(t, "for")) * time.Millisecond
+	m := f.machines[rapid.IntRange(0, len(f.machines)-1).Draw(t, "vm")]
+	switch rapid.SampledFrom([]string{"restart", "freeze", "restart all", "cut", "rate", "list"}).Draw(t, "action") {
+	case "restart":
+		f.at(at, func() { f.kill(m) })
+		f.at(at+last/10, func() { f.start(m) })
+	case "freeze":
+		f.at(at, func() { f.freeze(m, true) })
+		f.at(at+last, func() { f.freeze(m, false) })
+	case "restart all":
+		f.at(at, func() {
+			for _, m := range f.machines {
+				f.kill(m)
+				f.start(m)
+			}
+		})
+	case "cut":
+		f.at(at, func() { f.cut[m.vm.DataCentre()] = true })
+		f.at(at+last, func() { f.cut[m.vm.DataCentre()] = false })
+	case "rate":
+		rps := rapid.Float64Range(0.5, 100).Draw(t, "new rate")
+		burst := rapid.Float64Range(1, 100).Draw(t, "new burst")
+		f.at(at, func() {
+			c := f.configs[len(f.configs)-1]
+			c.rate, c.burst = rps, burst
+			f.accept(c)
+		})
+	case "list":
+		keep := rapid.SliceOfN(rapid.Bool(), len(f.machines), len(f.machines)).Draw(t, "listed")
+		f.at(at, func() {
+			c := f.configs[len(f.configs)-1]
+			c.vms = nil
+			for i, listed := range keep {
+				if listed {
+					c.vms = append(c.vms, f.machines[i].vm)
+				}
+			}
+			f.accept(c)
+		})
+	}
+}
--- /dev/null
+++ b/internal/team/share/plan.go
@@ -0,0 +1,154 @@
+package share
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+const (
+	// wholeFleetVMs is the largest fleet in which every VM holds a part.
+	wholeFleetVMs = 9
+	// holdersPerTeam is the number of holders in a larger fleet.
+	holdersPerTeam = 3
+	// minPartBurst keeps a holder's bucket deep enough for whole requests.
+	minPartBurst = 2
+)
+
+// Part is a rate in requests per second and a burst in requests.
+type Part struct {
+	rate  float64
+	burst float64
+}
+
+// NewPart returns a part of a rate in requests per second and a burst.
+func NewPart(rate, burst float64) Part { return Part{rate: rate, burst: burst} }
+
+// Rate returns the requests per second.
+func (p Part) Rate() float64 { return p.rate }
+
+// Burst returns the burst in requests.
+func (p Part) Burst() float64 { return p.burst }
+
+func (p Part) add(q Part) Part { return Part{p.rate + q.rate, p.burst + q.burst} }
+func (p Part) sub(q Part) Part { return Part{p.rate - q.rate, p.burst - q.burst} }
+func (p Part) min(q Part) Part { return Part{min(p.rate, q.rate), min(p.burst, q.burst)} }
+func (p Part) max(q Part) Part { return Part{max(p.rate, q.rate), max(p.burst, q.burst)} }
+
+// Plan is the division of one deployment's rate and burst over its holders.
+type Plan struct {
+	fingerprint uint64
+	part        Part
+	holders     []hawthornrail.VM
+}
+
+// NewPlan divides the deployment's rate and burst equally over holders that
+// it chooses by rendezvous hashing from the VMs of the configuration, spread
+// over the data centres; it must not depend on which VMs answer.
+func NewPlan(d hawthornrail.Deployment, vms []hawthornrail.VM) Plan {
+	holders := choose(d, vms)
+	if len(holders) == 0 {
+		return Plan{}
+	}
+	n := float64(len(holders))
+	p := Plan{part: Part{d.Rate() / n, d.Burst() / n}, holders: holders}
+	h := fnv.New64a()
+	var block [16]byte
+	binary.BigEndian.PutUint64(block[:8], math.Float64bits(d.Rate()))
+	binary.BigEndian.PutUint64(block[8:], math.Float64bits(d.Burst()))
+	_, _ = h.Write(block[:])
+	for _, v := range holders {
+		_, _ = h.Write([]byte(v.Name() + "\x00"))
+	}
+	p.fingerprint = h.Sum64()
+	return p
+}
+
+// Fingerprint returns a number that is equal for equal plans only.
+func (p Plan) Fingerprint() uint64 { return p.fingerprint }
+
+// Holders returns the VMs with a part, by name.
+func (p Plan) Holders() []hawthornrail.VM { return p.holders }
+
+// Rate returns the requests per second of one holder.
+func (p Plan) Rate() float64 { return p.part.rate }
+
+// Part returns the part of a VM; it is zero for a VM that is no holder.
+func (p Plan) Part(vm string) Part {
+	for _, v := range p.holders {
+		if v.Name() == vm {
+			return p.part
+		}
+	}
+	return Part{}
+}
+
+type candidate struct {
+	vm    hawthornrail.VM
+	score uint64
+}
+
+func choose(d hawthornrail.Deployment, vms []hawthornrail.VM) []hawthornrail.VM {
+	var ranked []candidate
+	seed := hash(d.Name())
+	for _, v := range vms {
+		if !v.Leaving() {
+			ranked = append(ranked, candidate{v, mix(seed ^ hash(v.Name()))})
+		}
+	}
+	count := len(ranked)
+	if count > wholeFleetVMs {
+		count = holdersPerTeam
+	}
+	count = min(count, max(1, int(d.Burst()/minPartBurst)))
+	if count < len(ranked) {
+		slices.SortFunc(ranked, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+		ranked = spread(ranked)[:count]
+	}
+	holders := make([]hawthornrail.VM, 0, count)
+	for _, c := range ranked {
+		holders = append(holders, c.vm)
+	}
+	slices.SortFunc(holders, func(a, b hawthornrail.VM) int { return cmp.Compare(a.Name(), b.Name()) })
+	return holders
+}
+
+// spread orders candidates so that each data centre's first comes before any
+// data centre's second.
+func spread(ranked []candidate) []candidate {
+	turn := make([]int, len(ranked))
+	seen := make(map[string]int)
+	for i, c := range ranked {
+		turn[i] = seen[c.vm.DataCentre()]
+		seen[c.vm.DataCentre()]++
+	}
+	var out []candidate
+	for round := 0; len(out) < len(ranked); round++ {
+		for i, c := range ranked {
+			if turn[i] == round {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+func hash(s string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * prime
+	}
+	return h
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
