--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -16,15 +16,27 @@
 	demandWindow = time.Second
 	// lowWater and highWater are the demand, as time, below which a VM asks
 	// for tokens and up to which it does.
-	lowWater  = 150 * time.Millisecond
-	highWater = 400 * time.Millisecond
+	lowWater  = 50 * time.Millisecond
+	highWater = 150 * time.Millisecond
 	// prefetchDemand is the demand in requests per second from which a VM
 	// holds tokens before a request needs them.
-	prefetchDemand = 1
+	prefetchDemand = 2
+	// earlyLevel is the level of the own bucket below which a VM evens it out
+	// with others, and minSurplus by how much another must be fuller.
+	earlyLevel = 0.75
+	minSurplus = 0.25
 	// reserve is the own demand, as time, that a holder does not lend.
 	reserve = 100 * time.Millisecond
-	// maxAsks bounds the holders that are asked at once.
-	maxAsks = 3
+	// maxAsks bounds the holders that are asked at once, and maxUrgentAsks
+	// those while a request waits.
+	maxAsks       = 3
+	maxUrgentAsks = 9
+	// maxBlocked bounds how long a holder without tokens is not asked.
+	maxBlocked = 250 * time.Millisecond
+	// minLostPause and maxLostPause bound how long a holder that did not
+	// answer is not asked.
+	minLostPause = 500 * time.Millisecond
+	maxLostPause = 4 * time.Second
 	// giveBackBefore is how long before its end an unused loan is returned.
 	giveBackBefore = share.GrantLife / 4
 	// queryInterval is the time between two queries of a VM's plan, and
@@ -42,6 +54,7 @@
 	tokens  float64
 	at      time.Time
 	blocked time.Time
+	lost    int
 }
 
 // Account counts one team's requests on one VM: the VM's own part, what it
@@ -138,9 +151,9 @@
 
 func roundUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit * unit }
 
-// Asks returns what to send to holders now; short says that a request finds
-// no token.
-func (a *Account) Asks(short bool, now time.Time) []Ask {
+// Asks returns what to send to holders now; waiting is the number of requests
+// that found no token.
+func (a *Account) Asks(waiting int, now time.Time) []Ask {
 	a.decay(now)
 	have := a.borrower.Tokens(now) + a.holder.Tokens(now)
 	asked, _ := a.borrower.Asked("", now)
@@ -148,24 +161,45 @@
 	if a.demand >= prefetchDemand {
 		low++
 	}
-	if short {
-		low = max(low, 1)
-	}
+	low += float64(waiting)
 	if have+asked >= low {
+		return a.rebalance(have+asked, now)
+	}
+	want := min(low-have-asked, float64(waiting)+a.demand*highWater.Seconds())
+	most := maxAsks
+	if waiting > 0 {
+		most = maxUrgentAsks
+	}
+	return a.askHolders(want, most, now)
+}
+
+// rebalance asks the fullest holder for tokens before the own bucket is low,
+// so that no other bucket stays full and wastes its rate.
+func (a *Account) rebalance(have float64, now time.Time) []Ask {
+	burst := a.change.Plan().Part(a.self.VM()).Burst()
+	if burst <= 0 || have >= earlyLevel*burst {
+		return nil
+	}
+	lenders := a.lenders(now)
+	if len(lenders) == 0 {
+		return nil
+	}
+	surplus := a.estimate(lenders[0].Name(), now) - have
+	if surplus < minSurplus*burst {
 		return nil
 	}
-	want := a.demand*highWater.Seconds() + 1 - have - asked
-	return a.askHolders(want, now)
+	return []Ask{a.borrower.Ask(lenders[0].Name(), surplus/2, now)}
 }
 
-func (a *Account) askHolders(want float64, now time.Time) []Ask {
+func (a *Account) askHolders(want float64, most int, now time.Time) []Ask {
 	var asks []Ask
 	for _, v := range a.lenders(now) {
-		if want <= 0 || len(asks) == maxAsks {
+		if want <= 0 || len(asks) == most {
 			break
 		}
 		asks = append(asks, a.borrower.Ask(v.Name(), want, now))
-		want -= max(0, a.estimate(v.Name(), now))
+		// An estimate is often too high, a second ask costs little.
+		want -= a.estimate(v.Name(), now) / 2
 	}
 	return asks
 }
@@ -200,7 +234,7 @@
 	part := a.change.Plan().Part(vm)
 	known, ok := a.views[vm]
 	if !ok {
-		return part.Burst() / 2
+		return part.Burst()
 	}
 	return min(part.Burst(), known.tokens+part.Rate()*now.Sub(known.at).Seconds())
 }
@@ -217,7 +251,7 @@
 	amount := a.holder.Lend(NewGrantID(from, ask.Number()), min(ask.Amount(), limit), now)
 	var wait time.Duration
 	if ask.Amount() > 0 && amount < min(1, ask.Amount()) {
-		wait = a.holder.Wait(min(1, ask.Amount()), now)
+		wait = min(maxBlocked, a.holder.Wait(min(1, ask.Amount()), now))
 	}
 	return Reply{number: ask.Number(), amount: amount, left: a.holder.Tokens(now), wait: wait}
 }
@@ -225,18 +259,29 @@
 // Granted takes the reply of a holder.
 func (a *Account) Granted(holder string, r Reply, now time.Time) {
 	a.borrower.Granted(r, now)
+	a.keep(now)
 	if a.views == nil {
 		a.views = make(map[string]view)
 	}
 	a.views[holder] = view{tokens: r.Left(), at: now, blocked: now.Add(r.Wait())}
 }
 
+// keep moves borrowed tokens into the own bucket as far as they fit, where
+// they do not expire.
+func (a *Account) keep(now time.Time) {
+	a.resize(now)
+	a.holder.Put(a.borrower.Take(a.holder.Room(now), now), now)
+}
+
 // Lost takes the news that a holder did not answer.
 func (a *Account) Lost(holder string, now time.Time) {
 	if a.views == nil {
 		a.views = make(map[string]view)
 	}
-	a.views[holder] = view{at: now, blocked: now.Add(share.GrantLife)}
+	a.borrower.Abandon(holder)
+	lost := a.views[holder].lost + 1
+	pause := min(maxLostPause, minLostPause<<min(lost-1, 10))
+	a.views[holder] = view{at: now, blocked: now.Add(pause), lost: lost}
 }
 
 // Returns gives unused loans back before they end and returns what to tell
--- a/internal/team/rate/borrower.go
+++ b/internal/team/rate/borrower.go
@@ -7,6 +7,9 @@
 	"hawthornrail.example/hawthornrail/internal/team/share"
 )
 
+// replyWithin is when a reply to an ask is overdue.
+const replyWithin = 20 * time.Millisecond
+
 // Settlement tells a holder that a grant is over and how much is unused.
 type Settlement struct {
 	number uint64
@@ -145,19 +148,30 @@
 	return Ask{holder: holder, number: b.next, amount: amount, settled: settled}
 }
 
-// Asked returns the tokens that are asked for and not answered, and whether
-// a holder is among those asked.
+// Asked returns the tokens that are asked for and may still be granted soon,
+// and whether a holder is among those asked.
 func (b *Borrower) Asked(holder string, now time.Time) (float64, bool) {
 	b.expire(now)
 	var sum float64
 	asked := false
 	for _, p := range b.pending {
-		sum += p.amount
+		if now.Sub(p.sent) < replyWithin {
+			sum += p.amount
+		}
 		asked = asked || p.holder == holder
 	}
 	return sum, asked
 }
 
+// Abandon forgets the asks of a holder; late replies to them change nothing.
+func (b *Borrower) Abandon(holder string) {
+	for number, p := range b.pending {
+		if p.holder == holder {
+			delete(b.pending, number)
+		}
+	}
+}
+
 // Granted takes the reply to an ask; a second reply to it changes nothing.
 func (b *Borrower) Granted(r Reply, now time.Time) {
 	p, ok := b.pending[r.number]
--- a/internal/team/rate/holder.go
+++ b/internal/team/rate/holder.go
@@ -73,6 +73,22 @@
 	return taken
 }
 
+// Room returns how many tokens fit into the bucket.
+func (h *Holder) Room(now time.Time) float64 {
+	h.advance(now)
+	if now.Before(h.blocked) {
+		return 0
+	}
+	return max(0, h.part.Burst()-h.lent-h.tokens)
+}
+
+// Put adds tokens that another holder has deducted; they must fit.
+func (h *Holder) Put(amount float64, now time.Time) {
+	h.advance(now)
+	h.tokens += amount
+	h.clamp()
+}
+
 // Lend deducts up to amount tokens for a borrower and returns how many; the
 // same id gets the same answer while its grant may be used.
 func (h *Holder) Lend(id GrantID, amount float64, now time.Time) float64 {
