Admit over the fleet in the running process

Cause: the process still gave every VM an equal fixed share.

Ruled out: asking a holder before every request; a VM admits from its own bucket and asks in the background.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -18,6 +18,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -40,6 +41,7 @@
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
+	Rates      *rate.Fleet
 	Callers    *server.Server
 }
 
@@ -120,6 +122,7 @@
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Rates.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -50,9 +50,9 @@
 		newPool,
 		func(p *pool.Pool) hawthornrail.Picker { return p },
 		func() hawthornrail.Queue { return fair.Unbounded{} },
-		func(c hawthornrail.Configuration, k hawthornrail.Clock) hawthornrail.Admitter {
-			return rate.NewStatic(c, k)
-		},
+		rate.NewRemote,
+		rate.NewFleet,
+		func(f *rate.Fleet) hawthornrail.Admitter { return f },
 		newPeerServer,
 		newPeerClient,
 		newTable,
@@ -150,8 +150,8 @@
 	return fleet.NewForwarder(i, c, p, h, s.Secret())
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, r, m)
+func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober, f *rate.Fleet) *fleet.Receiver {
+	return fleet.NewReceiver(c, s.Secret(), h, r, m, f)
 }
 
 func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -7,6 +7,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -20,12 +21,13 @@
 	local    *home.Home
 	replicas *replica.Store
 	prober   *members.Prober
+	rates    *rate.Fleet
 }
 
-// NewReceiver returns a receiver for the programs homed here and the replicas
-// kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober) *Receiver {
-	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober}
+// NewReceiver returns a receiver for the programs homed here, the replicas
+// kept here and the rates that this VM has a part of.
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober, rates *rate.Fleet) *Receiver {
+	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober, rates: rates}
 }
 
 // Handle serves one stream; it implements peer.Handler.
@@ -41,6 +43,8 @@
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
 		v.endProgram(ctx, k.EndProgram, s)
+	default:
+		v.rates.Receive(open, s)
 	}
 }
 
