--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -201,7 +201,8 @@
 
 // Exchange takes the state of another VM's plan and returns this VM's.
 func (f *Fleet) Exchange(from hawthornrail.Instance, m *vmpb.ShareState) *vmpb.ShareState {
-	var own share.State
+	// Without an account this run has used nothing of the deployment.
+	own := share.NewState(f.self.VM(), 0, share.Part{}, f.clock.Since(f.started) >= share.GrantHold, nil)
 	f.use(m.GetDeployment(), func(e *entry, now time.Time) {
 		e.account.Told(stateFromWire(from.VM(), m), now)
 		own, _ = e.account.State(now)
--- a/internal/team/share/plan.go
+++ b/internal/team/share/plan.go
@@ -48,10 +48,11 @@
 
 // NewPlan divides the deployment's rate and burst equally over holders that
 // it chooses by rendezvous hashing from the VMs of the configuration, spread
-// over the data centres; it must not depend on which VMs answer.
+// over the data centres; it must not depend on which VMs answer. A deployment
+// without a rate has the zero plan.
 func NewPlan(d hawthornrail.Deployment, vms []hawthornrail.VM) Plan {
 	holders := choose(d, vms)
-	if len(holders) == 0 {
+	if len(holders) == 0 || d.Rate() <= 0 && d.Burst() <= 0 {
 		return Plan{}
 	}
 	n := float64(len(holders))
