--- a/internal/team/rate/property_test.go
+++ b/internal/team/rate/property_test.go
@@ -51,13 +51,27 @@
 	for range rapid.IntRange(0, 12).Draw(t, "actions") {
 		drawAction(t, f)
 	}
-	f.spray(rapid.SampledFrom([]float64{0.5, 1, 4}).Draw(t, "load") * rps)
+	f.spray(rps)
 	return f
 }
 
-// spray sends requests over the machines, most of them to a few.
+// spray sends requests over the machines, most of them to a few, in phases
+// without load and far beyond the rate: only a burst after a quiet time shows
+// tokens that are too many.
 func (f *fleet) spray(rps float64) {
-	for at := time.Duration(0); at < scheduleLength; at += time.Duration(f.rng.ExpFloat64() / rps * float64(time.Second)) {
+	phases := []float64{0, 0, 0.5, 1, 10}
+	for begin := time.Duration(0); begin < scheduleLength; {
+		end := begin + time.Duration(f.rng.Int64N(int64(4*time.Second)))
+		if load := phases[f.rng.IntN(len(phases))] * rps; load > 0 {
+			f.phase(begin, end, load)
+		}
+		begin = end
+	}
+}
+
+func (f *fleet) phase(begin, end time.Duration, rps float64) {
+	gap := func() time.Duration { return time.Duration(f.rng.ExpFloat64() / rps * float64(time.Second)) }
+	for at := begin + gap(); at < end; at += gap() {
 		i := min(f.rng.IntN(len(f.machines)), f.rng.IntN(len(f.machines)))
 		f.at(at, func() { f.request(f.machines[i]) })
 	}
@@ -67,10 +81,10 @@
 	at := time.Duration(rapid.IntRange(0, int(scheduleLength/time.Millisecond)).Draw(t, "at")) * time.Millisecond
 	last := time.Duration(rapid.IntRange(0, 20000).Draw(t, "for")) * time.Millisecond
 	m := f.machines[rapid.IntRange(0, len(f.machines)-1).Draw(t, "vm")]
-	switch rapid.SampledFrom([]string{"restart", "freeze", "restart all", "cut", "rate", "list"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"restart", "restart", "freeze", "restart all", "cut", "rate", "list"}).Draw(t, "action") {
 	case "restart":
 		f.at(at, func() { f.kill(m) })
-		f.at(at+last/10, func() { f.start(m) })
+		f.at(at+last/20, func() { f.start(m) })
 	case "freeze":
 		f.at(at, func() { f.freeze(m, true) })
 		f.at(at+last, func() { f.freeze(m, false) })
