--- a/internal/team/rate/cost_test.go
+++ b/internal/team/rate/cost_test.go
@@ -34,7 +34,7 @@
 // BenchmarkGrantsAtFullSize reports the bytes and messages of grants for each
 // VM at the full size, from one average team sprayed over all VMs.
 func BenchmarkGrantsAtFullSize(b *testing.B) {
-	const length = 200 * time.Second
+	const length = 1000 * time.Second
 	for b.Loop() {
 		perTeam := fullRequests / fullTeams
 		f := newFleet(1, 1.5*perTeam, 10, someVMs(fullVMs, fullCentres))
