--- a/internal/team/rate/property_test.go
+++ b/internal/team/rate/property_test.go
@@ -78,10 +78,10 @@
 }
 
 func drawAction(t *rapid.T, f *fleet) {
-	at := time.Duration(rapid.IntRange(0, int(scheduleLength/time.Millisecond)).Draw(t, "at")) * time.Millisecond
-	last := time.Duration(rapid.IntRange(0, 20000).Draw(t, "for")) * time.Millisecond
+	at := drawTime(t, "at", scheduleLength)
+	last := drawTime(t, "for", 20*time.Second)
 	m := f.machines[rapid.IntRange(0, len(f.machines)-1).Draw(t, "vm")]
-	switch rapid.SampledFrom([]string{"restart", "restart", "freeze", "restart all", "cut", "rate", "list"}).Draw(t, "action") {
+	switch rapid.SampledFrom([]string{"restart", "restart", "freeze", "restart all", "cut", "change"}).Draw(t, "action") {
 	case "restart":
 		f.at(at, func() { f.kill(m) })
 		f.at(at+last/20, func() { f.start(m) })
@@ -98,25 +98,36 @@
 	case "cut":
 		f.at(at, func() { f.cut[m.vm.DataCentre()] = true })
 		f.at(at+last, func() { f.cut[m.vm.DataCentre()] = false })
-	case "rate":
-		rps := rapid.Float64Range(0.5, 100).Draw(t, "new rate")
-		burst := rapid.Float64Range(1, 100).Draw(t, "new burst")
-		f.at(at, func() {
-			c := f.configs[len(f.configs)-1]
-			c.rate, c.burst = rps, burst
+		if rapid.Bool().Draw(t, "changed meanwhile") {
+			drawChange(t, f, at+last/10)
+		}
+	case "change":
+		drawChange(t, f, at)
+	}
+}
+
+func drawTime(t *rapid.T, label string, most time.Duration) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(most/time.Millisecond)).Draw(t, label)) * time.Millisecond
+}
+
+// drawChange changes the rate and burst or the list of VMs.
+func drawChange(t *rapid.T, f *fleet, at time.Duration) {
+	factor := rapid.SampledFrom([]float64{0.3, 0.6, 0.9, 2}).Draw(t, "factor")
+	listed := rapid.SliceOfN(rapid.Bool(), len(f.machines), len(f.machines)).Draw(t, "listed")
+	byList := rapid.Bool().Draw(t, "list")
+	f.at(at, func() {
+		c := f.configs[len(f.configs)-1]
+		if !byList {
+			c.rate, c.burst = c.rate*factor, max(1, c.burst*factor)
 			f.accept(c)
-		})
-	case "list":
-		keep := rapid.SliceOfN(rapid.Bool(), len(f.machines), len(f.machines)).Draw(t, "listed")
-		f.at(at, func() {
-			c := f.configs[len(f.configs)-1]
-			c.vms = nil
-			for i, listed := range keep {
-				if listed {
-					c.vms = append(c.vms, f.machines[i].vm)
-				}
+			return
+		}
+		c.vms = nil
+		for i, m := range f.machines {
+			if listed[i] {
+				c.vms = append(c.vms, m.vm)
 			}
-			f.accept(c)
-		})
-	}
+		}
+		f.accept(c)
+	})
 }
