--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -55,10 +55,10 @@
 		newPool,
 		func(p *pool.Pool) hawthornrail.Picker { return p },
 		func() hawthornrail.Queue { return fair.Unbounded{} },
-		func(c hawthornrail.Configuration, k hawthornrail.Clock) hawthornrail.Admitter {
-			return rate.NewStatic(c, k)
-		},
 		newMutual,
+		rate.NewRemote,
+		rate.NewFleet,
+		func(f *rate.Fleet) hawthornrail.Admitter { return f },
 		newPeerServer,
 		newPeerClient,
 		newTable,
@@ -188,8 +188,8 @@
 	return memory.New(h, engine.NewMemory(t), c, k, l.Layer("memory"))
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, o *fleet.Holdings, m *members.Prober) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, o, m)
+func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, o *fleet.Holdings, m *members.Prober, f *rate.Fleet) *fleet.Receiver {
+	return fleet.NewReceiver(c, s.Secret(), h, o, m, f)
 }
 
 type callersIn struct {
