Keep the configuration from reverting, and whole per change

Cause: a watch that began beyond the state's revision still raised it, so that the changes between were lost; a change older than a full list brought back an object that the list had dropped; two objects of one change came into force one after the other.

A change of several objects is one object (change/latest) that holds all of them and is copied to them afterwards, then emptied. Ruled out: a commit object over staged objects (a VM that starts between staging and commit would find no old value), and one object for everything (over the value limit at 9,900 teams). Objects ahead of a gap are not taken: the property found part of a change in force through them. It also found that a deletion after a change was undone by a list that still held the change, hence the emptying.

--- a/internal/config/controller/controller.go
+++ b/internal/config/controller/controller.go
@@ -109,7 +109,7 @@
 	if full {
 		changed = c.state.Replace(l.Objects, l.Revision)
 	} else {
-		changed = c.state.Change(l.Objects, l.Revision)
+		changed = c.state.Change(l.Objects, c.state.Revision(), l.Revision)
 	}
 	if !changed {
 		return
--- a/internal/config/state/state.go
+++ b/internal/config/state/state.go
@@ -2,34 +2,61 @@
 
 import (
 	"errors"
-	"fmt"
+	"slices"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/platform/objects"
 )
 
-// State holds the newest version seen of every object.
+// maxTombstones bounds the deletions kept for VMs that ask for changes.
+const maxTombstones = 4096
+
+// State holds the newest version of every object up to its revision.
 type State struct {
-	revision uint64
-	held     map[string]objects.Object
+	revision   uint64
+	floor      uint64
+	held       map[identity]entry
+	tombstones int
+}
+
+// identity is what stays the same over the versions of an object.
+type identity struct {
+	kind string
+	name string
+}
+
+// entry is an object with its decoded value, or the reason why it has none.
+type entry struct {
+	object objects.Object
+	part   part
+	err    error
 }
 
 // New returns an empty state at revision 0.
 func New() *State {
-	return &State{held: make(map[string]objects.Object)}
+	return &State{held: make(map[identity]entry)}
 }
 
 // Revision returns the highest revision known to be complete.
 func (s *State) Revision() uint64 { return s.revision }
 
-// Change takes objects of a watch that is complete up to a revision and
-// reports whether anything changed.
-func (s *State) Change(changed []objects.Object, revision uint64) bool {
+// Change takes the objects changed after revision since and up to revision,
+// and reports whether anything changed in force. If since lies beyond the
+// state's own revision, the changes between them are unknown and nothing is
+// taken: part of a change could come into force without the rest.
+func (s *State) Change(changed []objects.Object, since, revision uint64) bool {
+	if since > s.revision {
+		return false
+	}
 	any := false
 	for _, o := range changed {
-		any = s.take(o) || any
+		// What is not held at or below the revision is superseded or deleted.
+		if o.Version > s.revision {
+			any = s.take(o) || any
+		}
 	}
 	s.revision = max(s.revision, revision)
+	s.trim()
 	return any
 }
 
@@ -39,100 +66,113 @@
 	if revision < s.revision {
 		return false
 	}
-	listed := make(map[string]bool, len(all))
+	listed := make(map[identity]bool, len(all))
+	any := false
 	for _, o := range all {
-		listed[key(o)] = true
+		listed[identityOf(o)] = true
+		for _, p := range parts(o) {
+			listed[identityOf(p)] = true
+		}
+		any = s.take(o) || any
 	}
-	any := s.Change(all, revision)
-	for k, o := range s.held {
-		if !listed[k] && !o.Deleted && o.Version <= revision {
-			o.Deleted, o.Value, o.Version = true, nil, revision
-			s.held[k] = o
-			any = true
+	for id, e := range s.held {
+		if !listed[id] {
+			any = !e.object.Deleted || any
+			s.remove(id)
 		}
 	}
+	// Deletions before the list are not known one by one.
+	s.revision, s.floor = revision, revision
 	return any
 }
 
+// Since returns the objects changed after a revision, deletions included; full
+// means that they are a full list because older changes are not kept.
+func (s *State) Since(revision uint64) (changed []objects.Object, full bool) {
+	full = revision < s.floor || revision > s.revision
+	for _, e := range s.held {
+		o := e.object
+		if full && o.Deleted || !full && o.Version <= revision {
+			continue
+		}
+		changed = append(changed, o)
+	}
+	slices.SortFunc(changed, func(a, b objects.Object) int {
+		return int(int64(a.Version) - int64(b.Version))
+	})
+	return changed, full
+}
+
+// take holds an object and the parts of it if it is a change of several.
 func (s *State) take(o objects.Object) bool {
-	current, ok := s.held[key(o)]
-	if ok && current.Version >= o.Version {
+	any := s.hold(o)
+	for _, p := range parts(o) {
+		any = s.hold(p) || any
+	}
+	return any
+}
+
+func (s *State) hold(o objects.Object) bool {
+	id := identityOf(o)
+	current, ok := s.held[id]
+	if ok && current.object.Version >= o.Version {
 		return false
 	}
-	s.held[key(o)] = o
+	if ok {
+		s.remove(id)
+	}
+	e := entry{object: o}
+	if o.Deleted {
+		s.tombstones++
+	} else {
+		e.part, e.err = decode(o)
+	}
+	s.held[id] = e
 	return true
 }
 
-func key(o objects.Object) string { return o.Kind + "/" + o.Name }
+func (s *State) remove(id identity) {
+	if s.held[id].object.Deleted {
+		s.tombstones--
+	}
+	delete(s.held, id)
+}
 
-// Snapshot returns the objects in force and the errors of those that can't
-// be read, which are left out.
-func (s *State) Snapshot() (*hawthornrail.Snapshot, error) {
-	var b builder
-	for _, o := range s.held {
-		if o.Deleted {
-			continue
+// trim forgets the older half of the deletions when there are too many.
+func (s *State) trim() {
+	if s.tombstones <= maxTombstones {
+		return
+	}
+	var versions []uint64
+	for _, e := range s.held {
+		if e.object.Deleted {
+			versions = append(versions, e.object.Version)
 		}
-		if err := b.add(o); err != nil {
-			b.errs = append(b.errs, err)
+	}
+	slices.Sort(versions)
+	s.floor = max(s.floor, versions[len(versions)/2])
+	for id, e := range s.held {
+		if e.object.Deleted && e.object.Version <= s.floor {
+			s.remove(id)
 		}
 	}
-	snapshot := hawthornrail.NewSnapshot(s.revision, b.deployments, b.keys, b.endpoints, b.vms)
-	return snapshot.WithOpenRoutes(b.routes), errors.Join(b.errs...)
 }
 
-type builder struct {
-	deployments []hawthornrail.Deployment
-	keys        []hawthornrail.Key
-	endpoints   []hawthornrail.Endpoint
-	vms         []hawthornrail.VM
-	routes      map[string]string
-	errs        []error
-}
+func identityOf(o objects.Object) identity { return identity{kind: o.Kind, name: o.Name} }
 
-func (b *builder) add(o objects.Object) error {
-	switch o.Kind {
-	case objects.KindDeployment:
-		var v objects.Deployment
-		if err := o.Decode(&v); err != nil {
-			return err
-		}
-		b.deployments = append(b.deployments, v.ToDomain(o.Name, o.Version))
-	case objects.KindKey:
-		var v objects.Key
-		if err := o.Decode(&v); err != nil {
-			return err
-		}
-		b.keys = append(b.keys, v.ToDomain(o.Name))
-	case objects.KindEndpoint:
-		var v objects.Endpoint
-		if err := o.Decode(&v); err != nil {
-			return err
+// Snapshot returns the objects in force and the errors of those that can't
+// be read, which are left out.
+func (s *State) Snapshot() (*hawthornrail.Snapshot, error) {
+	var b builder
+	var errs []error
+	for _, e := range s.held {
+		if e.err != nil {
+			errs = append(errs, e.err)
 		}
-		b.endpoints = append(b.endpoints, v.ToDomain(o.Name))
-	case objects.KindVM:
-		var v objects.VM
-		if err := o.Decode(&v); err != nil {
-			return err
+		if e.part != nil {
+			e.part.addTo(&b)
 		}
-		b.vms = append(b.vms, v.ToDomain(o.Name))
-	case objects.KindRoute:
-		return b.addRoute(o)
 	}
-	return nil
-}
-
-func (b *builder) addRoute(o objects.Object) error {
-	var v objects.Route
-	if err := o.Decode(&v); err != nil {
-		return err
-	}
-	if v.Path == "" {
-		return fmt.Errorf("object %s/%s: no path", o.Kind, o.Name)
-	}
-	if b.routes == nil {
-		b.routes = make(map[string]string)
-	}
-	b.routes[v.Path] = v.Deployment
-	return nil
+	snapshot := hawthornrail.NewSnapshot(s.revision, b.deployments, b.keys, b.endpoints, b.vms)
+	return snapshot.WithOpenRoutes(b.routes), errors.Join(errs...)
 }
