Pass the configuration on between VMs

Cause: every VM watched the platform, and a VM that started during an outage had no configuration. Two VMs of each data centre now watch; the others follow them in a tree by rendezvous hashing, and a VM whose source falls silent or stale watches by itself. Heartbeats and news carry the revision to VMs that the tree misses. A forwarded call carries what the home needs of the deployment, so that one request has one configuration.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -12,6 +12,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
+	"hawthornrail.example/hawthornrail/internal/config/relay"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/api"
@@ -33,6 +34,7 @@
 	Tracer     *traces.Tracer
 	Registry   metrics.Registry
 	Controller *controller.Controller
+	Relay      *relay.Relay
 	PeerServer *peer.Server
 	PeerClient *peer.Client
 	Receiver   *fleet.Receiver
@@ -118,7 +120,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	p.start(func() error { p.in.Controller.Run(ctx); return nil })
+	p.start(func() error { p.in.Controller.Run(ctx, p.in.Relay.Watches, p.in.Relay.Advanced); return nil })
+	p.start(func() error { p.in.Relay.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -11,6 +11,7 @@
 	"hawthornrail.example/hawthornrail/internal/caller/filter"
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
+	"hawthornrail.example/hawthornrail/internal/config/relay"
 	"hawthornrail.example/hawthornrail/internal/endpoint/engine"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
@@ -58,6 +59,7 @@
 		newTable,
 		func(t *members.Table) hawthornrail.Membership { return t },
 		members.NewProber,
+		newRelay,
 		newReplicator,
 		replica.NewStore,
 		newHome,
@@ -150,8 +152,14 @@
 	return fleet.NewForwarder(i, c, p, h, s.Secret())
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, r, m)
+func newRelay(c *controller.Controller, t *members.Table, m *members.Prober, p *peer.Client, k hawthornrail.Clock, s settings.Settings) *relay.Relay {
+	r := relay.New(c, t, p, k, s.Peers())
+	m.OnRevision(r.Heard)
+	return r
+}
+
+func newReceiver(s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober, c *relay.Relay) *fleet.Receiver {
+	return fleet.NewReceiver(s.Secret(), h, r, m, c)
 }
 
 func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -52,8 +52,9 @@
 }
 
 type peerSection struct {
-	Address string `toml:"address"`
-	Secret  string `toml:"secret"`
+	Address string   `toml:"address"`
+	Secret  string   `toml:"secret"`
+	Peers   []string `toml:"peers"`
 }
 
 type platformSection struct {
@@ -193,6 +194,9 @@
 	c.address(toml.Key{"caller", "address"}, f.Caller.Address)
 	c.address(toml.Key{"operator", "address"}, f.Operator.Address)
 	c.address(toml.Key{"peer", "address"}, f.Peer.Address)
+	for _, address := range f.Peer.Peers {
+		c.address(toml.Key{"peer", "peers"}, address)
+	}
 	c.address(toml.Key{"platform", "address"}, f.Platform.Address)
 	c.positive(toml.Key{"limits", "max_body_bytes"}, int64(f.Limits.MaxBodyBytes))
 	c.positive(toml.Key{"limits", "read_timeout"}, int64(f.Limits.ReadTimeout))
@@ -277,6 +281,10 @@
 // PeerAddress returns the address that other VMs reach.
 func (s Settings) PeerAddress() string { return s.file.Peer.Address }
 
+// Peers returns addresses of other VMs to load the configuration from when the
+// platform does not answer at the start.
+func (s Settings) Peers() []string { return s.file.Peer.Peers }
+
 // Secret returns the secret that the fleet shares.
 func (s Settings) Secret() []byte { return s.secret }
 
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -17,7 +17,8 @@
 
 const (
 	callTimeout  = 3 * time.Second
-	watchTimeout = 15 * time.Second
+	watchWait    = time.Second
+	watchTimeout = 1750 * time.Millisecond
 	maxBodyBytes = 64 << 20
 )
 
@@ -73,7 +74,7 @@
 // Watch waits for objects changed after a revision; it may return none.
 func (c *Client) Watch(ctx context.Context, since uint64) (Listing, error) {
 	var l Listing
-	err := c.do(ctx, watchTimeout, http.MethodGet, fmt.Sprintf("/v1/watch?since=%d", since), nil, &l)
+	err := c.do(ctx, watchTimeout, http.MethodGet, fmt.Sprintf("/v1/watch?since=%d&wait_ms=%d", since, watchWait.Milliseconds()), nil, &l)
 	return l, err
 }
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -109,7 +109,11 @@
 
 func (s *Server) watch(ctx *fasthttp.RequestCtx) {
 	since := uint64(ctx.QueryArgs().GetUintOrZero("since"))
-	deadline := time.After(watchTimeout)
+	wait := watchTimeout
+	if ms := ctx.QueryArgs().GetUintOrZero("wait_ms"); ms > 0 {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	deadline := time.After(wait)
 	for {
 		events, changed, err := s.store.Since(since)
 		if err != nil {
--- a/internal/vm/convert/convert.go
+++ b/internal/vm/convert/convert.go
@@ -41,12 +41,15 @@
 		ContentType: r.ContentType(), Body: r.Body(),
 		IdempotencyKey: r.IdempotencyKey(), Idempotent: r.Idempotent(),
 		Stream: r.Stream(), KeepHistory: r.KeepHistory(), EndsProgram: r.EndsProgram(),
+		Priority: int32(r.Deployment().Priority()), Rate: r.Deployment().Rate(),
 	}
 }
 
-// CallFromWire returns the request of a message, identified as running under
-// deployment.
-func CallFromWire(m *vmpb.Call, d hawthornrail.Deployment) *hawthornrail.Request {
+// CallFromWire returns the request of a message, which runs under the
+// deployment as the forwarding VM saw it: one request has one configuration.
+func CallFromWire(m *vmpb.Call) *hawthornrail.Request {
+	d := hawthornrail.NewDeployment(m.GetDeployment(), m.GetTeam(), 0).
+		WithRate(m.GetRate(), 0).WithPriority(int(m.GetPriority()))
 	r := hawthornrail.NewServiceRequest(m.GetService(), m.GetMethod(), m.GetPath(), m.GetContentType(), m.GetBody())
 	if m.GetModel() != "" {
 		r = hawthornrail.NewModelRequest(m.GetModel(), m.GetBody(), m.GetStream())
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/config/relay"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
@@ -15,17 +16,17 @@
 
 // Receiver serves what other VMs ask of this one.
 type Receiver struct {
-	config   hawthornrail.Configuration
 	secret   []byte
 	local    *home.Home
 	replicas *replica.Store
 	prober   *members.Prober
+	relay    *relay.Relay
 }
 
 // NewReceiver returns a receiver for the programs homed here and the replicas
 // kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober) *Receiver {
-	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober}
+func NewReceiver(secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober, changes *relay.Relay) *Receiver {
+	return &Receiver{secret: secret, local: local, replicas: replicas, prober: prober, relay: changes}
 }
 
 // Handle serves one stream; it implements peer.Handler.
@@ -37,6 +38,8 @@
 		v.step(k.Step, s)
 	case *vmpb.Open_Heartbeat:
 		_ = s.Send(v.prober.Answer(k.Heartbeat))
+	case *vmpb.Open_ConfigFollow, *vmpb.Open_ConfigNews:
+		v.relay.Handle(ctx, open, s)
 	case *vmpb.Open_CreateProgram:
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
@@ -45,11 +48,7 @@
 }
 
 func (v *Receiver) call(ctx context.Context, m *vmpb.Call, s *peer.Stream) {
-	d, ok := v.config.Snapshot().Deployment(m.GetDeployment())
-	err := error(hawthornrail.NotRun(hawthornrail.CodeConfigStale, "deployment %s is not known here yet", m.GetDeployment()))
-	if ok && d.Team() == m.GetTeam() {
-		err = v.local.Serve(ctx, convert.CallFromWire(m, d), streamWriter{s})
-	}
+	err := v.local.Serve(ctx, convert.CallFromWire(m), streamWriter{s})
 	_ = s.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_End{End: convert.EndToWire(err)}})
 }
 
--- a/internal/vm/members/prober.go
+++ b/internal/vm/members/prober.go
@@ -24,13 +24,21 @@
 	client *peer.Client
 	clock  hawthornrail.Clock
 	turn   []hawthornrail.Member
+	heard  func(m hawthornrail.Member, revision uint64)
 }
 
 // NewProber returns a prober that fills table.
 func NewProber(table *Table, config hawthornrail.Configuration, client *peer.Client, clock hawthornrail.Clock) *Prober {
-	return &Prober{table: table, config: config, client: client, clock: clock}
+	return &Prober{
+		table: table, config: config, client: client, clock: clock,
+		heard: func(hawthornrail.Member, uint64) {},
+	}
 }
 
+// OnRevision makes the prober call heard with the revision of the
+// configuration that a member says it holds; it must be set before Run.
+func (p *Prober) OnRevision(heard func(m hawthornrail.Member, revision uint64)) { p.heard = heard }
+
 // Run probes until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -73,12 +81,14 @@
 	}
 	p.table.Answered(convert.MemberFromWire(reply.GetFrom()), p.clock.Now())
 	p.table.Heard(convert.MembersFromWire(reply.GetNews()))
+	p.heard(convert.MemberFromWire(reply.GetFrom()), reply.GetConfigRevision())
 }
 
 // Answer takes another VM's heartbeat and returns the answer to it.
 func (p *Prober) Answer(m *vmpb.Heartbeat) *vmpb.HeartbeatReply {
 	p.table.Answered(convert.MemberFromWire(m.GetFrom()), p.clock.Now())
 	p.table.Heard(convert.MembersFromWire(m.GetNews()))
+	p.heard(convert.MemberFromWire(m.GetFrom()), m.GetConfigRevision())
 	return &vmpb.HeartbeatReply{
 		From: convert.MemberToWire(p.table.Self()), ConfigRevision: p.config.Snapshot().Revision(),
 		News: convert.MembersToWire(p.table.News()),
