Cut requests whose key is withdrawn

Cause: a key was checked at the entry and once before dispatch; a stream under way went on, and creating or ending a program was not covered at all. The home trusts the entry's check while its own configuration is behind the entry's, so that a new key is not refused there.

--- a/internal/caller/filter/filter.go
+++ b/internal/caller/filter/filter.go
@@ -39,6 +39,7 @@
 			return hawthornrail.NotRun(hawthornrail.CodeForbidden, "the route's deployment does not exist")
 		}
 		r.Identify("", d)
+		r.SetRevision(snapshot.Revision())
 		return next.Serve(ctx, r, w)
 	}
 	d, id, err := keyring.Check(snapshot, r.Credential())
@@ -46,6 +47,7 @@
 		return err
 	}
 	r.Identify(id, d)
+	r.SetRevision(snapshot.Revision())
 	return next.Serve(ctx, r, w)
 }
 
@@ -70,8 +72,8 @@
 	if r.Service() != "" && !slices.Contains(d.Services(), r.Service()) {
 		return hawthornrail.NotRun(hawthornrail.CodeUnknownService, "service %q is not one of the deployment's", r.Service())
 	}
-	if d.CutOff() == hawthornrail.RefuseWhenCutOff && f.config.Age() > d.StaleAfter() {
-		return hawthornrail.NotRun(hawthornrail.CodeConfigStale, "the configuration is older than the deployment allows").WithRetryAfter(d.StaleAfter())
+	if err := keyring.Fresh(f.config, d); err != nil {
+		return err
 	}
 	if r.Program() == "" {
 		return next.Serve(ctx, r, w)
--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -48,14 +48,15 @@
 	handler  hawthornrail.Handler
 	programs hawthornrail.Programs
 	config   hawthornrail.Configuration
+	keys     *keyring.Registry
 	tracer   *traces.Tracer
 	log      events.Logger
 	options  Options
 }
 
 // New returns a server that passes requests to handler.
-func New(handler hawthornrail.Handler, programs hawthornrail.Programs, config hawthornrail.Configuration, tracer *traces.Tracer, log events.Logger, options Options) *Server {
-	s := &Server{handler: handler, programs: programs, config: config, tracer: tracer, log: log, options: options}
+func New(handler hawthornrail.Handler, programs hawthornrail.Programs, config hawthornrail.Configuration, keys *keyring.Registry, tracer *traces.Tracer, log events.Logger, options Options) *Server {
+	s := &Server{handler: handler, programs: programs, config: config, keys: keys, tracer: tracer, log: log, options: options}
 	s.http = &fasthttp.Server{
 		Handler: s.routes(), Name: "hawthornrail",
 		MaxRequestBodySize: options.MaxBodyBytes, ReadTimeout: options.ReadTimeout,
@@ -209,8 +210,36 @@
 	} `json:"budget"`
 }
 
+// identify checks the caller's key as the filters do for a call.
+func (s *Server) identify(ctx *fasthttp.RequestCtx) (hawthornrail.Deployment, string, error) {
+	d, key, err := keyring.Check(s.config.Snapshot(), credential(ctx))
+	if err == nil {
+		err = keyring.Fresh(s.config, d)
+	}
+	return d, key, err
+}
+
+// hold returns a context that ends at the timeout or with the key.
+func (s *Server) hold(key, team string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.RequestTimeout)
+	held, release := s.keys.Hold(ctx, key, team)
+	return held, func() {
+		release()
+		cancel()
+	}
+}
+
+// withdrawn returns the failure that the caller gets for err, nil included,
+// if its key was withdrawn meanwhile.
+func withdrawn(ctx context.Context, key string, err error) error {
+	if keyring.Withdrawn(ctx) {
+		return keyring.WithdrawnFailure(key, hawthornrail.VerdictOf(err))
+	}
+	return err
+}
+
 func (s *Server) createProgram(ctx *fasthttp.RequestCtx) {
-	d, _, err := keyring.Check(s.config.Snapshot(), credential(ctx))
+	d, key, err := s.identify(ctx)
 	if err != nil {
 		writeFailure(ctx, err)
 		return
@@ -227,10 +256,10 @@
 		value := hawthornrail.NewBudget(b.Calls, b.Tokens, time.Duration(b.WallTimeMS)*time.Millisecond, b.Depth, b.Children)
 		budget = &value
 	}
-	request, cancel := context.WithTimeout(context.Background(), s.options.RequestTimeout)
+	request, cancel := s.hold(key, d.Team())
 	defer cancel()
 	id, err := s.programs.Create(request, d, body.Parent, budget)
-	if err != nil {
+	if err := withdrawn(request, key, err); err != nil {
 		writeFailure(ctx, err)
 		return
 	}
@@ -238,15 +267,16 @@
 }
 
 func (s *Server) endProgram(ctx *fasthttp.RequestCtx) {
-	d, _, err := keyring.Check(s.config.Snapshot(), credential(ctx))
+	d, key, err := s.identify(ctx)
 	if err != nil {
 		writeFailure(ctx, err)
 		return
 	}
 	id, _ := ctx.UserValue("id").(string)
-	request, cancel := context.WithTimeout(context.Background(), s.options.RequestTimeout)
+	request, cancel := s.hold(key, d.Team())
 	defer cancel()
-	if err := s.programs.End(request, d.Team(), id, "ended by the caller"); err != nil {
+	err = s.programs.End(request, d.Team(), id, "ended by the caller")
+	if err := withdrawn(request, key, err); err != nil {
 		writeFailure(ctx, err)
 		return
 	}
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -24,6 +24,7 @@
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/keyring"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
@@ -46,6 +47,7 @@
 			return client.New(s.PlatformAddress(), d)
 		},
 		newController,
+		newRegistry,
 		func(c *controller.Controller) hawthornrail.Configuration { return c },
 		http.New,
 		newPool,
@@ -102,6 +104,12 @@
 	return controller.New(p, k, l.Layer("config"))
 }
 
+func newRegistry(c *controller.Controller) *keyring.Registry {
+	r := keyring.NewRegistry(c)
+	c.OnChange(r.Swap)
+	return r
+}
+
 func newPool(c hawthornrail.Configuration, s settings.Settings) *pool.Pool {
 	return pool.New(c, s.DataCentre())
 }
@@ -162,9 +170,24 @@
 	return fleet.NewReceiver(s.Secret(), h, r, m, c)
 }
 
-func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
-	chain := filter.Chain(f, filter.NewIdentify(c), filter.NewAuthorise(c, s.Secret()), filter.NewAdmit(a))
-	return server.New(chain, f, c, t, l.Layer("caller"), server.Options{
+type callerIn struct {
+	dig.In
+
+	Forwarder *fleet.Forwarder
+	Admitter  hawthornrail.Admitter
+	Config    hawthornrail.Configuration
+	Keys      *keyring.Registry
+	Clock     hawthornrail.Clock
+	Tracer    *traces.Tracer
+	Log       events.Logger
+	Settings  settings.Settings
+}
+
+func newCallerServer(in callerIn) *server.Server {
+	s := in.Settings
+	chain := filter.Chain(in.Forwarder, filter.NewIdentify(in.Config), filter.NewWithdraw(in.Keys, in.Clock),
+		filter.NewAuthorise(in.Config, s.Secret()), filter.NewAdmit(in.Admitter))
+	return server.New(chain, in.Forwarder, in.Config, in.Keys, in.Tracer, in.Log.Layer("caller"), server.Options{
 		MaxBodyBytes: s.MaxBodyBytes(), ReadTimeout: s.ReadTimeout(), RequestTimeout: s.RequestTimeout(),
 	})
 }
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -206,13 +206,14 @@
 	return c.home.parts.Services.Dispatch(ctx, e, p.request, requestID, w)
 }
 
-// checkKey refuses a request whose key was withdrawn while it waited.
+// checkKey refuses a request whose key was withdrawn while it waited; the
+// snapshot is the newest one, unless the VM that checked the key is ahead.
 func (c *call) checkKey() error {
-	id := c.request.KeyID()
-	if id == "" || keyring.Working(c.home.parts.Config.Snapshot(), id) {
+	id, snapshot := c.request.KeyID(), c.home.parts.Config.Snapshot()
+	if id == "" || keyring.Working(snapshot, id, c.request.Team()) || snapshot.Revision() < c.request.Revision() {
 		return nil
 	}
-	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
+	return keyring.WithdrawnFailure(id, hawthornrail.VerdictNotRun)
 }
 
 // record replicates the outcome even when the caller has gone.
--- a/internal/team/keyring/keyring.go
+++ b/internal/team/keyring/keyring.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
@@ -41,7 +42,7 @@
 		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeUnauthorized, "no valid key came with the request")
 	}
 	if k.Withdrawn() {
-		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", k.ID())
+		return hawthornrail.Deployment{}, "", WithdrawnFailure(k.ID(), hawthornrail.VerdictNotRun)
 	}
 	d, ok := s.Deployment(k.Deployment())
 	if !ok {
@@ -50,10 +51,30 @@
 	return d, k.ID(), nil
 }
 
-// Working reports whether a key that was checked before still works.
-func Working(s *hawthornrail.Snapshot, id string) bool {
+// Working reports whether a key that was checked before still works for the
+// same team.
+func Working(s *hawthornrail.Snapshot, id, team string) bool {
 	k, ok := s.Key(id)
-	return ok && !k.Withdrawn()
+	if !ok || k.Withdrawn() {
+		return false
+	}
+	d, ok := s.Deployment(k.Deployment())
+	return ok && d.Team() == team
+}
+
+// Fresh refuses a request of a deployment that does not run on a configuration
+// older than its bound.
+func Fresh(c hawthornrail.Configuration, d hawthornrail.Deployment) error {
+	if d.CutOff() != hawthornrail.RefuseWhenCutOff || c.Age() <= d.StaleAfter() {
+		return nil
+	}
+	f := hawthornrail.NotRun(hawthornrail.CodeConfigStale, "the configuration is older than the deployment allows")
+	return f.WithRetryAfter(max(d.StaleAfter(), time.Second))
+}
+
+// WithdrawnFailure returns the failure of a request whose key was withdrawn.
+func WithdrawnFailure(id string, verdict hawthornrail.Verdict) *hawthornrail.Failure {
+	return hawthornrail.NewFailure(hawthornrail.CodeKeyWithdrawn, verdict, fmt.Errorf("key %s is withdrawn", id))
 }
 
 func hashOf(secret string) string {
--- a/internal/vm/convert/convert.go
+++ b/internal/vm/convert/convert.go
@@ -42,6 +42,7 @@
 		IdempotencyKey: r.IdempotencyKey(), Idempotent: r.Idempotent(),
 		Stream: r.Stream(), KeepHistory: r.KeepHistory(), EndsProgram: r.EndsProgram(),
 		Priority: int32(r.Deployment().Priority()), Rate: r.Deployment().Rate(),
+		ConfigRevision: r.Revision(),
 	}
 }
 
@@ -55,6 +56,7 @@
 		r = hawthornrail.NewModelRequest(m.GetModel(), m.GetBody(), m.GetStream())
 	}
 	r.Identify(m.GetKeyId(), d)
+	r.SetRevision(m.GetConfigRevision())
 	r.SetProgram(m.GetProgramId(), m.GetCallNumber())
 	r.SetIdempotency(m.GetIdempotencyKey(), m.GetIdempotent())
 	r.SetKeepHistory(m.GetKeepHistory())
--- a/request.go
+++ b/request.go
@@ -5,6 +5,7 @@
 	credential     string
 	keyID          string
 	deployment     Deployment
+	revision       uint64
 	program        string
 	callNumber     uint64
 	model          string
@@ -42,6 +43,10 @@
 	r.credential, r.keyID, r.deployment = "", keyID, d
 }
 
+// SetRevision sets the revision of the configuration that identified the
+// request.
+func (r *Request) SetRevision(revision uint64) { r.revision = revision }
+
 // SetProgram sets the program's id and the call's number in it.
 func (r *Request) SetProgram(id string, number uint64) { r.program, r.callNumber = id, number }
 
@@ -67,6 +72,10 @@
 // Deployment returns the deployment that the request runs under.
 func (r *Request) Deployment() Deployment { return r.deployment }
 
+// Revision returns the revision of the configuration that identified the
+// request.
+func (r *Request) Revision() uint64 { return r.revision }
+
 // Team returns the team that the request runs for.
 func (r *Request) Team() string { return r.deployment.Team() }
 
