Test keys and configuration over real processes

Cause found by the tests: the error event of a cut stream was lost, because the connection was closed before fasthttp had written it; the body now ends with an error instead. A VM counted a stale feed as fresh for two more seconds, so that one key took more than 3 s to reach all (once in 7 runs); the age that the source reports now counts. The test bed's ports clashed with outgoing connections (3 of 20 runs); they now lie below the ephemeral range.

--- a/internal/caller/server/answer.go
+++ b/internal/caller/server/answer.go
@@ -78,20 +78,21 @@
 }
 
 // finish ends the stream: whole with its last event, or with the error and a
-// closed connection, so that no client takes it for finished.
-func (w *streamWriter) finish(err error, conn io.Closer) {
+// body without an end, so that no client takes it for finished.
+func (w *streamWriter) finish(err error, body *io.PipeWriter) {
 	if err == nil {
 		_, _ = w.out.Write(w.held)
 		_ = w.out.Flush()
+		_ = body.Close()
 		return
 	}
+	defer func() { _ = body.CloseWithError(err) }()
 	data, encodeErr := json.Marshal(failureBody(hawthornrail.AsFailure(err)))
 	if encodeErr != nil {
 		return
 	}
 	_, _ = fmt.Fprintf(w.out, "data: %s\n\n", data)
 	_ = w.out.Flush()
-	_ = conn.Close()
 }
 
 // serveStream answers with the head as soon as it is known; a failure before
@@ -113,13 +114,14 @@
 	c.SetStatusCode(h.status)
 	c.SetContentType(h.contentType)
 	c.Response.Header.Set("Cache-Control", "no-store")
-	conn := c.Conn()
-	c.SetBodyStreamWriter(func(out *bufio.Writer) {
+	reader, body := io.Pipe()
+	w.out = bufio.NewWriter(body)
+	close(w.open)
+	c.SetBodyStream(reader, -1)
+	go func() {
 		defer cancel()
-		w.out = out
-		close(w.open)
-		w.finish(<-done, conn)
-	})
+		w.finish(<-done, body)
+	}()
 }
 
 type errorBody struct {
--- a/internal/config/relay/relay.go
+++ b/internal/config/relay/relay.go
@@ -18,7 +18,7 @@
 const (
 	// maxAge is the age of the configuration from which a VM watches the
 	// platform itself.
-	maxAge = 2 * time.Second
+	maxAge = 1750 * time.Millisecond
 	// keepAlive is the longest pause between two messages to a follower.
 	keepAlive = time.Second
 	// refreshStep is how much newer the configuration must be known to be
@@ -139,9 +139,9 @@
 		}
 		silence.Reset(silenceTimeout)
 		u := fromWire(&m)
-		if r.controller.Take(u) && u.Age < maxAge {
+		if r.controller.Take(u) {
 			r.mu.Lock()
-			r.fed = r.clock.Now()
+			r.fed = r.clock.Now().Add(-u.Age)
 			r.mu.Unlock()
 		}
 		if r.controller.Snapshot().Revision() < u.Revision {
--- a/internal/standin/testbed/bed.go
+++ b/internal/standin/testbed/bed.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 	Services    int
 	ServiceTime time.Duration
 	Settings    string
+	Seeds       bool
 }
 
 // Bed is a running fleet. The outside systems run in the test's own process;
@@ -298,14 +300,27 @@
 	}
 }
 
+// The ports of the VMs lie below those that the system gives to outgoing
+// connections, which would take them before the VM listens.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Uint32
+
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		n := uint32(os.Getpid())*97 + nextPort.Add(1)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func readStatus(address string) (api.Status, error) {
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -38,6 +38,9 @@
 	fmt.Fprintf(&text, "[vm]\nname = %s\ndata_centre = %s\n", quote(v.Name), quote(v.DataCentre))
 	fmt.Fprintf(&text, "[caller]\naddress = %s\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
 	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\n", quote(v.Peer), quote(fleetSecret))
+	if v.bed.options.Seeds {
+		fmt.Fprintf(&text, "peers = [%s]\n", strings.Join(v.seeds(), ", "))
+	}
 	fmt.Fprintf(&text, "[platform]\naddress = %s\n[log]\nlevel = \"debug\"\n", quote(v.bed.platform))
 	text.WriteString(v.bed.options.Settings)
 	text.WriteString("\n[test.routes]\n")
@@ -47,6 +50,17 @@
 	return text.String()
 }
 
+// seeds returns the addresses of the other VMs.
+func (v *VM) seeds() []string {
+	var list []string
+	for _, other := range v.bed.VMs {
+		if other != v {
+			list = append(list, quote(other.Peer))
+		}
+	}
+	return list
+}
+
 // Start starts the process; the test's end kills it.
 func (v *VM) Start() {
 	v.bed.t.Helper()
@@ -78,6 +92,12 @@
 func (v *VM) WaitReady() {
 	v.bed.t.Helper()
 	_, revision := v.bed.store.List("")
+	defer func() {
+		if s, err := readStatus(v.Operator); err != nil || s.ConfigRevision < revision {
+			log, _ := os.ReadFile(v.LogFile())
+			v.bed.t.Logf("VM %s at revision %d, want %d, %v; its log:\n%s", v.Name, s.ConfigRevision, revision, err, log)
+		}
+	}()
 	v.bed.Eventually(readyTimeout, "VM "+v.Name+" is ready", func() bool {
 		s, err := readStatus(v.Operator)
 		return err == nil && s.ConfigRevision >= revision
@@ -126,6 +146,17 @@
 
 // WithdrawKey withdraws a key that IssueKey returned.
 func (b *Bed) WithdrawKey(key string) {
+	b.t.Helper()
+	b.changeKey(key, func(k *objects.Key) { k.Withdrawn = true })
+}
+
+// MoveKey gives a key that IssueKey returned to another deployment.
+func (b *Bed) MoveKey(key, deployment string) {
+	b.t.Helper()
+	b.changeKey(key, func(k *objects.Key) { k.Deployment = deployment })
+}
+
+func (b *Bed) changeKey(key string, change func(*objects.Key)) {
 	b.t.Helper()
 	id := strings.Split(key, "_")[1]
 	o, err := b.store.Get(objects.KindKey, id)
@@ -136,6 +167,6 @@
 	if err := (objects.Object{Value: o.Value}).Decode(&value); err != nil {
 		b.t.Fatal(err)
 	}
-	value.Withdrawn = true
+	change(&value)
 	b.Put(objects.KindKey, id, value)
 }
