Create deployments from templates

Cause: a deployment was one plain file without types, checks, history or a defence against lost answers and races. Templates have typed parameters; deployments fill them in and are checked against the whole configuration. apply puts all its files in force as one change: a conditional write on the object change/latest, which orders operators.

VMs no longer hold kinds that only operators need. Ruled out: history inside the change, which every VM would receive (8 KB a change).

TestStartInOutage now hides the VM from its peers, as it had passed without the seeds.

--- a/internal/config/state/state.go
+++ b/internal/config/state/state.go
@@ -113,6 +113,9 @@
 }
 
 func (s *State) hold(o objects.Object) bool {
+	if !objects.HeldByVMs(o.Kind) {
+		return false
+	}
 	id := identityOf(o)
 	current, ok := s.held[id]
 	if ok && current.object.Version >= o.Version {
--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -67,6 +67,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			checkCommand(),
+			templateCommand(),
 			deploymentCommand(),
 			keyCommand(),
 			statusCommand(),
--- a/internal/operator/serve/config_test.go
+++ b/internal/operator/serve/config_test.go
@@ -143,8 +143,19 @@
 	bed.Platform.SetFaults(platform.Faults{Outage: true})
 	for _, vm := range bed.VMs[:2] {
 		vm.Kill()
+		// Nobody else can make the VM's address known to it.
+		for _, other := range bed.VMs {
+			if other != vm {
+				bed.Cut(other.Name, vm.Name)
+			}
+		}
 		vm.Start()
 		vm.WaitReady()
+		for _, other := range bed.VMs {
+			if other != vm {
+				bed.Heal(other.Name, vm.Name)
+			}
+		}
 		assertOK(t, testbed.Retry(func() testbed.Reply { return vm.Ask(bed.Key, "", 1, "hello") }))
 	}
 	bed.WithdrawKey(bed.Key)
--- a/internal/platform/objects/change.go
+++ b/internal/platform/objects/change.go
@@ -9,12 +9,59 @@
 // ChangeName is the name of the object with the latest change.
 const ChangeName = "latest"
 
+// The kinds that VMs do not hold: they are for operators only.
+const (
+	KindTemplate = "template"
+	KindHistory  = "history"
+	KindCapacity = "capacity"
+)
+
+// CapacityName is the name of the only object of its kind.
+const CapacityName = "fleet"
+
+// Template is the value of a template object, its file's text.
+type Template struct {
+	Text string `json:"text"`
+}
+
+// Capacity is the value of the object that states what the fleet can serve.
+type Capacity struct {
+	RatePerSecond float64 `json:"rate_per_second"`
+}
+
+// History is the value of an object that keeps a deployment's last versions.
+type History struct {
+	Entries []HistoryEntry `json:"entries"`
+}
+
+// HistoryEntry is one accepted version of a deployment; numbers rise from 1.
+type HistoryEntry struct {
+	Number       uint64     `json:"number"`
+	Change       string     `json:"change"`
+	Version      uint64     `json:"version"`
+	AcceptedUnix int64      `json:"accepted_unix_ms"`
+	Reason       string     `json:"reason,omitempty"`
+	Value        Deployment `json:"value"`
+}
+
+// HeldByVMs reports whether VMs hold objects of a kind.
+func HeldByVMs(kind string) bool {
+	switch kind {
+	case KindDeployment, KindKey, KindEndpoint, KindVM, KindRoute, KindChange:
+		return true
+	default:
+		return false
+	}
+}
+
 // Change is the value of an object whose parts come into force together, at
 // the version of the change. Each part is then copied to its own object, and
 // the change is emptied; until then nobody may delete one of its parts.
 type Change struct {
 	ID      string         `json:"id"`
 	Reason  string         `json:"reason"`
+	UnixMS  int64          `json:"unix_ms"`
+	Names   []string       `json:"names,omitempty"`
 	Earlier []string       `json:"earlier"`
 	Objects []ChangeObject `json:"objects"`
 }
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -47,6 +47,14 @@
 	Services      []string `json:"services"`
 	WhenCutOff    string   `json:"when_cut_off"`
 	StaleAfterMS  int64    `json:"stale_after_ms"`
+	Source        *Source  `json:"source,omitempty"`
+}
+
+// Source is what a deployment was rendered from.
+type Source struct {
+	Template        string `json:"template"`
+	TemplateVersion uint64 `json:"template_version"`
+	Text            string `json:"text"`
 }
 
 // Key is the value of a key object.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -90,19 +90,34 @@
 for dc in 1 2 3; do for n in 1 2; do wait_http "127.0.0.1:171$dc$n/health"; done; done
 
 echo "demo: applying a configuration and issuing a key"
-cat >"$work/counter.toml" <<EOF
-team = "cordillera"
-rate_per_second = 6000.0
-burst = 6000.0
+cat >"$work/branch.toml" <<'EOF'
+[parameters.team]
+type = "string"
+required = true
+[parameters.rate]
+type = "number"
+unit = "requests/s"
+required = true
+[deployment]
+team = "${team}"
+rate_per_second = "${rate}"
+burst = "${rate}"
 models = ["counter"]
 services = ["orders"]
-[budget]
+[deployment.budget]
 calls = 100
 tokens = 100000
 wall_time = "5m"
 depth = 2
 children = 20
 EOF
+cat >"$work/counter.toml" <<EOF
+template = "branch"
+[parameters]
+team = "cordillera"
+rate = 6000.0
+EOF
+$rail template apply "$work/branch.toml" --platform $platform || fail template
 $rail deployment apply "$work/counter.toml" --platform $platform || fail apply
 key=$($rail key issue counter --platform $platform) || fail key
 sleep 2
--- a/snapshot.go
+++ b/snapshot.go
@@ -73,6 +73,16 @@
 	return k, ok
 }
 
+// Keys returns all keys by id.
+func (s *Snapshot) Keys() []Key {
+	ids := slices.Sorted(maps.Keys(s.keys))
+	list := make([]Key, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, s.keys[id])
+	}
+	return list
+}
+
 // Endpoint returns an endpoint by name.
 func (s *Snapshot) Endpoint(name string) (Endpoint, bool) {
 	e, ok := s.endpoints[name]
