Show which VMs have a deployment in force

Cause: an operator could not see where an accepted version is in force. One VM asks the others when an operator asks it.

--- a/internal/config/controller/controller.go
+++ b/internal/config/controller/controller.go
@@ -112,8 +112,11 @@
 	if known.After(*c.current.Load()) {
 		c.current.Store(&known)
 	}
-	if changed || c.state.Revision() != before {
+	switch {
+	case changed:
 		c.swap()
+	case c.state.Revision() != before:
+		c.snapshot.Store(c.Snapshot().AtRevision(c.state.Revision()))
 	}
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/internal/config/relay/relay.go
+++ b/internal/config/relay/relay.go
@@ -161,6 +161,12 @@
 		}
 		return
 	}
+	if open.GetConfigStatus() != nil {
+		_ = s.Send(&vmpb.ConfigStatusReply{
+			Revision: r.controller.Snapshot().Revision(), AgeMs: r.controller.Age().Milliseconds(),
+		})
+		return
+	}
 	r.serve(ctx, open.GetConfigFollow().GetRevision(), s)
 }
 
--- /dev/null
+++ b/internal/config/relay/status.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/operator/api"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	statusTimeout  = time.Second
+	statusParallel = 32
+)
+
+// Fleet asks every VM for the revision that it has in force; a VM that does
+// not answer is listed without one.
+func (r *Relay) Fleet(ctx context.Context) []api.VMConfig {
+	self := r.members.Self()
+	members := r.members.Members()
+	list := make([]api.VMConfig, len(members)+1)
+	list[len(members)] = api.VMConfig{
+		VM: self.VM(), DataCentre: self.DataCentre(), Answered: true,
+		Revision: r.controller.Snapshot().Revision(), AgeMS: r.controller.Age().Milliseconds(),
+	}
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, statusParallel)
+	for i, m := range members {
+		wait.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wait.Done()
+			list[i] = r.askStatus(ctx, m)
+			<-slots
+		}()
+	}
+	wait.Wait()
+	return list
+}
+
+func (r *Relay) askStatus(ctx context.Context, m hawthornrail.Member) api.VMConfig {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	v := api.VMConfig{VM: m.VM(), DataCentre: m.DataCentre()}
+	var reply vmpb.ConfigStatusReply
+	open := &vmpb.Open{Kind: &vmpb.Open_ConfigStatus{ConfigStatus: &vmpb.ConfigStatus{}}}
+	if _, err := r.client.Ask(ctx, m.Address(), open, &reply); err != nil {
+		return v
+	}
+	v.Answered, v.Revision, v.AgeMS = true, reply.GetRevision(), reply.GetAgeMs()
+	return v
+}
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -25,20 +26,30 @@
 	Leaving        bool   `json:"leaving"`
 }
 
+// VMConfig is the JSON form of the configuration that a VM has in force.
+type VMConfig struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	Answered   bool   `json:"answered"`
+	Revision   uint64 `json:"revision"`
+	AgeMS      int64  `json:"age_ms"`
+}
+
 // Server answers operators.
 type Server struct {
 	http *fasthttp.Server
 }
 
-// New returns a server; status reports the VM's state and drain begins a
-// graceful shutdown.
-func New(status func() Status, drain func(), registry metrics.Registry) *Server {
+// New returns a server; status reports the VM's state, drain begins a graceful
+// shutdown and fleet asks every VM for its configuration.
+func New(status func() Status, drain func(), fleet func(context.Context) []VMConfig, registry metrics.Registry) *Server {
 	r := router.New()
 	r.GET("/v1/status", func(ctx *fasthttp.RequestCtx) { write(ctx, status()) })
 	r.POST("/v1/drain", func(ctx *fasthttp.RequestCtx) {
 		go drain()
 		write(ctx, status())
 	})
+	r.GET("/v1/fleet", func(ctx *fasthttp.RequestCtx) { write(ctx, fleet(context.Background())) })
 	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) {
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx)
--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -24,6 +24,7 @@
 	ExitInvalid     = 3
 	ExitConflict    = 4
 	ExitUnavailable = 5
+	ExitBehind      = 6
 )
 
 // exitError is an error with the exit code that it stands for.
--- a/internal/operator/cmds/deployment.go
+++ b/internal/operator/cmds/deployment.go
@@ -75,6 +75,7 @@
 				},
 				Action: rollbackDeployment,
 			},
+			deploymentStatusCommand(),
 			capacityCommand(),
 		},
 	}
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -58,7 +58,7 @@
 func newProcess(in processIn) *process {
 	p := &process{in: in, failed: make(chan error, 4)}
 	p.drained, p.drain = context.WithCancel(context.Background())
-	p.operator = api.New(p.status, p.drain, in.Registry)
+	p.operator = api.New(p.status, p.drain, in.Relay.Fleet, in.Registry)
 	return p
 }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -48,6 +48,14 @@
 	return &c
 }
 
+// AtRevision returns a copy that reflects a later revision with the same
+// objects.
+func (s *Snapshot) AtRevision(revision uint64) *Snapshot {
+	c := *s
+	c.revision = revision
+	return &c
+}
+
 // Revision returns the platform's revision that the snapshot reflects.
 func (s *Snapshot) Revision() uint64 { return s.revision }
 
