--- a/internal/config/controller/controller.go
+++ b/internal/config/controller/controller.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	firstBackoff = 100 * time.Millisecond
+	firstBackoff = time.Second
 	maxBackoff   = 5 * time.Second
 	idlePeriod   = 100 * time.Millisecond
 )
--- a/internal/config/state/part.go
+++ b/internal/config/state/part.go
@@ -21,6 +21,26 @@
 	routes      map[string]string
 }
 
+// snapshot returns last with the parts of the kinds that changed replaced.
+func (b *builder) snapshot(last *hawthornrail.Snapshot, changed map[string]bool) *hawthornrail.Snapshot {
+	if changed[objects.KindDeployment] {
+		last = last.WithDeployments(b.deployments)
+	}
+	if changed[objects.KindKey] {
+		last = last.WithKeys(b.keys)
+	}
+	if changed[objects.KindEndpoint] {
+		last = last.WithEndpoints(b.endpoints)
+	}
+	if changed[objects.KindVM] {
+		last = last.WithVMs(b.vms)
+	}
+	if changed[objects.KindRoute] {
+		last = last.WithOpenRoutes(b.routes)
+	}
+	return last
+}
+
 type (
 	deploymentPart struct{ value hawthornrail.Deployment }
 	keyPart        struct{ value hawthornrail.Key }
@@ -38,7 +58,7 @@
 	if b.routes == nil {
 		b.routes = make(map[string]string)
 	}
-	b.routes[p.value.Path] = p.value.Deployment
+	b.routes[p.value.Service+p.value.Path] = p.value.Deployment
 }
 
 // decode returns the part of an object, or none for a kind that a snapshot
@@ -64,8 +84,8 @@
 	case objects.KindRoute:
 		var v objects.Route
 		err := o.Decode(&v)
-		if err == nil && v.Path == "" {
-			err = fmt.Errorf("object %s/%s: no path", o.Kind, o.Name)
+		if err == nil && (v.Service == "" || v.Path == "") {
+			err = fmt.Errorf("object %s/%s: no service or no path", o.Kind, o.Name)
 		}
 		return checked(routePart{v}, err)
 	case objects.KindChange:
--- a/internal/config/state/state.go
+++ b/internal/config/state/state.go
@@ -17,6 +17,8 @@
 	floor      uint64
 	held       map[identity]entry
 	tombstones int
+	dirty      map[string]bool
+	last       *hawthornrail.Snapshot
 }
 
 // identity is what stays the same over the versions of an object.
@@ -34,7 +36,10 @@
 
 // New returns an empty state at revision 0.
 func New() *State {
-	return &State{held: make(map[identity]entry)}
+	return &State{
+		held: make(map[identity]entry), dirty: make(map[string]bool),
+		last: hawthornrail.NewSnapshot(0, nil, nil, nil, nil),
+	}
 }
 
 // Revision returns the highest revision known to be complete.
@@ -131,6 +136,7 @@
 		e.part, e.err = decode(o)
 	}
 	s.held[id] = e
+	s.dirty[id.kind] = true
 	return true
 }
 
@@ -139,6 +145,7 @@
 		s.tombstones--
 	}
 	delete(s.held, id)
+	s.dirty[id.kind] = true
 }
 
 // trim forgets the older half of the deletions when there are too many.
@@ -164,18 +171,20 @@
 func identityOf(o objects.Object) identity { return identity{kind: o.Kind, name: o.Name} }
 
 // Snapshot returns the objects in force and the errors of those that can't
-// be read, which are left out.
+// be read, which are left out. Kinds without a change since the last snapshot
+// share their part with it.
 func (s *State) Snapshot() (*hawthornrail.Snapshot, error) {
 	var b builder
 	var errs []error
-	for _, e := range s.held {
+	for id, e := range s.held {
 		if e.err != nil {
 			errs = append(errs, e.err)
 		}
-		if e.part != nil {
+		if e.part != nil && s.dirty[id.kind] {
 			e.part.addTo(&b)
 		}
 	}
-	snapshot := hawthornrail.NewSnapshot(s.revision, b.deployments, b.keys, b.endpoints, b.vms)
-	return snapshot.WithOpenRoutes(b.routes), errors.Join(errs...)
+	s.last = b.snapshot(s.last, s.dirty).AtRevision(s.revision)
+	clear(s.dirty)
+	return s.last, errors.Join(errs...)
 }
--- a/internal/operator/serve/config_test.go
+++ b/internal/operator/serve/config_test.go
@@ -211,10 +211,12 @@
 		assertRefused(t, order("", "/public"), 401, "unauthorized", "not_run")
 	})
 	t.Run("a route object opens its path only", func(t *testing.T) {
-		bed.Put(objects.KindRoute, "public", objects.Route{Path: "/public", Deployment: testbed.Deployment})
+		bed.Put(objects.KindRoute, "public", objects.Route{Service: testbed.Service, Path: "/public", Deployment: testbed.Deployment})
 		bed.Eventually(withdrawLimit, "the route is open", func() bool { return order("", "/public").OK() })
 		assertRefused(t, order("", "/orders"), 401, "unauthorized", "not_run")
 		assertRefused(t, order("", "/public/more"), 401, "unauthorized", "not_run")
+		other := bed.VMs[0].Call("", http.MethodPost, "/v1/services/invoices/public", nil, []byte(`{}`))
+		assertRefused(t, other, 401, "unauthorized", "not_run")
 	})
 	t.Run("a key that moves to another team loses the first one's programs", func(_ *testing.T) {
 		program := bed.VMs[0].CreateProgram(bed.Key)
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -82,8 +82,9 @@
 	Leaving    bool   `json:"leaving"`
 }
 
-// Route is the value of an object that opens a service path to all.
+// Route is the value of an object that opens one path of a service to all.
 type Route struct {
+	Service    string `json:"service"`
 	Path       string `json:"path"`
 	Deployment string `json:"deployment"`
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -17,31 +17,52 @@
 
 // NewSnapshot returns a snapshot of the given objects at a revision.
 func NewSnapshot(revision uint64, deployments []Deployment, keys []Key, endpoints []Endpoint, vms []VM) *Snapshot {
-	s := &Snapshot{
-		revision:    revision,
-		deployments: make(map[string]Deployment, len(deployments)),
-		keys:        make(map[string]Key, len(keys)),
-		endpoints:   make(map[string]Endpoint, len(endpoints)),
-		vms:         make(map[string]VM, len(vms)),
-		openRoutes:  make(map[string]string),
-	}
+	s := &Snapshot{revision: revision, openRoutes: make(map[string]string)}
+	return s.WithDeployments(deployments).WithKeys(keys).WithEndpoints(endpoints).WithVMs(vms)
+}
+
+// WithDeployments returns a copy with other deployments.
+func (s *Snapshot) WithDeployments(deployments []Deployment) *Snapshot {
+	c := *s
+	c.deployments = make(map[string]Deployment, len(deployments))
 	for _, d := range deployments {
-		s.deployments[d.Name()] = d
+		c.deployments[d.Name()] = d
 	}
+	return &c
+}
+
+// WithKeys returns a copy with other keys.
+func (s *Snapshot) WithKeys(keys []Key) *Snapshot {
+	c := *s
+	c.keys = make(map[string]Key, len(keys))
 	for _, k := range keys {
-		s.keys[k.ID()] = k
+		c.keys[k.ID()] = k
 	}
+	return &c
+}
+
+// WithEndpoints returns a copy with other endpoints.
+func (s *Snapshot) WithEndpoints(endpoints []Endpoint) *Snapshot {
+	c := *s
+	c.endpoints = make(map[string]Endpoint, len(endpoints))
 	for _, e := range endpoints {
-		s.endpoints[e.Name()] = e
+		c.endpoints[e.Name()] = e
 	}
+	return &c
+}
+
+// WithVMs returns a copy with other VMs.
+func (s *Snapshot) WithVMs(vms []VM) *Snapshot {
+	c := *s
+	c.vms = make(map[string]VM, len(vms))
 	for _, v := range vms {
-		s.vms[v.Name()] = v
+		c.vms[v.Name()] = v
 	}
-	return s
+	return &c
 }
 
-// WithOpenRoutes returns a copy in which each path prefix is open to all and
-// runs under the named deployment.
+// WithOpenRoutes returns a copy in which each path, written after the name of
+// its service, is open to all and runs under the named deployment.
 func (s *Snapshot) WithOpenRoutes(routes map[string]string) *Snapshot {
 	c := *s
 	c.openRoutes = routes
@@ -123,8 +144,8 @@
 	return list
 }
 
-// OpenRoute returns the deployment of a path that is open to all.
-func (s *Snapshot) OpenRoute(path string) (string, bool) {
-	d, ok := s.openRoutes[path]
+// OpenRoute returns the deployment of a service's path that is open to all.
+func (s *Snapshot) OpenRoute(service, path string) (string, bool) {
+	d, ok := s.openRoutes[service+path]
 	return d, ok
 }
