Test racing operators and a home that is behind

TestNewKeyAtHomeBehind fails without the trust in the entry's revision (401 key_withdrawn for a new key). TestRacingOperators fails without reading back.

--- a/internal/config/state/state.go
+++ b/internal/config/state/state.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -103,7 +104,7 @@
 		changed = append(changed, o)
 	}
 	slices.SortFunc(changed, func(a, b objects.Object) int {
-		return int(int64(a.Version) - int64(b.Version))
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 	})
 	return changed, full
 }
--- a/internal/config/state/state_test.go
+++ b/internal/config/state/state_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -87,18 +89,18 @@
 	return objects.Object{Kind: objects.KindDeployment, Name: name, Value: value}
 }
 
-func (p *platform) list(revision uint64) []objects.Object {
+func (p *platform) list(t *rapid.T, revision uint64) []objects.Object {
 	latest := map[string]objects.Object{}
 	for _, o := range p.events[:revision] {
 		latest[o.Kind+o.Name] = o
 	}
 	var list []objects.Object
-	for _, o := range latest {
-		if !o.Deleted {
+	for _, id := range slices.Sorted(maps.Keys(latest)) {
+		if o := latest[id]; !o.Deleted {
 			list = append(list, o)
 		}
 	}
-	return list
+	return rapid.Permutation(list).Draw(t, "order")
 }
 
 // fact is what one event says of one name: the accepting version, and whether
@@ -152,7 +154,7 @@
 	from := uint64(rapid.IntRange(0, int(until)-1).Draw(t, "from"))
 	switch rapid.IntRange(0, 5).Draw(t, "delivery") {
 	case 0:
-		w.state.Replace(w.platform.list(until), until)
+		w.state.Replace(w.platform.list(t, until), until)
 	case 1:
 		if since := w.state.Revision(); since < until {
 			w.state.Change(w.platform.events[since:until], since, until)
--- a/internal/operator/cmds/config_test.go
+++ b/internal/operator/cmds/config_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/valyala/fasthttp"
@@ -355,3 +358,93 @@
 		}
 	})
 }
+
+// Operators race while answers are lost: each learns truly whether its change
+// took effect, and each change is written to the history once.
+func TestRacingOperators(t *testing.T) {
+	const operators, changes = 4, 10
+	b := newBench(t)
+	stop := make(chan struct{})
+	go func() {
+		for lose := true; ; lose = !lose {
+			select {
+			case <-stop:
+				return
+			case <-time.After(3 * time.Millisecond):
+				b.server.SetFaults(platform.Faults{LoseAnswers: lose})
+			}
+		}
+	}()
+	var mu sync.Mutex
+	told := make(map[string]bool)
+	var wait sync.WaitGroup
+	for i := range operators {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for n := range changes {
+				reason := fmt.Sprintf("%d.%d", i, n)
+				took := b.tryChange(reason)
+				mu.Lock()
+				told[reason] = took
+				mu.Unlock()
+			}
+		}()
+	}
+	wait.Wait()
+	close(stop)
+	b.server.SetFaults(platform.Faults{})
+	b.load(b.editor())
+	accepted, remembered := b.accepted()
+	took := 0
+	for reason, said := range told {
+		if said != accepted[reason] {
+			t.Errorf("change %s: told %t, took effect %t", reason, said, accepted[reason])
+		}
+		if accepted[reason] {
+			took++
+		}
+	}
+	if took == 0 || took == operators*changes {
+		t.Errorf("%d of %d changes took effect: no race", took, operators*changes)
+	}
+	for reason, n := range remembered {
+		if n != 1 {
+			t.Errorf("change %s stands %d times in the history", reason, n)
+		}
+	}
+}
+
+func (b *bench) tryChange(reason string) bool {
+	e := b.editor()
+	l, err := e.Load(context.Background())
+	if err != nil {
+		return false
+	}
+	_, err = e.Commit(context.Background(), l, reason, b.part(l, reason))
+	return err == nil
+}
+
+// accepted returns the reasons of all changes ever accepted, and how often
+// each one stands in the last history.
+func (b *bench) accepted() (map[string]bool, map[string]int) {
+	b.t.Helper()
+	events, _, err := b.store.Since(0)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	accepted, remembered := make(map[string]bool), make(map[string]int)
+	for _, o := range events {
+		var c objects.Change
+		if o.Kind == objects.KindChange && json.Unmarshal(o.Value, &c) == nil {
+			accepted[c.Reason] = true
+		}
+	}
+	o, _ := b.store.Get(objects.KindHistory, "counter")
+	var h objects.History
+	_ = json.Unmarshal(o.Value, &h)
+	for _, e := range h.Entries {
+		remembered[e.Reason]++
+	}
+	return accepted, remembered
+}
--- a/internal/operator/serve/config_test.go
+++ b/internal/operator/serve/config_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// A key that the home of a program has not heard of yet works there, since the
+// VM that checked it is ahead.
+func TestNewKeyAtHomeBehind(t *testing.T) {
+	bed := testbed.New(t, testbed.Options{DataCentres: 2, VMs: 1, Engines: 1, Services: 1})
+	home, entry := bed.VMs[0], bed.VMs[1]
+	program := home.CreateProgram(bed.Key)
+	assertOK(t, testbed.Retry(func() testbed.Reply { return entry.Ask(bed.Key, program, 1, "hello") }))
+	bed.Cut(home.Name, "platform")
+	bed.Cut(home.Name, entry.Name)
+	key := bed.IssueKey(testbed.Deployment)
+	bed.Eventually(withdrawLimit, "the entry takes the key", func() bool { return entry.Ask(key, "", 1, "hello").OK() })
+	assertOK(t, entry.Ask(key, program, 2, "hello"))
+}
+
 // A VM that starts while the platform is away serves the configuration of its
 // peers and takes part in the next change.
 func TestStartInOutage(t *testing.T) {
