Let a VM that shuts down hand its parts of the rates back

Cause: the part of a VM that was taken off the list stayed reserved for ten minutes, also after a graceful shutdown; a replacement of all VMs under new names would have left a team without a rate.

Ruled out: a shorter time; a VM that is cut off and taken off the list would then be counted twice sooner.

Conclusion: a killed VM's part is still missing for ten minutes.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -147,6 +147,7 @@
 	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
 	}
+	p.in.Rates.Leave(ctx)
 	_ = p.operator.Close()
 	p.in.PeerServer.Close()
 	p.in.PeerClient.Close()
--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -357,6 +357,13 @@
 	a.resize(now)
 }
 
+// Gone records whether a VM has provably stopped using its part.
+func (a *Account) Gone(vm string, gone bool, now time.Time) {
+	a.resize(now)
+	a.change.Gone(vm, gone, now)
+	a.resize(now)
+}
+
 // Answered takes the state that answers one of this VM's in an epoch.
 func (a *Account) Answered(epoch uint64, s share.State, now time.Time) {
 	a.resize(now)
--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -21,6 +22,9 @@
 	// stateTimeout bounds one exchange of plans.
 	stateTimeout = time.Second
 	tickInterval = 50 * time.Millisecond
+	// leftRetryAfter is told to callers that still reach a VM that has given
+	// up its rates.
+	leftRetryAfter = 100 * time.Millisecond
 	// maxDecision is the longest time that the clock may move while a token
 	// is taken; the hold of grants covers it.
 	maxDecision = 5 * time.Millisecond
@@ -37,8 +41,12 @@
 	started time.Time
 	shards  [shardCount]shard
 
-	mu       sync.Mutex
+	left atomic.Bool
+	// followed is used by Run only.
 	followed *hawthornrail.Snapshot
+
+	mu   sync.Mutex
+	gone map[string]uint64
 }
 
 // shard holds the accounts of some deployments.
@@ -57,7 +65,7 @@
 
 // NewFleet returns an admitter for an instance whose process starts now.
 func NewFleet(self hawthornrail.Instance, config hawthornrail.Configuration, members hawthornrail.Membership, remote *Remote, clock hawthornrail.Clock) *Fleet {
-	f := &Fleet{self: self, config: config, members: members, remote: remote, clock: clock, started: clock.Now()}
+	f := &Fleet{self: self, config: config, members: members, remote: remote, clock: clock, started: clock.Now(), gone: make(map[string]uint64)}
 	for i := range f.shards {
 		f.shards[i].accounts = make(map[string]*entry)
 	}
@@ -88,6 +96,9 @@
 		}
 		e = &entry{account: NewAccount(f.self, f.started, now), changed: make(chan struct{})}
 		s.accounts[deployment] = e
+		for vm := range f.goneVMs() {
+			e.account.Gone(vm, true, now)
+		}
 	}
 	if e.snapshot != snapshot {
 		e.snapshot = snapshot
@@ -101,6 +112,9 @@
 // Admit takes one token for a deployment, or says when to come back; it waits
 // a few milliseconds at most for tokens of other VMs.
 func (f *Fleet) Admit(ctx context.Context, d hawthornrail.Deployment) (time.Duration, bool) {
+	if f.left.Load() {
+		return leftRetryAfter, false
+	}
 	var deadline <-chan time.Time
 	wait, ok, changed := f.try(d.Name(), false)
 	for !ok {
@@ -193,6 +207,9 @@
 // Lend answers the ask of another VM.
 func (f *Fleet) Lend(from hawthornrail.Instance, m *vmpb.Borrow) *vmpb.BorrowReply {
 	reply := Reply{number: m.GetNumber(), wait: maxBlocked}
+	if f.left.Load() {
+		return replyToWire(reply)
+	}
 	f.use(m.GetDeployment(), func(e *entry, now time.Time) {
 		reply = e.account.Lend(from, askFromWire(f.self.VM(), m), now)
 	})
@@ -213,7 +230,11 @@
 // Receive serves the messages of other VMs about rates and reports whether
 // open is one.
 func (f *Fleet) Receive(open *vmpb.Open, s *peer.Stream) bool {
+	f.returned(s.From())
 	switch k := open.GetKind().(type) {
+	case *vmpb.Open_LeaveRates:
+		f.leaves(s.From())
+		_ = s.Send(&vmpb.LeaveRatesReply{})
 	case *vmpb.Open_Borrow:
 		_ = s.Send(f.Lend(s.From(), k.Borrow))
 	case *vmpb.Open_ShareState:
@@ -241,8 +262,6 @@
 // that their buckets fill from when the configuration is known.
 func (f *Fleet) follow() {
 	snapshot := f.config.Snapshot()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	before := f.followed
 	if snapshot == before {
 		return
--- a/internal/team/rate/remote.go
+++ b/internal/team/rate/remote.go
@@ -40,3 +40,12 @@
 	}
 	return stateFromWire(vm, &reply), nil
 }
+
+// Leave tells the VM at an address that this one uses no rate any more.
+func (r *Remote) Leave(ctx context.Context, address string) error {
+	open := &vmpb.Open{Kind: &vmpb.Open_LeaveRates{LeaveRates: &vmpb.LeaveRates{}}}
+	if _, err := r.client.Ask(ctx, address, open, &vmpb.LeaveRatesReply{}); err != nil {
+		return fmt.Errorf("leave rates: %w", err)
+	}
+	return nil
+}
--- a/internal/team/share/change.go
+++ b/internal/team/share/change.go
@@ -94,6 +94,7 @@
 	since   time.Time
 	fresh   bool
 	bounds  map[string]bound
+	gone    map[string]bool
 }
 
 // NewChange returns the change of a VM whose process started at a time and
@@ -141,9 +142,32 @@
 	}
 	c.plan, c.since = p, now
 	c.epoch++
+	c.confirmGone()
 	c.confirmSelf(now)
 }
 
+// Gone records whether a VM has provably stopped using its part; then it has
+// given up every plan until it starts again.
+func (c *Change) Gone(vm string, gone bool, now time.Time) {
+	if !gone {
+		delete(c.gone, vm)
+		return
+	}
+	if c.gone == nil {
+		c.gone = make(map[string]bool)
+	}
+	c.gone[vm] = true
+	c.confirmGone()
+	c.close(now)
+}
+
+func (c *Change) confirmGone() {
+	for vm, b := range c.bounds {
+		b.confirmed = b.confirmed || c.gone[vm]
+		c.bounds[vm] = b
+	}
+}
+
 // open starts to keep bounds after a complete plan.
 func (c *Change) open() {
 	if c.bounds != nil {
@@ -254,6 +278,9 @@
 
 // close ends the change once every VM has confirmed or is past its limit.
 func (c *Change) close(now time.Time) {
+	if c.bounds == nil {
+		return
+	}
 	if c.fresh && (c.holdersConfirmed() || now.Sub(c.since) >= startTimeout) {
 		c.fresh = false
 	}
--- a/internal/team/share/change_test.go
+++ b/internal/team/share/change_test.go
@@ -91,6 +91,22 @@
 		confirm(c, plan(24, 48, three), now, four...)
 		assertPart(t, c.Usable(now), 8, 16)
 	})
+	t.Run("part of a VM that has left is used at once", func(t *testing.T) {
+		c := complete(plan(24, 48, four))
+		c.Gone("vm003", true, now)
+		p := plan(24, 48, three)
+		c.Follow(p, now)
+		confirm(c, p, now, three...)
+		assertPart(t, c.Usable(now), 8, 16)
+	})
+	t.Run("part of a VM that is dead stays reserved", func(t *testing.T) {
+		c := complete(plan(24, 48, four))
+		p := plan(24, 48, three)
+		c.Follow(p, now)
+		confirm(c, p, now, three...)
+		assertPart(t, c.Usable(now.Add(time.Minute)), 6, 12)
+		assertPart(t, c.Usable(now.Add(10*time.Minute)), 8, 16)
+	})
 	t.Run("cut holds at once", func(t *testing.T) {
 		c := complete(plan(40, 80, four))
 		c.Follow(plan(20, 40, four), now)
