--- a/internal/team/rate/account_test.go
+++ b/internal/team/rate/account_test.go
@@ -125,3 +125,20 @@
 	t.Logf("%d admitted, %d refused", f.admitted, f.refused)
 	assertNear(t, "refused", float64(f.refused), 0, 10)
 }
+
+// A restarted holder admits nothing while grants of its former run may live.
+func TestFormerRunsGrants(t *testing.T) {
+	f := settled(10, 10, someVMs(1, 1))
+	m := f.machines[0]
+	lent := m.account.Lend(hawthornrail.NewInstance("vm1", "dc0", 1), rate.NewAsk("vm0", 1, 10, nil), f.clock(m))
+	assertNear(t, "lent", lent.Amount(), 10, 0.01)
+	f.kill(m)
+	f.start(m)
+	probe := func() float64 {
+		return m.account.Lend(m.instance, rate.NewAsk("vm0", 9, 0, nil), f.clock(m)).Left()
+	}
+	f.run(f.now + 1020*time.Millisecond)
+	assertNear(t, "tokens while grants live", probe(), 0, 0)
+	f.run(f.now + 510*time.Millisecond)
+	assertNear(t, "tokens half a second later", probe(), 5, 0.01)
+}
--- a/internal/team/rate/property_test.go
+++ b/internal/team/rate/property_test.go
@@ -36,7 +36,7 @@
 		})
 	}
 	t.Run(string(usesUnreleased), func(t *testing.T) {
-		f := movedWhileCutOff(usesUnreleased)
+		f := changedWhileCutOff(usesUnreleased, withoutFirst)
 		if f.judge.failed == "" {
 			t.Error("not caught")
 		}
@@ -44,25 +44,36 @@
 	})
 }
 
-// A part of a VM that can't hear that it lost it is not used by others.
-func TestMoveFromCutOffVM(t *testing.T) {
-	assertWithinRate(t, movedWhileCutOff(""))
+// The part of a VM that can't hear of a change is not used by others.
+func TestChangeWhileCutOff(t *testing.T) {
+	t.Run("VM taken off the list", func(t *testing.T) {
+		assertWithinRate(t, changedWhileCutOff("", withoutFirst))
+	})
+	t.Run("rate halved", func(t *testing.T) {
+		assertWithinRate(t, changedWhileCutOff("", halved))
+	})
+}
+
+func withoutFirst(c config) config {
+	c.vms = c.vms[1:]
+	return c
 }
 
-// movedWhileCutOff takes a VM that is cut off from the list; all VMs are
+func halved(c config) config {
+	c.rate, c.burst = c.rate/2, c.burst/2
+	return c
+}
+
+// changedWhileCutOff makes a change that one VM can't hear of; all VMs are
 // loaded beyond the rate after a quiet time.
-func movedWhileCutOff(naive naiveRule) *fleet {
+func changedWhileCutOff(naive naiveRule, change func(config) config) *fleet {
 	f := newFleet(1, 40, 40, someVMs(4, 4))
 	f.naive = naive
 	for _, m := range f.machines {
 		f.start(m)
 	}
 	f.at(5*time.Second, func() { f.cut["dc0"] = true })
-	f.at(6*time.Second, func() {
-		c := f.configs[0]
-		c.vms = c.vms[1:]
-		f.accept(c)
-	})
+	f.at(6*time.Second, func() { f.accept(change(f.configs[0])) })
 	f.phase(25*time.Second, 30*time.Second, 400)
 	f.run(scheduleLength)
 	return f
