--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,6 +41,8 @@
 	MaxBodyBytes   int
 	ReadTimeout    time.Duration
 	RequestTimeout time.Duration
+	// Ready reports whether new programs can be started; nil means always.
+	Ready func() bool
 }
 
 // Server answers callers.
@@ -59,6 +62,7 @@
 	s.http = &fasthttp.Server{
 		Handler: s.routes(), Name: "hawthornrail",
 		MaxRequestBodySize: options.MaxBodyBytes, ReadTimeout: options.ReadTimeout,
+		WriteTimeout:          options.RequestTimeout,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 		ErrorHandler: s.connectionError,
 	}
@@ -90,13 +94,22 @@
 	r.POST("/v1/programs", s.createProgram)
 	r.DELETE("/v1/programs/{id}", s.endProgram)
 	r.ANY("/v1/services/{service}/{path:*}", s.callService)
-	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/health", s.health)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeFailure(ctx, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "no such path"))
 	}
 	return r.Handler
 }
 
+// health tells the balancer whether to send requests here.
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	if s.options.Ready != nil && !s.options.Ready() {
+		ctx.Error("not ready\n", http.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
 func (s *Server) connectionError(ctx *fasthttp.RequestCtx, err error) {
 	code := hawthornrail.CodeBadRequest
 	if strings.Contains(err.Error(), "body size exceeds") {
@@ -123,7 +136,7 @@
 func (s *Server) callService(ctx *fasthttp.RequestCtx) {
 	name, _ := ctx.UserValue("service").(string)
 	path, _ := ctx.UserValue("path").(string)
-	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path,
+	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path+query(ctx),
 		string(ctx.Request.Header.ContentType()), append([]byte{}, ctx.PostBody()...))
 	idempotent := ctx.IsGet() || ctx.IsHead() || string(ctx.Request.Header.Peek(HeaderIdempotent)) == "true"
 	r.SetIdempotency(string(ctx.Request.Header.Peek(headerIdempotencyKey)), idempotent)
@@ -173,16 +186,17 @@
 func (s *Server) run(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
 	ctx, span := s.tracer.Start(ctx, "entry")
 	err := s.handler.Serve(ctx, r, w)
-	traces.Finish(span, err)
 	if err == nil {
+		traces.Finish(span, nil)
 		return nil
 	}
 	f := hawthornrail.AsFailure(err)
+	traces.Finish(span, errors.New(withoutKeys(f.Error())))
 	event := events.RequestFailed
 	if f.Verdict() == hawthornrail.VerdictNotRun {
 		event = events.RequestRefused
 	}
-	s.log.Event(event).Str("code", string(f.Code())).Str("verdict", f.Verdict().String()).Str("team", r.Team()).Err(f).Emit()
+	s.log.Event(event).Str("code", string(f.Code())).Str("verdict", f.Verdict().String()).Str("team", r.Team()).Str("error", withoutKeys(f.Error())).Emit()
 	return f
 }
 
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -9,6 +9,7 @@
 	"github.com/fasthttp/router"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
@@ -22,7 +23,19 @@
 	Programs       int    `json:"programs"`
 	LivePrograms   int    `json:"live_programs"`
 	Replicas       int    `json:"replicas"`
-	Leaving        bool   `json:"leaving"`
+	// SoloReplicas is the number of holdings that may be taken over here
+	// without the platform.
+	SoloReplicas int       `json:"solo_replicas"`
+	Holdings     []Holding `json:"holdings"`
+	Leaving      bool      `json:"leaving"`
+	Ready        bool      `json:"ready"`
+}
+
+// Holding is the JSON form of a holding whose steps the VM takes.
+type Holding struct {
+	Holding string `json:"holding"`
+	Epoch   uint64 `json:"epoch"`
+	Backup  string `json:"backup"`
 }
 
 // Server answers operators.
@@ -43,6 +56,7 @@
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx)
 	})
+	r.GET("/debug/pprof/{profile:*}", pprofhandler.PprofHandler)
 	return &Server{http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
 }
 
--- a/internal/program/home/body.go
+++ b/internal/program/home/body.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return prepared{}, ledgerFailure(err)
 	}
+	if err := c.expired(program); err != nil {
+		return prepared{}, err
+	}
 	p := prepared{request: c.request, reserve: serviceTokenCost}
 	kind := hawthornrail.ServiceEndpoint
 	if c.request.Model() != "" {
@@ -74,6 +77,7 @@
 	request := hawthornrail.NewModelRequest(c.request.Model(), body, c.request.Stream())
 	request.Identify(c.request.KeyID(), c.request.Deployment())
 	request.SetProgram(c.request.Program(), c.request.CallNumber())
+	request.SetReplyLimit(reply)
 	p.request = request
 	return nil
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -12,6 +12,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// callerKeyPrefix starts every key of a caller.
+const callerKeyPrefix = "hr_"
+
 // Server serves an Engine over the chat-completions protocol.
 type Server struct {
 	engine *Engine
@@ -28,7 +31,13 @@
 	r.GET("/cache", func(ctx *fasthttp.RequestCtx) { reply(ctx, s.engine.Held()) })
 	r.DELETE("/cache/{program}", s.release)
 	r.POST("/orders", s.order)
-	return r.Handler
+	return func(ctx *fasthttp.RequestCtx) {
+		if s.engine.currentFaults().Cut {
+			_ = ctx.Conn().Close()
+			return
+		}
+		r.Handler(ctx)
+	}
 }
 
 type completionRequest struct {
@@ -43,7 +52,7 @@
 		ctx.Error(err.Error(), http.StatusBadRequest)
 		return
 	}
-	if key := string(ctx.Request.Header.Peek("Authorization")); strings.Contains(key, "hr_") {
+	if strings.Contains(ctx.Request.String(), callerKeyPrefix) {
 		s.engine.sawCallerKey()
 	}
 	program := string(ctx.Request.Header.Peek("X-Program-Id"))
@@ -104,6 +113,10 @@
 func (s *Server) release(ctx *fasthttp.RequestCtx) {
 	program, _ := ctx.UserValue("program").(string)
 	s.engine.Release(program)
+	if s.engine.currentFaults().LoseReleases {
+		_ = ctx.Conn().Close()
+		return
+	}
 	reply(ctx, map[string]string{"released": program})
 }
 
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -5,14 +5,23 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/platform/objects"
 	"hawthornrail.example/hawthornrail/internal/team/keyring"
 )
 
+const (
+	// userTimeField is the index of utime in /proc/PID/stat after the name;
+	// stime follows it.
+	userTimeField = 11
+	clockTick     = 10 * time.Millisecond
+)
+
 // VM is one entry VM's process.
 type VM struct {
 	Name       string
@@ -36,8 +45,8 @@
 func (v *VM) settings() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "[vm]\nname = %s\ndata_centre = %s\n", quote(v.Name), quote(v.DataCentre))
-	fmt.Fprintf(&text, "[caller]\naddress = %s\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
-	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\n", quote(v.Peer), quote(fleetSecret))
+	fmt.Fprintf(&text, "[caller]\naddress = %s\nplain = true\n[operator]\naddress = %s\n", quote(v.Caller), quote(v.Operator))
+	fmt.Fprintf(&text, "[peer]\naddress = %s\nsecret = %s\nplain = true\n", quote(v.Peer), quote(fleetSecret))
 	fmt.Fprintf(&text, "[platform]\naddress = %s\n[log]\nlevel = \"debug\"\n", quote(v.bed.platform))
 	text.WriteString(v.bed.options.Settings)
 	text.WriteString("\n[test.routes]\n")
@@ -74,13 +83,14 @@
 // LogFile returns the path of the process's log.
 func (v *VM) LogFile() string { return filepath.Join(v.bed.folder, v.Name+".log") }
 
-// WaitReady waits until the VM holds the newest configuration.
+// WaitReady waits until the VM holds the newest configuration and can start
+// programs.
 func (v *VM) WaitReady() {
 	v.bed.t.Helper()
 	_, revision := v.bed.store.List("")
 	v.bed.Eventually(readyTimeout, "VM "+v.Name+" is ready", func() bool {
 		s, err := readStatus(v.Operator)
-		return err == nil && s.ConfigRevision >= revision
+		return err == nil && s.ConfigRevision >= revision && s.Ready
 	})
 }
 
@@ -102,6 +112,25 @@
 // Terminate asks the process for a graceful shutdown.
 func (v *VM) Terminate() { v.signal(syscall.SIGTERM) }
 
+// cpu reads the user and system time of the process, in clock ticks.
+func (v *VM) cpu() time.Duration {
+	v.bed.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", v.process.Process.Pid))
+	if err != nil {
+		v.bed.t.Fatal(err)
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
+	var ticks int64
+	for _, field := range fields[userTimeField : userTimeField+2] {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			v.bed.t.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick
+}
+
 // Wait waits for the end of the process and returns its error.
 func (v *VM) Wait() error { return v.process.Wait() }
 
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -21,6 +23,14 @@
 	writeTimeout       = 2 * time.Second
 	streamCloseTimeout = 10 * time.Second
 	streamWindowBytes  = 1 << 20
+
+	// pingInterval and pingTimeout bound how long a request waits for a VM
+	// that was paused or cut off.
+	pingInterval = 500 * time.Millisecond
+	pingTimeout  = time.Second
+	// redialDelay is the time after a failed connection in which no other one
+	// is tried, so that requests do not queue for it.
+	redialDelay = 200 * time.Millisecond
 )
 
 // ErrUnsent means that a request provably did not reach the other VM.
@@ -41,12 +51,20 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	remote  hawthornrail.Instance
+	asker   *asker
+	askerOf *yamux.Session
+	failed  time.Time
+	err     error
+
+	pending  atomic.Int64
+	watching atomic.Bool
 }
 
 // NewClient returns a client that proves itself as self under secret.
-func NewClient(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
+// mutual is nil where the settings switch TLS off.
+func NewClient(self hawthornrail.Instance, secret []byte, mutual *vmtls.Mutual, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
 	return &Client{
-		identity: identity{self: self, secret: secret},
+		identity: identity{self: self, secret: secret, mutual: mutual},
 		clock:    clock,
 		dialer:   dialer,
 		links:    make(map[string]*link),
@@ -59,6 +77,7 @@
 	reader *bufio.Reader
 	remote hawthornrail.Instance
 	stop   func() bool
+	link   *link
 }
 
 // Open sends the first message of a new stream to the VM at an address; an
@@ -74,14 +93,17 @@
 		l.drop(session)
 		return nil, errors.Join(ErrUnsent, fmt.Errorf("open stream to %s: %w", address, err))
 	}
+	l.pending.Add(1)
+	c.watch(l)
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	open.TraceParent = traces.Parent(ctx)
 	if err := WriteMessage(stream, open); err != nil {
 		stop()
 		_ = stream.Close()
+		l.pending.Add(-1)
 		return nil, err
 	}
-	return &Exchange{stream: stream, reader: bufio.NewReader(stream), remote: remote, stop: stop}, nil
+	return &Exchange{stream: stream, reader: bufio.NewReader(stream), remote: remote, stop: stop, link: l}, nil
 }
 
 // Remote returns the instance at the other end.
@@ -94,22 +116,55 @@
 func (e *Exchange) Close() {
 	e.stop()
 	_ = e.stream.Close()
+	e.link.pending.Add(-1)
 }
 
-// Ask opens a stream, reads one reply into reply and closes the stream.
+// Ask sends a question to the VM at an address and reads the one reply; an
+// error that wraps ErrUnsent means that the VM can't have seen the question.
 func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
-	e, err := c.Open(ctx, address, open)
+	a, remote, err := c.asker(ctx, address)
 	if err != nil {
-		return hawthornrail.Instance{}, err
+		return remote, errors.Join(ErrUnsent, err)
 	}
-	defer e.Close()
-	if err := e.Receive(reply); err != nil {
-		if ctx.Err() != nil {
-			return e.remote, fmt.Errorf("ask %s: %w", address, ctx.Err())
-		}
-		return e.remote, err
+	open.TraceParent = traces.Parent(ctx)
+	l := c.link(address)
+	l.pending.Add(1)
+	defer l.pending.Add(-1)
+	c.watch(l)
+	payload, err := a.ask(ctx, open)
+	if err != nil {
+		return remote, fmt.Errorf("ask VM at %s: %w", address, err)
+	}
+	if err := proto.Unmarshal(payload, reply); err != nil {
+		return remote, fmt.Errorf("decode answer: %w", err)
+	}
+	return remote, nil
+}
+
+// asker returns the stream for questions to an address, a new one if the last
+// has failed.
+func (c *Client) asker(ctx context.Context, address string) (*asker, hawthornrail.Instance, error) {
+	l := c.link(address)
+	session, remote, err := c.connect(ctx, l, address)
+	if err != nil {
+		return nil, remote, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asker != nil && l.askerOf == session && !l.asker.failed() {
+		return l.asker, remote, nil
+	}
+	stream, err := session.Open()
+	if err != nil {
+		return nil, remote, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	a, err := newAsker(stream)
+	if err != nil {
+		_ = stream.Close()
+		return nil, remote, err
 	}
-	return e.remote, nil
+	l.asker, l.askerOf = a, session
+	return a, remote, nil
 }
 
 // Close closes every connection.
@@ -142,12 +197,30 @@
 	if l.session != nil && !l.session.IsClosed() {
 		return l.session, l.remote, nil
 	}
-	conn, err := c.dialer.Dial(ctx, address)
+	if l.err != nil && c.clock.Since(l.failed) < redialDelay {
+		return nil, hawthornrail.Instance{}, l.err
+	}
+	session, remote, err := c.dial(ctx, address)
+	if err != nil {
+		l.failed, l.err = c.clock.Now(), err
+		return nil, hawthornrail.Instance{}, err
+	}
+	l.session, l.remote, l.err = session, remote, nil
+	return session, remote, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*yamux.Session, hawthornrail.Instance, error) {
+	raw, err := c.dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, hawthornrail.Instance{}, fmt.Errorf("dial VM: %w", err)
 	}
-	remote, err := c.identity.handshake(conn, true, c.clock.Now())
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	conn, remote, err := c.identity.secure(raw, true, c.clock.Now())
+	if err == nil && !stop() {
+		err = ctx.Err()
+	}
 	if err != nil {
+		stop()
 		_ = conn.Close()
 		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
 	}
@@ -156,10 +229,51 @@
 		_ = conn.Close()
 		return nil, hawthornrail.Instance{}, fmt.Errorf("VM at %s: %w", address, err)
 	}
-	l.session, l.remote = session, remote
 	return session, remote, nil
 }
 
+// watch pings the other end while requests wait for it, and closes the
+// session when it does not answer.
+func (c *Client) watch(l *link) {
+	if l.watching.Swap(true) {
+		return
+	}
+	go func() {
+		for {
+			c.clock.Sleep(pingInterval)
+			if l.pending.Load() == 0 {
+				l.watching.Store(false)
+				if l.pending.Load() == 0 || l.watching.Swap(true) {
+					return
+				}
+			}
+			if session := l.current(); session != nil && !c.alive(session) {
+				l.drop(session)
+			}
+		}
+	}()
+}
+
+func (l *link) current() *yamux.Session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session
+}
+
+func (c *Client) alive(session *yamux.Session) bool {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := session.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err == nil
+	case <-c.clock.After(pingTimeout):
+		return false
+	}
+}
+
 func (l *link) drop(session *yamux.Session) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -169,5 +283,10 @@
 	_ = session.Close()
 }
 
-// Send writes a reply on a serving stream.
-func (s *Stream) Send(m proto.Message) error { return WriteMessage(s.conn, m) }
+// Send writes a reply on a serving stream; a question takes one reply.
+func (s *Stream) Send(m proto.Message) error {
+	if s.question != nil {
+		return s.question.send(m)
+	}
+	return WriteMessage(s.conn, m)
+}
