--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -203,6 +203,8 @@
 		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
 	}
 	p.handOver()
+	// Leave bounds its own time, also when the drain limit has passed.
+	p.in.Rates.Leave(context.Background())
 	_ = p.operator.Close()
 	p.in.PeerServer.Close()
 	p.in.PeerClient.Close()
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -51,7 +51,7 @@
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
 		v.endProgram(ctx, k.EndProgram, s)
-	case *vmpb.Open_Borrow, *vmpb.Open_ShareState:
+	case *vmpb.Open_Borrow, *vmpb.Open_ShareState, *vmpb.Open_LeaveRates:
 		v.rates.Receive(open, s)
 	default:
 		v.pairing(open, s)
