End the calls of other VMs before a shutdown closes

Cause: a shutdown waited for the requests of its own callers only and closed the connections between VMs under the calls of others; kept connections learnt of it at the last moment; the end waited for a watch of the platform.

Ruled out: refusing the calls of other VMs at once, because until their programs are handed over nobody else can serve them.

Conclusion: callers are asked to go elsewhere for a second, their requests end, then the calls of other VMs, then open records; the log says how many.

--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -52,6 +53,9 @@
 	tracer   *traces.Tracer
 	log      events.Logger
 	options  Options
+	active   atomic.Int64
+	ended    atomic.Uint64
+	leaving  atomic.Bool
 }
 
 // New returns a server that passes requests to handler.
@@ -75,6 +79,10 @@
 	return nil
 }
 
+// Leave asks callers and the balancer to go elsewhere, while requests are
+// still served: answers close their connections and the health check fails.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Shutdown stops accepting and waits until the requests under way have ended.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
@@ -83,8 +91,11 @@
 	return nil
 }
 
-// UnderWay returns the number of open connections of callers.
-func (s *Server) UnderWay() int { return int(s.http.GetCurrentConcurrency()) }
+// UnderWay returns the number of requests that are not answered yet.
+func (s *Server) UnderWay() int { return int(s.active.Load()) }
+
+// Ended returns the number of requests answered since the start.
+func (s *Server) Ended() int { return int(s.ended.Load()) }
 
 func (s *Server) routes() fasthttp.RequestHandler {
 	r := router.New()
@@ -92,11 +103,24 @@
 	r.POST("/v1/programs", s.createProgram)
 	r.DELETE("/v1/programs/{id}", s.endProgram)
 	r.ANY("/v1/services/{service}/{path:*}", s.callService)
-	r.GET("/health", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET("/health", s.health)
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		writeFailure(ctx, hawthornrail.NotRun(hawthornrail.CodeBadRequest, "no such path"))
 	}
-	return r.Handler
+	return func(ctx *fasthttp.RequestCtx) {
+		r.Handler(ctx)
+		if s.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
+func (s *Server) health(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		ctx.Error("leaving\n", http.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ok\n")
 }
 
 func (s *Server) connectionError(ctx *fasthttp.RequestCtx, err error) {
@@ -173,6 +197,9 @@
 }
 
 func (s *Server) run(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
+	s.active.Add(1)
+	defer s.ended.Add(1)
+	defer s.active.Add(-1)
 	ctx, span := s.tracer.Start(ctx, "entry")
 	err := s.handler.Serve(ctx, r, w)
 	if err == nil {
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -14,6 +14,7 @@
 	ProcessStopped  = register(1003, zerolog.InfoLevel, "process stopped", "")
 	DrainTimedOut   = register(1004, zerolog.WarnLevel, "shutdown limit reached with requests under way", "raise drain_timeout if requests take longer")
 	ListenerFailed  = register(1005, zerolog.ErrorLevel, "listener failed", "check the address in the settings")
+	ProcessDrained  = register(1006, zerolog.InfoLevel, "requests under way ended before the shutdown", "")
 )
 
 // The events of requests.
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -23,6 +23,14 @@
 	LivePrograms   int    `json:"live_programs"`
 	Replicas       int    `json:"replicas"`
 	Leaving        bool   `json:"leaving"`
+
+	// Requests of callers and calls of other VMs that are under way, and calls
+	// whose outcome is not replicated yet.
+	Requests  int `json:"requests"`
+	Forwarded int `json:"forwarded"`
+	Recording int `json:"recording"`
+
+	UnconfirmedReleases int `json:"unconfirmed_releases"`
 }
 
 // Server answers operators.
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -30,6 +29,7 @@
 
 	Self       hawthornrail.Instance
 	Settings   settings.Settings
+	Clock      hawthornrail.Clock
 	Log        events.Logger
 	Tracer     *traces.Tracer
 	Registry   metrics.Registry
@@ -81,6 +81,8 @@
 	s.Programs, s.LivePrograms = p.in.Home.Count()
 	s.Replicas = p.in.Replicas.Count()
 	s.Leaving = p.drained.Err() != nil
+	s.Requests, s.Forwarded, s.Recording = p.in.Callers.UnderWay(), p.in.Receiver.UnderWay(), p.in.Home.Recording()
+	s.UnconfirmedReleases = p.in.Memory.Unconfirmed()
 	return s
 }
 
@@ -103,7 +105,7 @@
 	p.in.Table.Leave()
 	p.shutdown()
 	stop()
-	p.wait.Wait()
+	p.waitStopped()
 	p.in.Log.Event(events.ProcessStopped).Emit()
 	return failure
 }
@@ -139,17 +141,3 @@
 		}
 	}()
 }
-
-// shutdown lets callers' requests end before the parts they need stop.
-func (p *process) shutdown() {
-	p.in.Log.Event(events.ProcessStopping).Int("requests", p.in.Callers.UnderWay()).Emit()
-	ctx, cancel := context.WithTimeout(context.Background(), p.in.Settings.DrainTimeout())
-	defer cancel()
-	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
-	}
-	_ = p.operator.Close()
-	p.in.PeerServer.Close()
-	p.in.PeerClient.Close()
-	_ = p.in.Tracer.Close(ctx)
-}
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -20,6 +20,7 @@
 	local    *home.Home
 	replicas *replica.Store
 	prober   *members.Prober
+	calls    underWay
 }
 
 // NewReceiver returns a receiver for the programs homed here and the replicas
@@ -46,6 +47,11 @@
 
 func (v *Receiver) call(ctx context.Context, m *vmpb.Call, s *peer.Stream) {
 	d, ok := v.config.Snapshot().Deployment(m.GetDeployment())
+	if !v.calls.begin() {
+		_ = s.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_End{End: convert.EndToWire(leaving())}})
+		return
+	}
+	defer v.calls.end()
 	err := error(hawthornrail.NotRun(hawthornrail.CodeConfigStale, "deployment %s is not known here yet", m.GetDeployment()))
 	if ok && d.Team() == m.GetTeam() {
 		err = v.local.Serve(ctx, convert.CallFromWire(m, d), streamWriter{s})
