Show and end programs from the command line

Cause: operators could not see what runs, where, with what budget and memory.

Before: no command. After: programs list, show and end against a VM, JSON a line a program.

Conclusion: the operator API lists what the VM's home holds.

--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -35,7 +35,8 @@
 
 // Server answers operators.
 type Server struct {
-	http *fasthttp.Server
+	http   *fasthttp.Server
+	routes *router.Router
 }
 
 // New returns a server; status reports the VM's state and drain begins a
@@ -51,7 +52,7 @@
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx)
 	})
-	return &Server{http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
+	return &Server{routes: r, http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
 }
 
 // Serve answers on a listener until Close.
--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -69,6 +69,7 @@
 			checkCommand(),
 			deploymentCommand(),
 			keyCommand(),
+			programsCommand(),
 			statusCommand(),
 			drainCommand(),
 			versionCommand(),
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -59,6 +59,7 @@
 	p := &process{in: in, failed: make(chan error, 4)}
 	p.drained, p.drain = context.WithCancel(context.Background())
 	p.operator = api.New(p.status, p.drain, in.Registry)
+	p.operator.AddPrograms(programs{in})
 	return p
 }
 
--- /dev/null
+++ b/internal/operator/serve/programs.go
@@ -0,0 +1,84 @@
+package serve
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/operator/api"
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+)
+
+const reasonOperator = "ended by an operator"
+
+// programs shows operators the programs held at this VM.
+type programs struct {
+	in processIn
+}
+
+// List returns every program held here, by id.
+func (p programs) List() []api.Program {
+	var list []api.Program
+	p.in.Home.Each(func(t *ledger.Tree) {
+		for _, program := range t.Programs() {
+			list = append(list, p.report(t, program))
+		}
+	})
+	slices.SortFunc(list, func(a, b api.Program) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Show returns a program held here.
+func (p programs) Show(id string) (report api.Program, ok bool) {
+	parsed, err := hawthornrail.ParseProgramID(id)
+	if err != nil {
+		return report, false
+	}
+	p.in.Home.Visit(parsed, func(t *ledger.Tree) {
+		program, err := t.Program(parsed.Index())
+		if err == nil && t.ID().Child(parsed.Index()).String() == id {
+			report, ok = p.report(t, program), true
+		}
+	})
+	return report, ok
+}
+
+// End ends a program held here.
+func (p programs) End(ctx context.Context, id, reason string) error {
+	parsed, err := hawthornrail.ParseProgramID(id)
+	if err != nil {
+		return err
+	}
+	if reason == "" {
+		reason = reasonOperator
+	}
+	return p.in.Home.End(ctx, parsed, reason)
+}
+
+func (p programs) report(t *ledger.Tree, program *ledger.Program) api.Program {
+	left := t.Deadline(program).Sub(p.in.Clock.Now())
+	id := t.ID().Child(program.Index()).String()
+	return api.Program{
+		ID: id, Team: t.Team(), Deployment: t.Deployment(), Home: p.in.Self.VM(),
+		NextCall: program.NextCall(), Pending: len(program.Pending()), Ended: program.Ended(),
+		Left: api.Left{
+			Calls: t.LeftCalls(program), Tokens: t.LeftTokens(program),
+			WallTimeMS: max(0, left.Milliseconds()), Children: t.LeftChildren(program),
+		},
+		Memory: p.memory(id, program.Endpoints()),
+	}
+}
+
+// memory returns the engines that may hold memory for a program.
+func (p programs) memory(id string, endpoints []string) []string {
+	snapshot := p.in.Controller.Snapshot()
+	held := []string{}
+	for _, name := range endpoints {
+		e, ok := snapshot.Endpoint(name)
+		if ok && e.Kind() == hawthornrail.EngineEndpoint && !p.in.Memory.Released(id, name) {
+			held = append(held, name)
+		}
+	}
+	return held
+}
--- a/internal/program/ledger/deadline.go
+++ b/internal/program/ledger/deadline.go
@@ -26,3 +26,7 @@
 	left := t.left(p)
 	return left.calls == 0 || left.tokens < tokens
 }
+
+// LeftChildren returns how many sub-agents may still be created below the
+// program.
+func (t *Tree) LeftChildren(p *Program) uint32 { return t.left(p).children }
--- a/internal/program/memory/controller.go
+++ b/internal/program/memory/controller.go
@@ -82,6 +82,15 @@
 	return n
 }
 
+// Released reports whether an engine confirmed that it holds nothing for a
+// program.
+func (c *Controller) Released(program, endpoint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.releases[holding{program, endpoint}]
+	return r != nil && r.confirmed
+}
+
 // Release asks every engine once for what is due there.
 func (c *Controller) Release(ctx context.Context) {
 	c.refresh()
