--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -97,6 +97,11 @@
 			}
 		case ledger.AdmitGap:
 			wait = gapWait
+		case ledger.AdmitWait:
+			if err := c.repeated(); err != nil {
+				c.entry.mu.Unlock()
+				return nil, err
+			}
 		}
 		c.entry.mu.Unlock()
 		if err := c.home.waitChange(ctx, changed, wait); err != nil {
--- a/internal/program/home/crash_test.go
+++ b/internal/program/home/crash_test.go
@@ -288,7 +288,7 @@
 	for _, planned := range schedule {
 		a := &attempt{number: planned.number, ends: planned.ends, fault: planned.fault, duplicates: planned.duplicates, endFirst: planned.endFirst}
 		w.attempts = append(w.attempts, a)
-		w.home.fault = a.fault
+		w.setFault(a.fault)
 		w.wait.Add(1)
 		go func(s *site) {
 			defer w.wait.Done()
@@ -302,11 +302,23 @@
 	for _, f := range w.late {
 		f()
 	}
-	w.home.dead = true
+	w.kill()
 	w.clock.Advance(time.Minute)
 	return w.judge()
 }
 
+func (w *world) setFault(f fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.home.fault = f
+}
+
+func (w *world) kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.home.dead = true
+}
+
 // judge compares the verdicts with the service's count of executions.
 func (w *world) judge() error {
 	for id, n := range w.counts {
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -54,6 +54,8 @@
 	tree    *ledger.Tree
 	claimed map[callKey]bool
 	changed chan struct{}
+	// unrecorded are the calls whose outcome is not replicated yet.
+	unrecorded map[callKey]bool
 }
 
 type callKey struct {
--- a/internal/program/home/record.go
+++ b/internal/program/home/record.go
@@ -39,18 +39,46 @@
 	}
 	c.recording = true
 	c.home.recording.Add(1)
+	c.markUnrecorded(true)
 	go func() {
 		defer c.home.recording.Add(-1)
 		defer c.release()
+		defer c.markUnrecorded(false)
 		c.home.recordLater(c.entry, outcome, ends)
 	}()
 	if c.entry.settled(outcome) {
 		return nil
 	}
-	f := hawthornrail.NewFailure(hawthornrail.AsFailure(recordErr).Code(), hawthornrail.VerdictMayHaveRun, recordErr)
+	return unrecordedFailure(recordErr)
+}
+
+func unrecordedFailure(err error) error {
+	f := hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
 	return f.WithRetryAfter(recordRetryDelay)
 }
 
+func (c *call) markUnrecorded(unrecorded bool) {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	if c.entry.unrecorded == nil {
+		c.entry.unrecorded = make(map[callKey]bool)
+	}
+	if unrecorded {
+		c.entry.unrecorded[c.key] = true
+		return
+	}
+	delete(c.entry.unrecorded, c.key)
+}
+
+// repeated refuses a repeat of a call whose outcome is known but not
+// replicated: it would wait for as long as the replica is away.
+func (c *call) repeated() error {
+	if !c.entry.unrecorded[c.key] {
+		return nil
+	}
+	return unrecordedFailure(hawthornrail.NotRun(hawthornrail.CodeReplicaUnreached, "the outcome of the call is not replicated yet"))
+}
+
 // record takes the steps that follow a call and that were not taken yet.
 func (h *Home) record(e *entry, outcome hawthornrail.Outcome, ends bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -22,6 +22,36 @@
 	mu     sync.Mutex
 	counts map[string]int
 	keys   int
+	log    []Arrival
+	loses  bool
+}
+
+// LoseAnswers makes the server carry requests out and close their connections
+// unanswered.
+func (s *Server) LoseAnswers(loses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loses = loses
+}
+
+// Arrival is a request that reached the service.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Arrivals returns the requests in the order in which they reached the
+// service.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival{}, s.log...)
+}
+
+func (s *Server) arrive(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, Arrival{ID: id, At: time.Now()})
 }
 
 // NewServer returns a server whose requests take delay each.
@@ -40,6 +70,7 @@
 
 func (s *Server) execute(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	s.arrive(id)
 	time.Sleep(s.delay)
 	s.mu.Lock()
 	s.counts[id]++
@@ -47,7 +78,12 @@
 	if strings.Contains(ctx.Request.String(), callerKeyPrefix) {
 		s.keys++
 	}
+	loses := s.loses
 	s.mu.Unlock()
+	if loses {
+		_ = ctx.Conn().Close()
+		return
+	}
 	ctx.SetContentType("application/json")
 	if err := json.NewEncoder(ctx).Encode(map[string]any{"request_id": id, "execution": n, "path": string(ctx.Path()), "query": string(ctx.URI().QueryString())}); err != nil {
 		ctx.Error(err.Error(), http.StatusInternalServerError)
--- a/internal/standin/testbed/bed.go
+++ b/internal/standin/testbed/bed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,7 @@
 	// Team is the team of that deployment.
 	Team = "cordillera"
 
+	vmHost       = "127.0.0.3"
 	fleetSecret  = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 	readyTimeout = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
@@ -64,6 +66,8 @@
 	Key      string
 	platform string
 	relays   map[string]*Relay
+
+	endpoints map[string]string
 }
 
 // New starts a bed and waits until every VM serves the first configuration;
@@ -74,6 +78,7 @@
 		t: t, folder: t.TempDir(), options: options, binary: binary(t),
 		store: platform.NewStore(), Engines: make(map[string]*engine.Engine),
 		Services: make(map[string]*service.Server), relays: make(map[string]*Relay),
+		endpoints: make(map[string]string),
 	}
 	b.Platform = platform.NewServer(b.store)
 	b.platform = b.serve(b.Platform.Handler())
@@ -157,6 +162,7 @@
 		})
 		b.Engines[name] = e
 		address := b.serve(engine.NewServer(e).Handler())
+		b.endpoints[name] = address
 		b.Put(objects.KindEndpoint, name, objects.Endpoint{
 			Kind: "engine", DataCentre: dc, Address: address, Serves: []string{Model}, Slots: 64,
 		})
@@ -165,8 +171,10 @@
 		name := fmt.Sprintf("service-%s-%d", dc, i+1)
 		s := service.NewServer(b.options.ServiceTime)
 		b.Services[name] = s
+		address := b.serve(s.Handler())
+		b.endpoints[name] = address
 		b.Put(objects.KindEndpoint, name, objects.Endpoint{
-			Kind: "service", DataCentre: dc, Address: b.serve(s.Handler()), Serves: []string{Service},
+			Kind: "service", DataCentre: dc, Address: address, Serves: []string{Service},
 		})
 	}
 }
@@ -179,9 +187,13 @@
 	}
 }
 
-// addRoutes puts a relay before every VM and the platform as v sees them.
+// addRoutes puts a relay before every VM, endpoint and the platform as v sees
+// them.
 func (b *Bed) addRoutes(v *VM) {
 	v.routes[b.platform] = b.relay(v.Name, "platform", b.platform)
+	for name, address := range b.endpoints {
+		v.routes[address] = b.relay(v.Name, name, address)
+	}
 	for _, other := range b.VMs {
 		if other != v {
 			v.routes[other.Peer] = b.relay(v.Name, other.Name, other.Peer)
@@ -199,8 +211,12 @@
 	return r.Address()
 }
 
+// Links returns the names of the connections that can be cut, as
+// "from>to".
+func (b *Bed) Links() []string { return slices.Sorted(maps.Keys(b.relays)) }
+
 // Cut stops all bytes of the connections that from opened or will open to
-// another VM or to "platform", without closing them.
+// another VM, an endpoint or to "platform", without closing them.
 func (b *Bed) Cut(from, to string) { b.relays[from+">"+to].Cut(true) }
 
 // Heal lets bytes pass again.
@@ -298,9 +314,11 @@
 	}
 }
 
+// freePort returns an address of its own host, where no relay and no outgoing
+// connection can take the port before a VM does.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", vmHost+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
