--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -30,6 +30,14 @@
 	Holdings     []Holding `json:"holdings"`
 	Leaving      bool      `json:"leaving"`
 	Ready        bool      `json:"ready"`
+
+	// Requests of callers and calls of other VMs that are under way, and calls
+	// whose outcome is not replicated yet.
+	Requests  int `json:"requests"`
+	Forwarded int `json:"forwarded"`
+	Recording int `json:"recording"`
+
+	UnconfirmedReleases int `json:"unconfirmed_releases"`
 }
 
 // Holding is the JSON form of a holding whose steps the VM takes.
@@ -50,7 +58,8 @@
 
 // Server answers operators.
 type Server struct {
-	http *fasthttp.Server
+	http   *fasthttp.Server
+	routes *router.Router
 }
 
 // New returns a server; status reports the VM's state, drain begins a graceful
@@ -68,7 +77,7 @@
 		metrics.WriteJSONOnce(registry, ctx)
 	})
 	r.GET("/debug/pprof/{profile:*}", pprofhandler.PprofHandler)
-	return &Server{http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
+	return &Server{routes: r, http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
 }
 
 // Serve answers on a listener until Close.
--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -71,6 +71,7 @@
 			templateCommand(),
 			deploymentCommand(),
 			keyCommand(),
+			programsCommand(),
 			statusCommand(),
 			drainCommand(),
 			versionCommand(),
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -39,6 +39,7 @@
 
 	Self       hawthornrail.Instance
 	Settings   settings.Settings
+	Clock      hawthornrail.Clock
 	Log        events.Logger
 	Tracer     *traces.Tracer
 	Registry   gometrics.Registry
@@ -72,6 +73,7 @@
 	p.drained, p.drain = context.WithCancel(context.Background())
 	p.operator = api.New(p.status, p.drain, in.Relay.Fleet, in.Registry)
 	p.gauges()
+	p.operator.AddPrograms(programs{in})
 	return p
 }
 
@@ -103,6 +105,8 @@
 	}
 	s.Ready = p.in.Holdings.Ready()
 	s.Leaving = p.drained.Err() != nil
+	s.Requests, s.Forwarded, s.Recording = p.in.Callers.UnderWay(), p.in.Receiver.UnderWay(), p.in.Home.Recording()
+	s.UnconfirmedReleases = p.in.Memory.Unconfirmed()
 	return s
 }
 
@@ -136,7 +140,7 @@
 	p.in.Holdings.Leave()
 	p.shutdown()
 	stop()
-	p.wait.Wait()
+	p.waitStopped()
 	p.in.Log.Event(events.ProcessStopped).Emit()
 	return failure
 }
@@ -193,28 +197,3 @@
 		}
 	}()
 }
-
-// shutdown lets callers' requests end before the parts they need stop.
-func (p *process) shutdown() {
-	p.in.Log.Event(events.ProcessStopping).Int("requests", p.in.Callers.UnderWay()).Emit()
-	ctx, cancel := context.WithTimeout(context.Background(), p.in.Settings.DrainTimeout())
-	defer cancel()
-	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
-	}
-	p.handOver()
-	// Leave bounds its own time, also when the drain limit has passed.
-	p.in.Rates.Leave(context.Background())
-	_ = p.operator.Close()
-	p.in.PeerServer.Close()
-	p.in.PeerClient.Close()
-	_ = p.in.Tracer.Close(ctx)
-}
-
-// handOver gives the programs to other VMs; each one that fails is logged and
-// taken over by its backup later.
-func (p *process) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	_ = p.in.Holdings.HandOver(ctx)
-}
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -56,6 +56,8 @@
 	moved   bool
 	claimed map[callKey]bool
 	changed chan struct{}
+	// unrecorded are the calls whose outcome is not replicated yet.
+	unrecorded map[callKey]bool
 }
 
 type callKey struct {
--- a/internal/standin/testbed/bed.go
+++ b/internal/standin/testbed/bed.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -38,10 +38,6 @@
 	defaultSlots = 64
 	readyTimeout = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
-
-	lowestPort  = 12_000
-	highestPort = 32_000
-	portTries   = 100
 )
 
 // Options say how large a bed is.
@@ -176,8 +172,10 @@
 		name := fmt.Sprintf("service-%s-%d", dc, i+1)
 		s := service.NewServer(b.options.ServiceTime)
 		b.Services[name] = s
+		address := b.serve(s.Handler())
+		b.addresses[name] = address
 		b.Put(objects.KindEndpoint, name, objects.Endpoint{
-			Kind: "service", DataCentre: dc, Address: b.serve(s.Handler()), Serves: []string{Service},
+			Kind: "service", DataCentre: dc, Address: address, Serves: []string{Service},
 		})
 	}
 }
@@ -190,9 +188,13 @@
 	}
 }
 
-// addRoutes puts a relay before every VM and the platform as v sees them.
+// addRoutes puts a relay before every VM, endpoint and the platform as v sees
+// them.
 func (b *Bed) addRoutes(v *VM) {
 	v.routes[b.platform] = b.relay(v.Name, "platform", b.platform)
+	for name, address := range b.addresses {
+		v.routes[address] = b.relay(v.Name, name, address)
+	}
 	for _, other := range b.VMs {
 		if other != v {
 			v.routes[other.Peer] = b.relay(v.Name, other.Name, other.Peer)
@@ -210,8 +212,12 @@
 	return r.Address()
 }
 
+// Links returns the names of the connections that can be cut, as
+// "from>to".
+func (b *Bed) Links() []string { return slices.Sorted(maps.Keys(b.relays)) }
+
 // Cut stops all bytes of the connections that from opened or will open to
-// another VM or to "platform", without closing them.
+// another VM, an endpoint or to "platform", without closing them.
 func (b *Bed) Cut(from, to string) { b.relays[from+">"+to].Cut(true) }
 
 // Heal lets bytes pass again.
@@ -322,19 +328,32 @@
 	}
 }
 
-// freePort returns an address below the ports that the system gives to
-// outgoing connections, so that a process that is started again finds it free.
+var (
+	portsMu sync.Mutex
+	ports   = make(map[string]bool)
+)
+
+// freePort returns an address that no other one of this process was given, at
+// a loopback host of the process's own, where neither another test process
+// nor an outgoing connection takes the port before a VM does.
 func freePort(t testing.TB) string {
 	t.Helper()
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !ports[address] {
+			ports[address] = true
 			return address
 		}
 	}
-	t.Fatal("no free port")
-	return ""
 }
 
 func readStatus(address string) (api.Status, error) {
--- a/internal/standin/testbed/vm.go
+++ b/internal/standin/testbed/vm.go
@@ -102,16 +102,18 @@
 func (v *VM) WaitReady() {
 	v.bed.t.Helper()
 	_, revision := v.bed.store.List("")
-	defer func() {
-		if s, err := readStatus(v.Operator); err != nil || s.ConfigRevision < revision {
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		s, err := readStatus(v.Operator)
+		if err == nil && s.ConfigRevision >= revision && s.Ready {
+			return
+		}
+		if time.Now().After(deadline) {
 			log, _ := os.ReadFile(v.LogFile())
-			v.bed.t.Logf("VM %s at revision %d, want %d, %v; its log:\n%s", v.Name, s.ConfigRevision, revision, err, log)
+			v.bed.t.Fatalf("VM %s is not ready within %s: %v, revision %d of %d; log:\n%s", v.Name, readyTimeout, err, s.ConfigRevision, revision, log)
 		}
-	}()
-	v.bed.Eventually(readyTimeout, "VM "+v.Name+" is ready", func() bool {
-		s, err := readStatus(v.Operator)
-		return err == nil && s.ConfigRevision >= revision && s.Ready
-	})
+		time.Sleep(pollInterval)
+	}
 }
 
 // Status returns what the VM says of itself.
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -25,6 +25,7 @@
 	prober   *members.Prober
 	rates    *rate.Fleet
 	relay    *relay.Relay
+	calls    underWay
 }
 
 // NewReceiver returns a receiver for the programs held here, the replicas
@@ -59,6 +60,11 @@
 }
 
 func (v *Receiver) call(ctx context.Context, m *vmpb.Call, s *peer.Stream) {
+	if !v.calls.begin() {
+		_ = s.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_End{End: convert.EndToWire(leaving())}})
+		return
+	}
+	defer v.calls.end()
 	err := v.local.Serve(ctx, convert.CallFromWire(m), streamWriter{s})
 	_ = s.Send(&vmpb.CallReply{Kind: &vmpb.CallReply_End{End: convert.EndToWire(err)}})
 }
