--- a/internal/vm/fleet/takeover_test.go
+++ b/internal/vm/fleet/takeover_test.go
@@ -136,13 +136,15 @@
 	})
 	t.Run("one after the other", func(t *testing.T) {
 		bed := newBed(t, 1, 4)
-		s := newSession(t, bed, bed.VMs[0])
+		s, idle := newSession(t, bed, bed.VMs[0]), newSession(t, bed, bed.VMs[0])
 		s.ask(bed.VMs...)
+		idle.ask(bed.VMs...)
 		for i := range 2 {
 			bed.VMs[i].Kill()
 			s.ask(bed.VMs[i+1:]...)
 			s.order(bed.VMs[i+1:]...)
 		}
+		idle.ask(bed.VMs[2:]...)
 		assertOnce(t, bed)
 	})
 	t.Run("and started again", func(t *testing.T) {
