--- a/internal/standin/testbed/holdings.go
+++ b/internal/standin/testbed/holdings.go
@@ -1,6 +1,13 @@
 package testbed
 
-import "hawthornrail.example/hawthornrail/internal/operator/api"
+import (
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/operator/api"
+)
+
+// pairedFor is longer than a backup waits before it takes over.
+const pairedFor = 2 * time.Second
 
 // Running returns how many model calls run at the engines.
 func (b *Bed) Running() int {
@@ -63,3 +70,19 @@
 	}
 	return nil
 }
+
+// WaitPaired waits until every holding of some VMs has a backup and none
+// waits to be taken over.
+func (b *Bed) WaitPaired(vms ...*VM) {
+	b.t.Helper()
+	since := time.Now()
+	b.Eventually(readyTimeout, "holdings have backups", func() bool {
+		for _, v := range vms {
+			s, err := v.Status()
+			if err != nil || countBackups(s) != len(s.Holdings) {
+				since = time.Now()
+			}
+		}
+		return time.Since(since) > pairedFor
+	})
+}
