Record outcomes until a backup holds them

Cause: a call that ended while its holder replaced the backup lost its outcome; its caller got may_have_run for a call that ran, and the program stood still for ever, since the call stayed pending with nobody to settle it. A refused End step also turned a call that ran into not_run. Outcomes are now repeated until a backup holds them or the program moves.

--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -20,6 +20,7 @@
 	gapRetryAfter    = 200 * time.Millisecond
 	sameCallWait     = 2 * time.Minute
 	recordTimeout    = 5 * time.Second
+	recordRetry      = 50 * time.Millisecond
 	serviceTokenCost = 0
 )
 
@@ -46,7 +47,11 @@
 	if recorded != nil {
 		return replay(*recorded, w)
 	}
-	defer c.release()
+	defer func() {
+		if !c.kept {
+			c.release()
+		}
+	}()
 	return c.run(ctx, w)
 }
 
@@ -61,6 +66,8 @@
 	// sendBy is when the request may be sent at the latest, so that a VM that
 	// was paused sends nothing after another one took the program over.
 	sendBy time.Time
+	// kept says that the call stays claimed until its outcome is recorded.
+	kept bool
 }
 
 func digest(r *hawthornrail.Request) []byte {
@@ -237,25 +244,55 @@
 	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
 }
 
-// record replicates the outcome even when the caller has gone.
+// record replicates the outcome even when the caller has gone; while there is
+// no backup it tries again, and goes on after it has given the caller up.
 func (c *call) record(answer hawthornrail.Answer, err error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	c.entry.mu.Lock()
-	defer c.entry.mu.Unlock()
 	outcome := hawthornrail.NewAnsweredOutcome(c.key.program, c.key.number, answer.Status(), answer.ContentType(), answer.Body()).
 		WithReply(answer.Reply()).WithUsedTokens(answer.Usage().Total())
 	if err != nil {
 		f := hawthornrail.AsFailure(err)
 		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
 	}
-	if err := c.home.step(ctx, c.entry, outcome); err != nil {
-		return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
-	}
+	changes := []hawthornrail.Change{outcome}
 	if err == nil && c.request.EndsProgram() {
-		return c.home.step(ctx, c.entry, hawthornrail.NewEnd(c.key.program, "completed"))
+		changes = append(changes, hawthornrail.NewEnd(c.key.program, "completed"))
 	}
-	return nil
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	left, err := c.recordAll(ctx, changes)
+	if err == nil {
+		return nil
+	}
+	c.kept = true
+	go func() {
+		defer c.release()
+		_, _ = c.recordAll(context.Background(), left)
+	}()
+	return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
+}
+
+// recordAll takes steps until all are taken, ctx ends or the program moved; it
+// returns those left.
+func (c *call) recordAll(ctx context.Context, changes []hawthornrail.Change) ([]hawthornrail.Change, error) {
+	for len(changes) > 0 {
+		err := c.recordOne(ctx, changes[0])
+		if err == nil || hawthornrail.AsFailure(err).Code() == hawthornrail.CodeProgramEnded {
+			changes = changes[1:]
+			continue
+		}
+		temporary := hawthornrail.AsFailure(err).Code() == hawthornrail.CodeReplicaUnreached
+		if !temporary || ctx.Err() != nil || !c.home.parts.Replicator.Holds(c.id.Home()) {
+			return changes, err
+		}
+		c.home.parts.Clock.Sleep(recordRetry)
+	}
+	return nil, nil
+}
+
+func (c *call) recordOne(ctx context.Context, change hawthornrail.Change) error {
+	c.entry.mu.Lock()
+	defer c.entry.mu.Unlock()
+	return c.home.step(ctx, c.entry, change)
 }
 
 // replay answers a call from its recorded outcome.
--- a/internal/vm/fleet/takeover_test.go
+++ b/internal/vm/fleet/takeover_test.go
@@ -207,6 +207,24 @@
 	}
 }
 
+// A call under way at a holder whose backup dies is answered, and the program
+// goes on.
+func TestBackupKilledWithinTurn(t *testing.T) {
+	bed := testbed.New(t, testbed.Options{DataCentres: 1, VMs: 3, Engines: 1, Services: 1, ServiceTime: 500 * time.Millisecond})
+	s := newSession(t, bed, bed.VMs[0])
+	s.ask(bed.VMs...)
+	s.number++
+	first := make(chan testbed.Reply)
+	go func() { first <- bed.VMs[0].Order(bed.Key, s.id, s.number) }()
+	bed.Eventually(serveTimeout, "service works", func() bool { return bed.Begun() > 0 })
+	bed.VMs[1].Kill()
+	if reply := <-first; !reply.OK() {
+		t.Errorf("got status %d body %s", reply.Status, reply.Body)
+	}
+	s.ask(bed.VMs[0], bed.VMs[2])
+	assertOnce(t, bed)
+}
+
 // A holder that was frozen past the takeover takes no step when it wakes.
 func TestHolderFrozen(t *testing.T) {
 	bed := newBed(t, 1, 3)
@@ -214,8 +232,14 @@
 	s.ask(bed.VMs...)
 	bed.VMs[0].Freeze()
 	s.ask(bed.VMs[1:]...)
+	waiting := make(chan testbed.Reply)
+	number := s.number + 1
+	go func() { waiting <- bed.VMs[0].Order(bed.Key, s.id, number) }()
 	s.order(bed.VMs[1:]...)
 	bed.VMs[0].Thaw()
+	if reply := <-waiting; !reply.OK() && reply.Verdict != "not_run" {
+		t.Errorf("got status %d verdict %s of an order that waited", reply.Status, reply.Verdict)
+	}
 	s.ask(bed.VMs[0])
 	s.order(bed.VMs[0])
 	s.ask(bed.VMs...)
