--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -9,6 +9,7 @@
 	"github.com/fasthttp/router"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
@@ -27,6 +28,7 @@
 	SoloReplicas int       `json:"solo_replicas"`
 	Holdings     []Holding `json:"holdings"`
 	Leaving      bool      `json:"leaving"`
+	Ready        bool      `json:"ready"`
 }
 
 // Holding is the JSON form of a holding whose steps the VM takes.
@@ -54,6 +56,7 @@
 		ctx.SetContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx)
 	})
+	r.GET("/debug/pprof/{profile:*}", pprofhandler.PprofHandler)
 	return &Server{http: &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}}
 }
 
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -20,8 +20,8 @@
 	gapRetryAfter    = 200 * time.Millisecond
 	sameCallWait     = 2 * time.Minute
 	recordTimeout    = 5 * time.Second
-	recordRetry      = 50 * time.Millisecond
 	serviceTokenCost = 0
+	minModelTokens   = 2
 )
 
 // Serve runs a call of a program homed here, or answers it from its record.
@@ -48,7 +48,7 @@
 		return replay(*recorded, w)
 	}
 	defer func() {
-		if !c.kept {
+		if !c.recording {
 			c.release()
 		}
 	}()
@@ -66,8 +66,8 @@
 	// sendBy is when the request may be sent at the latest, so that a VM that
 	// was paused sends nothing after another one took the program over.
 	sendBy time.Time
-	// kept says that the call stays claimed until its outcome is recorded.
-	kept bool
+	// recording means that the outcome is recorded in the background.
+	recording bool
 }
 
 func digest(r *hawthornrail.Request) []byte {
@@ -153,6 +153,7 @@
 func (c *call) run(ctx context.Context, w hawthornrail.AnswerWriter) error {
 	p, err := c.prepare()
 	if err != nil {
+		c.endExhausted(ctx, err, minModelTokens)
 		return err
 	}
 	var tried []string
@@ -164,6 +165,7 @@
 		}
 		tried = append(tried, endpoint)
 		if !c.mayRetry(ctx, err, counted, len(tried)) {
+			c.endExhausted(ctx, err, p.reserve)
 			return err
 		}
 	}
@@ -214,6 +216,13 @@
 func (c *call) intend(ctx context.Context, e hawthornrail.Endpoint, p prepared) error {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
+	program, err := c.entry.tree.Program(c.key.program)
+	if err != nil {
+		return ledgerFailure(err)
+	}
+	if err := c.expired(program); err != nil {
+		return err
+	}
 	intent := hawthornrail.NewIntent(c.key.program, c.key.number, c.digest, e.Name(), c.request.Idempotent(), p.reserve)
 	c.sendBy = c.home.parts.Clock.Now().Add(pair.DispatchTimeout)
 	return c.home.step(ctx, c.entry, intent.WithMessages(p.messages))
@@ -226,11 +235,14 @@
 	ctx = http.WithSendBy(ctx, c.sendBy)
 	requestID := fmt.Sprintf("%s/%d", c.id, c.key.number)
 	if c.request.Model() != "" {
+		ctx, cancel := c.withinWallTime(ctx)
+		defer cancel()
 		return c.home.parts.Engines.Dispatch(ctx, e, p.request, requestID, w)
 	}
 	if !c.request.Idempotent() {
-		// Cancelling would leave it open whether the request ran.
-		ctx = context.WithoutCancel(ctx)
+		detached, cancel := detach(ctx)
+		defer cancel()
+		ctx = detached
 	}
 	return c.home.parts.Services.Dispatch(ctx, e, p.request, requestID, w)
 }
@@ -244,57 +256,6 @@
 	return hawthornrail.NotRun(hawthornrail.CodeKeyWithdrawn, "key %s is withdrawn", id)
 }
 
-// record replicates the outcome even when the caller has gone; while there is
-// no backup it tries again, and goes on after it has given the caller up.
-func (c *call) record(answer hawthornrail.Answer, err error) error {
-	outcome := hawthornrail.NewAnsweredOutcome(c.key.program, c.key.number, answer.Status(), answer.ContentType(), answer.Body()).
-		WithReply(answer.Reply()).WithUsedTokens(answer.Usage().Total())
-	if err != nil {
-		f := hawthornrail.AsFailure(err)
-		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
-	}
-	changes := []hawthornrail.Change{outcome}
-	if err == nil && c.request.EndsProgram() {
-		changes = append(changes, hawthornrail.NewEnd(c.key.program, "completed"))
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	left, err := c.recordAll(ctx, changes)
-	if err == nil {
-		return nil
-	}
-	c.kept = true
-	go func() {
-		defer c.release()
-		_, _ = c.recordAll(context.Background(), left)
-	}()
-	return hawthornrail.NewFailure(hawthornrail.AsFailure(err).Code(), hawthornrail.VerdictMayHaveRun, err)
-}
-
-// recordAll takes steps until all are taken, ctx ends or the program moved; it
-// returns those left.
-func (c *call) recordAll(ctx context.Context, changes []hawthornrail.Change) ([]hawthornrail.Change, error) {
-	for len(changes) > 0 {
-		err := c.recordOne(ctx, changes[0])
-		if err == nil || hawthornrail.AsFailure(err).Code() == hawthornrail.CodeProgramEnded {
-			changes = changes[1:]
-			continue
-		}
-		temporary := hawthornrail.AsFailure(err).Code() == hawthornrail.CodeReplicaUnreached
-		if !temporary || ctx.Err() != nil || !c.home.parts.Replicator.Holds(c.id.Home()) {
-			return changes, err
-		}
-		c.home.parts.Clock.Sleep(recordRetry)
-	}
-	return nil, nil
-}
-
-func (c *call) recordOne(ctx context.Context, change hawthornrail.Change) error {
-	c.entry.mu.Lock()
-	defer c.entry.mu.Unlock()
-	return c.home.step(ctx, c.entry, change)
-}
-
 // replay answers a call from its recorded outcome.
 func replay(o hawthornrail.Outcome, w hawthornrail.AnswerWriter) error {
 	if o.Verdict() != hawthornrail.VerdictRan {
--- a/internal/vm/fleet/cost_test.go
+++ b/internal/vm/fleet/cost_test.go
@@ -74,17 +74,17 @@
 	}
 	config := fixedConfig{hawthornrail.NewSnapshot(1, nil, nil, nil, vms)}
 	o := fleet.NewHoldings(fleet.HoldingsParts{
-		Self: self, Clock: k, Config: config, Members: noMembers{}, Client: peer.NewClient(self, secret, k, d),
+		Self: self, Clock: k, Config: config, Members: noMembers{}, Client: peer.NewClient(self, secret, nil, k, d),
 		Platform: client.New("127.0.0.1:1", d), Replicas: replica.NewStore(k), Log: log,
 	})
 	h := home.New(home.Parts{Self: self, Clock: k, Config: config, Replicator: o})
 	o.SetHome(h)
-	server := peer.NewServer(self, secret, k, log)
+	server := peer.NewServer(self, secret, nil, k, log)
 	b.Cleanup(server.Close)
 	if _, err := server.Listen(v.Address()); err != nil {
 		b.Fatal(err)
 	}
-	receiver := fleet.NewReceiver(config, secret, h, o, nil)
+	receiver := fleet.NewReceiver(config, secret, h, o, nil, nil)
 	go func() { _ = server.Serve(receiver.Handle) }()
 	return o
 }
--- a/internal/vm/fleet/forward.go
+++ b/internal/vm/fleet/forward.go
@@ -24,12 +24,13 @@
 	router *Router
 	client *peer.Client
 	local  *home.Home
+	claims hawthornrail.Claims
 	secret []byte
 }
 
 // NewForwarder returns a forwarder that serves local programs itself.
-func NewForwarder(router *Router, client *peer.Client, local *home.Home, secret []byte) *Forwarder {
-	return &Forwarder{router: router, client: client, local: local, secret: secret}
+func NewForwarder(router *Router, client *peer.Client, local *home.Home, claims hawthornrail.Claims, secret []byte) *Forwarder {
+	return &Forwarder{router: router, client: client, local: local, claims: claims, secret: secret}
 }
 
 // Serve runs the request here if its program is held here, and asks its holder
@@ -50,17 +51,6 @@
 	})
 }
 
-func (f *Forwarder) serveSingle(ctx context.Context, r *hawthornrail.Request, w hawthornrail.AnswerWriter) error {
-	d := r.Deployment()
-	id, err := f.local.Create(ctx, d.Team(), d.Name(), d.Budget())
-	if err != nil {
-		return err
-	}
-	r.SetProgram(id.String(), 1)
-	r.SetEndsProgram(true)
-	return f.local.Serve(ctx, r, w)
-}
-
 func unreachable(err error) error {
 	f := hawthornrail.NewFailure(hawthornrail.CodeHomeUnreachable, hawthornrail.VerdictNotRun, err)
 	return f.WithRetryAfter(unreachableRetryAfter)
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -7,6 +7,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -22,14 +23,15 @@
 	local    *home.Home
 	replicas *replica.Store
 	prober   *members.Prober
+	rates    *rate.Fleet
 }
 
-// NewReceiver returns a receiver for the programs held here and the replicas
-// kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, holdings *Holdings, prober *members.Prober) *Receiver {
+// NewReceiver returns a receiver for the programs held here, the replicas
+// kept here and the rates that this VM has a part of.
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, holdings *Holdings, prober *members.Prober, rates *rate.Fleet) *Receiver {
 	return &Receiver{
 		self: holdings.parts.Self, config: config, secret: secret, local: local,
-		holdings: holdings, replicas: holdings.parts.Replicas, prober: prober,
+		holdings: holdings, replicas: holdings.parts.Replicas, prober: prober, rates: rates,
 	}
 }
 
@@ -46,6 +48,8 @@
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
 		v.endProgram(ctx, k.EndProgram, s)
+	case *vmpb.Open_Borrow, *vmpb.Open_ShareState:
+		v.rates.Receive(open, s)
 	default:
 		v.pairing(open, s)
 	}
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -50,6 +51,8 @@
 	mu      sync.Mutex
 	session *yamux.Session
 	remote  hawthornrail.Instance
+	asker   *asker
+	askerOf *yamux.Session
 	failed  time.Time
 	err     error
 
@@ -58,9 +61,10 @@
 }
 
 // NewClient returns a client that proves itself as self under secret.
-func NewClient(self hawthornrail.Instance, secret []byte, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
+// mutual is nil where the settings switch TLS off.
+func NewClient(self hawthornrail.Instance, secret []byte, mutual *vmtls.Mutual, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
 	return &Client{
-		identity: identity{self: self, secret: secret},
+		identity: identity{self: self, secret: secret, mutual: mutual},
 		clock:    clock,
 		dialer:   dialer,
 		links:    make(map[string]*link),
@@ -115,20 +119,52 @@
 	e.link.pending.Add(-1)
 }
 
-// Ask opens a stream, reads one reply into reply and closes the stream.
+// Ask sends a question to the VM at an address and reads the one reply; an
+// error that wraps ErrUnsent means that the VM can't have seen the question.
 func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
-	e, err := c.Open(ctx, address, open)
+	a, remote, err := c.asker(ctx, address)
 	if err != nil {
-		return hawthornrail.Instance{}, err
+		return remote, errors.Join(ErrUnsent, err)
 	}
-	defer e.Close()
-	if err := e.Receive(reply); err != nil {
-		if ctx.Err() != nil {
-			return e.remote, fmt.Errorf("ask %s: %w", address, ctx.Err())
-		}
-		return e.remote, err
+	open.TraceParent = traces.Parent(ctx)
+	l := c.link(address)
+	l.pending.Add(1)
+	defer l.pending.Add(-1)
+	c.watch(l)
+	payload, err := a.ask(ctx, open)
+	if err != nil {
+		return remote, fmt.Errorf("ask VM at %s: %w", address, err)
+	}
+	if err := proto.Unmarshal(payload, reply); err != nil {
+		return remote, fmt.Errorf("decode answer: %w", err)
+	}
+	return remote, nil
+}
+
+// asker returns the stream for questions to an address, a new one if the last
+// has failed.
+func (c *Client) asker(ctx context.Context, address string) (*asker, hawthornrail.Instance, error) {
+	l := c.link(address)
+	session, remote, err := c.connect(ctx, l, address)
+	if err != nil {
+		return nil, remote, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asker != nil && l.askerOf == session && !l.asker.failed() {
+		return l.asker, remote, nil
+	}
+	stream, err := session.Open()
+	if err != nil {
+		return nil, remote, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	a, err := newAsker(stream)
+	if err != nil {
+		_ = stream.Close()
+		return nil, remote, err
 	}
-	return e.remote, nil
+	l.asker, l.askerOf = a, session
+	return a, remote, nil
 }
 
 // Close closes every connection.
@@ -174,12 +210,12 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*yamux.Session, hawthornrail.Instance, error) {
-	conn, err := c.dialer.Dial(ctx, address)
+	raw, err := c.dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, hawthornrail.Instance{}, fmt.Errorf("dial VM: %w", err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	remote, err := c.identity.handshake(conn, true, c.clock.Now())
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+	conn, remote, err := c.identity.secure(raw, true, c.clock.Now())
 	if err == nil && !stop() {
 		err = ctx.Err()
 	}
@@ -247,5 +283,10 @@
 	_ = session.Close()
 }
 
-// Send writes a reply on a serving stream.
-func (s *Stream) Send(m proto.Message) error { return WriteMessage(s.conn, m) }
+// Send writes a reply on a serving stream; a question takes one reply.
+func (s *Stream) Send(m proto.Message) error {
+	if s.question != nil {
+		return s.question.send(m)
+	}
+	return WriteMessage(s.conn, m)
+}
