--- a/internal/team/keyring/keyring.go
+++ b/internal/team/keyring/keyring.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
@@ -29,9 +30,16 @@
 	return keyPrefix + "_" + id + "_" + secret, id, hashOf(secret), nil
 }
 
+// loadRetryAfter is when to come back to a VM that has just started.
+const loadRetryAfter = 200 * time.Millisecond
+
 // Check returns the deployment of a caller's key and the key's id, or a
 // Failure of a request that did not run.
 func Check(s *hawthornrail.Snapshot, credential string) (hawthornrail.Deployment, string, error) {
+	if s.Revision() == 0 {
+		f := hawthornrail.NotRun(hawthornrail.CodeConfigStale, "no configuration is loaded yet")
+		return hawthornrail.Deployment{}, "", f.WithRetryAfter(loadRetryAfter)
+	}
 	parts := strings.Split(credential, "_")
 	if len(parts) != 3 || parts[0] != keyPrefix {
 		return hawthornrail.Deployment{}, "", hawthornrail.NotRun(hawthornrail.CodeUnauthorized, "no valid key came with the request")
