--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -255,8 +255,12 @@
 // checkKey refuses a request whose key was withdrawn while it waited; the
 // snapshot is the newest one, unless the VM that checked the key is ahead.
 func (c *call) checkKey() error {
-	id, snapshot := c.request.KeyID(), c.home.parts.Config.Snapshot()
-	if id == "" || keyring.Working(snapshot, id, c.request.Team()) || snapshot.Revision() < c.request.Revision() {
+	id := c.request.KeyID()
+	if id == "" {
+		return nil
+	}
+	snapshot := c.home.parts.Config.Snapshot()
+	if keyring.Working(snapshot, id, c.request.Team()) || snapshot.Revision() < c.request.Revision() {
 		return nil
 	}
 	return keyring.WithdrawnFailure(id, hawthornrail.VerdictNotRun)
--- a/internal/program/home/record.go
+++ b/internal/program/home/record.go
@@ -10,6 +10,7 @@
 const (
 	serviceTimeout   = 5 * time.Minute
 	recordRetryDelay = 500 * time.Millisecond
+	replaceDelay     = 50 * time.Millisecond
 	maxRecordDelay   = 10 * time.Second
 )
 
@@ -33,7 +34,7 @@
 		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
 	}
 	ends := err == nil && c.request.EndsProgram()
-	recordErr := c.home.record(c.entry, outcome, ends)
+	recordErr := c.recordSoon(outcome, ends)
 	if recordErr == nil {
 		return nil
 	}
@@ -79,6 +80,19 @@
 	return unrecordedFailure(hawthornrail.NotRun(hawthornrail.CodeReplicaUnreached, "the outcome of the call is not replicated yet"))
 }
 
+// recordSoon repeats record while the backup is being replaced, so that the
+// caller of a call that ran meanwhile gets its answer.
+func (c *call) recordSoon(outcome hawthornrail.Outcome, ends bool) error {
+	k := c.home.parts.Clock
+	for start := k.Now(); ; k.Sleep(replaceDelay) {
+		err := c.home.record(c.entry, outcome, ends)
+		replacing := err != nil && hawthornrail.AsFailure(err).Code() == hawthornrail.CodeReplicaUnreached
+		if !replacing || k.Since(start) > recordTimeout || !c.home.parts.Replicator.Holds(c.id.Home()) {
+			return err
+		}
+	}
+}
+
 // record takes the steps that follow a call and that were not taken yet.
 func (h *Home) record(e *entry, outcome hawthornrail.Outcome, ends bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
