Model engines and programs, and compare the policy with plain balancers

Cause: decisions under load had no measure. Ruled out: a KV cache of 400,000 tokens an engine (16-bit): 90% of compute then needs 105% of the memory for running requests alone, so no balancer can carry it; 8-bit KV gives 52%.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export PATH := $(shell $(GO) env GOPATH)/bin:$(PATH)
 export CGO_ENABLED := 1
 
-.PHONY: build demo test soak generate
+.PHONY: build demo test soak generate bench bench-quick
 
 # Builds both programs, linked to libc.
 build:
@@ -21,6 +21,14 @@
 soak:
 	scripts/soak.sh
 
+# Compares the policy with plain balancers; fails when a target is missed.
+bench: build
+	bin/bench --plots plots
+
+# Compares them on shorter traces.
+bench-quick: build
+	bin/bench --quick --plots plots
+
 # Generates the wire types from the schema; needs buf and protoc-gen-go.
 generate:
 	cd api && buf lint && buf generate
--- a/interfaces.go
+++ b/interfaces.go
@@ -62,6 +62,11 @@
 	attained float64
 	cost     float64
 	priority int
+	kind     EndpointKind
+	target   string
+	started  time.Time
+	fresh    bool
+	last     bool
 }
 
 // NewTicket returns the ticket of a request with its team's weight, the
@@ -77,6 +82,31 @@
 	return t
 }
 
+// WithTarget returns a copy for a model or service.
+func (t Ticket) WithTarget(kind EndpointKind, target string) Ticket {
+	t.kind, t.target = kind, target
+	return t
+}
+
+// WithStarted returns a copy with the time at which its program started, by
+// which a program keeps its place over its pauses.
+func (t Ticket) WithStarted(started time.Time) Ticket {
+	t.started = started
+	return t
+}
+
+// WithFresh returns a copy of a request whose program has not run yet.
+func (t Ticket) WithFresh(fresh bool) Ticket {
+	t.fresh = fresh
+	return t
+}
+
+// WithLast returns a copy of a request known to be its program's last.
+func (t Ticket) WithLast(last bool) Ticket {
+	t.last = last
+	return t
+}
+
 // Team returns the team that the request runs for.
 func (t Ticket) Team() string { return t.team }
 
@@ -95,6 +125,21 @@
 // Priority returns the request's priority; higher goes first.
 func (t Ticket) Priority() int { return t.priority }
 
+// Kind returns the kind of endpoint that the request needs.
+func (t Ticket) Kind() EndpointKind { return t.kind }
+
+// Target returns the model or service that the request needs.
+func (t Ticket) Target() string { return t.target }
+
+// Started returns when the program started, or zero.
+func (t Ticket) Started() time.Time { return t.started }
+
+// Fresh reports whether the program has not run yet.
+func (t Ticket) Fresh() bool { return t.fresh }
+
+// Last reports whether the request is known to be its program's last.
+func (t Ticket) Last() bool { return t.last }
+
 // Queue orders the requests that wait for endpoint capacity.
 type Queue interface {
 	// Acquire waits for a place and returns the function that gives it back
--- a/internal/policy/fair/doc.go
+++ b/internal/policy/fair/doc.go
@@ -1,2 +1,3 @@
-// Package fair orders the requests that wait for capacity.
+// Package fair orders the requests that wait for capacity: by weighted
+// service across teams, and by program within a team.
 package fair
--- /dev/null
+++ b/internal/standin/model/policy.go
@@ -0,0 +1,157 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/fair"
+)
+
+// Policy is a way to balance that the model can run.
+type Policy struct {
+	name  string
+	build func(Size) balancer
+}
+
+// Name returns the policy's name.
+func (p Policy) Name() string { return p.name }
+
+// Naive returns the plain balancers.
+func Naive() []Policy {
+	return []Policy{
+		{"round_robin", func(s Size) balancer { return newNaive(s, false, roundRobin) }},
+		{"least_requests", func(s Size) balancer { return newNaive(s, false, leastRequests) }},
+		{"fifo", func(s Size) balancer { return newNaive(s, true, firstInFirstOut) }},
+		{"consistent_hash", func(s Size) balancer { return newNaive(s, false, consistentHash) }},
+	}
+}
+
+// Scheduler returns the project's policy with its parameters.
+func Scheduler(limits fair.Limits, params endpoint.Params) Policy {
+	return Policy{"hawthornrail", func(s Size) balancer { return newScheduler(s, limits, params) }}
+}
+
+// scheduler runs the project's decisions, apart for each VM.
+type scheduler struct {
+	vms []*vmState
+}
+
+type vmState struct {
+	order    *fair.Order
+	table    *endpoint.Table
+	calls    map[*fair.Item]*call
+	items    map[*call]*fair.Item
+	inFlight int
+}
+
+const modelName = "model"
+
+func newScheduler(size Size, limits fair.Limits, params endpoint.Params) *scheduler {
+	s := &scheduler{}
+	for vm := range size.vms {
+		random := rand.New(rand.NewPCG(uint64(vm), 5))
+		v := &vmState{
+			order: fair.NewOrder(limits, random),
+			table: endpoint.NewTable(params, zoneName(vm, size), random),
+			calls: make(map[*fair.Item]*call),
+			items: make(map[*call]*fair.Item),
+		}
+		v.table.SetSharers(size.vms)
+		v.table.Set(endpoints(size))
+		s.vms = append(s.vms, v)
+	}
+	return s
+}
+
+func endpoints(size Size) []hawthornrail.Endpoint {
+	var list []hawthornrail.Endpoint
+	for i := range size.engines {
+		e := hawthornrail.NewEndpoint(engineName(i), hawthornrail.EngineEndpoint, zoneName(i, size), "", []string{modelName})
+		list = append(list, e.WithSlots(engineSlots))
+	}
+	return list
+}
+
+func engineName(index int) string { return fmt.Sprintf("e%03d", index) }
+
+func zoneName(index int, size Size) string { return fmt.Sprintf("dc%d", index%size.dataCentres) }
+
+func at(now float64) time.Time {
+	return time.Unix(1_700_000_000, 0).Add(time.Duration(now * float64(time.Second)))
+}
+
+func (s *scheduler) offer(c *call, now float64) (float64, bool) {
+	v, r := s.vms[c.run.vm], c.run
+	cost := float64(c.turn().prompt) + serviceOf(int(completionMedian))
+	t := hawthornrail.NewTicket(fmt.Sprintf("team%d", r.plan.team), teamWeight(r.plan.team), r.plan.id, r.attained, cost).
+		WithTarget(hawthornrail.EngineEndpoint, modelName).WithStarted(at(r.start)).WithFresh(c.number == 0)
+	item, comeBack, ok := v.order.Add(t, at(now))
+	if !ok {
+		return comeBack.Seconds(), false
+	}
+	v.items[c], v.calls[item] = item, c
+	return 0, true
+}
+
+func teamWeight(team int) float64 { return demandShares()[team] }
+
+func (s *scheduler) next(vm int, now float64) (*call, int, bool) {
+	v := s.vms[vm]
+	a := v.table.Allowance()
+	if v.inFlight >= a.Requests() {
+		return nil, 0, false
+	}
+	item, ok := v.order.Next(a.Fresh())
+	if !ok {
+		return nil, 0, false
+	}
+	c := v.calls[item]
+	delete(v.calls, item)
+	e, ok := v.table.Choose(query(c), at(now))
+	if !ok {
+		return nil, 0, false
+	}
+	v.inFlight++
+	var index int
+	_, _ = fmt.Sscanf(e.Name(), "e%d", &index)
+	return c, index, true
+}
+
+func query(c *call) hawthornrail.PickQuery {
+	return hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, modelName, c.run.plan.id, c.prompt())
+}
+
+func (s *scheduler) done(j *job, engine int, ok bool, now float64) {
+	v, c, name := s.vms[j.vm], j.call, engineName(engine)
+	v.inFlight--
+	item := v.items[c]
+	delete(v.items, c)
+	took := time.Duration((now - j.sent) * float64(time.Second))
+	if !ok {
+		v.order.Finished(item, 0, at(now))
+		v.table.Done(name, hawthornrail.VerdictMayHaveRun, took, at(now))
+		v.table.Forget(c.run.plan.id)
+		return
+	}
+	v.order.Finished(item, float64(j.uncached)+serviceOf(c.turn().completion), at(now))
+	v.table.Done(name, hawthornrail.VerdictRan, took, at(now))
+	v.table.Cached(c.run.plan.id, name, c.prompt()+c.turn().completion, at(now))
+}
+
+func (s *scheduler) report(vm, engine int, r report, now float64) {
+	s.vms[vm].table.Report(engineName(engine), endpoint.NewReport(r.waiting, r.running, r.cached, cacheTokens), at(now))
+}
+
+func (s *scheduler) evicted(vm, engine int, program string, when float64) {
+	s.vms[vm].table.Evicted(program, engineName(engine), at(when))
+}
+
+func (s *scheduler) ended(r *run) bool {
+	s.vms[r.vm].table.Forget(r.plan.id)
+	return true
+}
+
+func (s *scheduler) dropped(int) {}
--- /dev/null
+++ b/internal/standin/model/trace.go
@@ -0,0 +1,138 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+)
+
+// turn is one call of a program and what follows it.
+type turn struct {
+	prompt     int // new tokens
+	completion int
+	pause      float64 // seconds
+	child      *plan
+}
+
+// plan is what a program will do; no decision sees it in advance.
+type plan struct {
+	id      string
+	team    int
+	arrival float64
+	turns   []turn
+}
+
+// work returns the engine seconds of all calls with nothing wasted.
+func (p *plan) work() float64 {
+	sum := 0.0
+	for _, t := range p.turns {
+		sum += t.work()
+		if t.child != nil {
+			sum += t.child.work()
+		}
+	}
+	return sum
+}
+
+func (p *plan) calls() int {
+	n := len(p.turns)
+	for _, t := range p.turns {
+		if t.child != nil {
+			n += t.child.calls()
+		}
+	}
+	return n
+}
+
+func (t turn) work() float64 {
+	return float64(t.prompt)/prefillPerSecond + float64(t.completion)*decodeSeconds
+}
+
+// Trace is a seeded list of programs that arrive over a time.
+type Trace struct {
+	size     Size
+	duration float64
+	plans    []*plan
+	rates    []float64 // requests a second
+}
+
+type generator struct {
+	size   Size
+	random *rand.Rand
+	number int
+}
+
+// NewTrace draws programs whose work within the teams' rates is the given
+// part of the engines' capacity; one team sends several times its usual rate
+// on top.
+func NewTrace(size Size, load, duration float64, seed uint64) Trace {
+	g := &generator{size: size, random: rand.New(rand.NewPCG(seed, 1))}
+	work, calls := g.means()
+	arrivals := load * float64(size.engines) / work
+	t := Trace{size: size, duration: duration}
+	for team, share := range demandShares() {
+		t.rates = append(t.rates, rateHeadroom*arrivals*share*calls)
+		rate := arrivals * share
+		if team == greedyTeam {
+			rate *= greedyFactor
+		}
+		for at := g.random.ExpFloat64() / rate; at < duration; at += g.random.ExpFloat64() / rate {
+			p := g.plan(team, 0)
+			p.arrival = at
+			t.plans = append(t.plans, p)
+		}
+	}
+	slices.SortFunc(t.plans, func(a, b *plan) int { return int(math.Copysign(1, a.arrival-b.arrival)) })
+	return t
+}
+
+// means returns the mean work and calls of a program.
+func (g *generator) means() (work, calls float64) {
+	const draws = 4000
+	for range draws {
+		p := g.plan(0, 0)
+		work += p.work()
+		calls += float64(p.calls())
+	}
+	return work / draws, calls / draws
+}
+
+func (g *generator) plan(team, depth int) *plan {
+	g.number++
+	p := &plan{id: strconv.Itoa(g.number), team: team}
+	long := depth == 0 && g.random.Float64() < g.size.longShare
+	n := 1 + int(g.random.ExpFloat64()*g.size.shortTurns)
+	if long {
+		n = 1 + int(g.lognormal(g.size.longTurns, longTurnsSpread))
+	}
+	history := 0
+	for i := range min(n, maxTurns) {
+		t := g.turn(i == 0)
+		history += t.prompt + t.completion
+		if history > maxHistory {
+			break
+		}
+		if long && g.random.Float64() < g.size.subAgentRate {
+			t.child = g.plan(team, depth+1)
+		}
+		p.turns = append(p.turns, t)
+	}
+	return p
+}
+
+func (g *generator) turn(first bool) turn {
+	prompt := min(maxTurnPrompt, g.lognormal(turnPromptMedian, turnPromptSpread))
+	if first {
+		prompt += g.lognormal(firstPromptMedian, firstPromptSpread)
+	}
+	return turn{
+		prompt:     1 + int(prompt),
+		completion: 1 + int(min(maxCompletion, g.lognormal(completionMedian, completionSpread))),
+		pause:      min(maxPause, g.lognormal(pauseMedian, pauseSpread)),
+	}
+}
+
+func (g *generator) lognormal(median, spread float64) float64 {
+	return median * math.Exp(spread*g.random.NormFloat64())
+}
