Weigh a prefill by the batch that it delays

Ruled out: a smaller share of memory for started programs (0.8): no gain. Conclusion: a prefill delays all requests that decode beside it, so it costs about the batch's size times its own time.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 bench: build
 	bin/bench --plots plots
 
-# Compares them on shorter traces.
+# Compares them in fewer cases.
 bench-quick: build
 	bin/bench --quick --plots plots
 
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -40,7 +40,7 @@
 // DefaultParams returns the parameters of the process.
 func DefaultParams() Params {
 	return Params{
-		PrefillPerSecond: 12_000, PrefillCost: 4, Crowding: 0.5,
+		PrefillPerSecond: 12_000, PrefillCost: 20, Crowding: 0.25,
 		Distance: 20 * time.Millisecond, ReportHalfLife: 4 * time.Second, HintHalfLife: 10 * time.Minute,
 		Samples: 16, NearEqual: 50 * time.Millisecond, MemoryShare: 0.9, IdleShare: 0.5,
 		FirstBackoff: time.Second, LastBackoff: 30 * time.Second,
