Queue and pick by the policy in the process

Cause: the process admitted every request at once and knew only its own requests at each endpoint. An endpoint is blamed only for its own failures.

--- a/interfaces.go
+++ b/interfaces.go
@@ -151,8 +151,16 @@
 type Picker interface {
 	// Pick returns an endpoint that serves the query, or a Failure.
 	Pick(q PickQuery) (Endpoint, error)
-	// Done reports the end of a request at an endpoint.
-	Done(endpoint string, q PickQuery, verdict Verdict, took time.Duration)
+	// Done reports the end of a request at an endpoint, nil or its error, and
+	// what it used.
+	Done(endpoint string, q PickQuery, err error, usage Usage, took time.Duration)
+}
+
+// Capacity tells how much a VM may send to the endpoints.
+type Capacity interface {
+	// Capacity returns how many requests this VM may have under way for a
+	// model or service, and whether programs that have not run may start.
+	Capacity(kind EndpointKind, target string) (requests int, fresh bool)
 }
 
 // PickQuery is what the choice of an endpoint depends on.
@@ -212,6 +220,17 @@
 // CachedTokens returns the prompt tokens found in the engine's cache.
 func (u Usage) CachedTokens() uint64 { return u.cachedTokens }
 
+// Service returns the service that the call took, in tokens of prompt: those
+// that were not cached, and for each generated token what it costs beside a
+// full batch.
+func (u Usage) Service() float64 {
+	uncached := u.promptTokens - min(u.promptTokens, u.cachedTokens)
+	return float64(uncached) + completionWeight*float64(u.completionTokens)
+}
+
+// completionWeight is the cost of a generated token in tokens of prompt.
+const completionWeight = 8.5
+
 // Total returns the prompt and completion tokens together.
 func (u Usage) Total() uint64 { return u.promptTokens + u.completionTokens }
 
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -1,68 +1,165 @@
 package pool
 
 import (
-	"slices"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
 )
 
 const noEndpointRetryAfter = time.Second
 
-// Pool picks the endpoint with the fewest requests of this VM under way; it
-// implements hawthornrail.Picker.
+// Pool picks endpoints by what this VM knows of them; it implements
+// hawthornrail.Picker and hawthornrail.Capacity.
 type Pool struct {
 	config     hawthornrail.Configuration
+	clock      hawthornrail.Clock
 	dataCentre string
+	params     endpoint.Params
 
 	mu       sync.Mutex
-	inFlight map[string]int
+	snapshot *hawthornrail.Snapshot
+	groups   map[groupKey]*group
 }
 
-// New returns a pool over the endpoints of a data centre.
-func New(config hawthornrail.Configuration, dataCentre string) *Pool {
-	return &Pool{config: config, dataCentre: dataCentre, inFlight: make(map[string]int)}
+// groupKey is a model or service.
+type groupKey struct {
+	kind   hawthornrail.EndpointKind
+	target string
 }
 
-// Pick returns the least used endpoint that serves the query, those of this
-// data centre first.
+// group is what is known of the endpoints of one model or service.
+type group struct {
+	mu    sync.Mutex
+	table *endpoint.Table
+}
+
+// New returns a pool over the configuration's endpoints for a VM in a data
+// centre.
+func New(config hawthornrail.Configuration, clock hawthornrail.Clock, dataCentre string) *Pool {
+	return &Pool{
+		config: config, clock: clock, dataCentre: dataCentre, params: endpoint.DefaultParams(),
+		groups: make(map[groupKey]*group),
+	}
+}
+
+// Pick returns the endpoint with the lowest expected time to the first token.
 func (p *Pool) Pick(q hawthornrail.PickQuery) (hawthornrail.Endpoint, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best hawthornrail.Endpoint
-	found := false
-	for _, e := range p.config.Snapshot().Endpoints() {
-		if !suits(e, q) {
-			continue
-		}
-		if !found || p.before(e, best) {
-			best, found = e, true
+	if g := p.group(groupKey{q.Kind(), q.Target()}); g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if e, ok := g.table.Choose(q, p.clock.Now()); ok {
+			return e, nil
 		}
 	}
-	if !found {
-		f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no endpoint serves %s", q.Target())
-		return best, f.WithRetryAfter(noEndpointRetryAfter)
+	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no endpoint serves %s", q.Target())
+	return hawthornrail.Endpoint{}, f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
+}
+
+// Done reports the end of a request and what its endpoint now caches.
+func (p *Pool) Done(name string, q hawthornrail.PickQuery, err error, usage hawthornrail.Usage, took time.Duration) {
+	g := p.group(groupKey{q.Kind(), q.Target()})
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := p.clock.Now()
+	outcome := outcomeOf(err)
+	g.table.Done(name, outcome, took, now)
+	if outcome == endpoint.Served {
+		g.table.Cached(q.Program(), name, int(usage.Total()), now)
+	}
+}
+
+// outcomeOf blames the endpoint only for its own failures: a step that was
+// not replicated or a caller that hung up says nothing of it.
+func outcomeOf(err error) endpoint.Outcome {
+	switch {
+	case err == nil:
+		return endpoint.Served
+	case hawthornrail.AsFailure(err).Code() == hawthornrail.CodeEndpointFailed:
+		return endpoint.Failed
+	default:
+		return endpoint.Unknown
+	}
+}
+
+// Capacity returns how many requests this VM may have under way for a model
+// or service, and whether programs that have not run yet may start.
+func (p *Pool) Capacity(kind hawthornrail.EndpointKind, target string) (int, bool) {
+	g := p.group(groupKey{kind, target})
+	if g == nil {
+		return 1, true
 	}
-	p.inFlight[best.Name()]++
-	return best, nil
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.table.Allowance()
+	return a.Requests(), a.Fresh()
 }
 
-// Done reports the end of a request.
-func (p *Pool) Done(endpoint string, _ hawthornrail.PickQuery, _ hawthornrail.Verdict, _ time.Duration) {
+// Report takes an endpoint's own account of its load.
+func (p *Pool) Report(e hawthornrail.Endpoint, r endpoint.Report) {
+	p.each(e, func(t *endpoint.Table, now time.Time) { t.Report(e.Name(), r, now) })
+}
+
+// Silent takes that an endpoint did not answer for its load.
+func (p *Pool) Silent(e hawthornrail.Endpoint) {
+	p.each(e, func(t *endpoint.Table, now time.Time) { t.Silent(e.Name(), now) })
+}
+
+func (p *Pool) each(e hawthornrail.Endpoint, do func(*endpoint.Table, time.Time)) {
+	for _, target := range e.Serves() {
+		if g := p.group(groupKey{e.Kind(), target}); g != nil {
+			g.mu.Lock()
+			do(g.table, p.clock.Now())
+			g.mu.Unlock()
+		}
+	}
+}
+
+// group returns the group in the configuration in force, or nil.
+func (p *Pool) group(k groupKey) *group {
+	snapshot := p.config.Snapshot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.inFlight[endpoint]--
+	if p.snapshot != snapshot {
+		p.refresh(snapshot)
+	}
+	return p.groups[k]
 }
 
-func suits(e hawthornrail.Endpoint, q hawthornrail.PickQuery) bool {
-	return e.Kind() == q.Kind() && !e.Leaving() &&
-		slices.Contains(e.Serves(), q.Target()) && !slices.Contains(q.Avoid(), e.Name())
+func (p *Pool) refresh(snapshot *hawthornrail.Snapshot) {
+	members := make(map[groupKey][]hawthornrail.Endpoint)
+	for _, e := range snapshot.Endpoints() {
+		for _, target := range e.Serves() {
+			k := groupKey{e.Kind(), target}
+			members[k] = append(members[k], e)
+		}
+	}
+	for k, g := range p.groups {
+		if _, ok := members[k]; !ok {
+			members[k] = nil
+		}
+		p.update(g, members[k], snapshot)
+	}
+	for k, list := range members {
+		if _, ok := p.groups[k]; ok {
+			continue
+		}
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		g := &group{table: endpoint.NewTable(p.params, p.dataCentre, random)}
+		p.groups[k] = g
+		p.update(g, list, snapshot)
+	}
+	p.snapshot = snapshot
 }
 
-func (p *Pool) before(a, b hawthornrail.Endpoint) bool {
-	if (a.DataCentre() == p.dataCentre) != (b.DataCentre() == p.dataCentre) {
-		return a.DataCentre() == p.dataCentre
-	}
-	return p.inFlight[a.Name()] < p.inFlight[b.Name()]
+func (p *Pool) update(g *group, list []hawthornrail.Endpoint, snapshot *hawthornrail.Snapshot) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetSharers(len(snapshot.VMs()))
+	g.table.Set(list)
 }
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -12,6 +12,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
+	"hawthornrail.example/hawthornrail/internal/endpoint/load"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/api"
@@ -40,6 +41,7 @@
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
+	Poller     *load.Poller
 	Callers    *server.Server
 }
 
@@ -120,6 +122,7 @@
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Poller.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -13,6 +13,7 @@
 	"hawthornrail.example/hawthornrail/internal/config/controller"
 	"hawthornrail.example/hawthornrail/internal/endpoint/engine"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
+	"hawthornrail.example/hawthornrail/internal/endpoint/load"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
 	"hawthornrail.example/hawthornrail/internal/endpoint/service"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
@@ -49,7 +50,8 @@
 		http.New,
 		newPool,
 		func(p *pool.Pool) hawthornrail.Picker { return p },
-		func() hawthornrail.Queue { return fair.Unbounded{} },
+		newQueue,
+		newPoller,
 		func(c hawthornrail.Configuration, k hawthornrail.Clock) hawthornrail.Admitter {
 			return rate.NewStatic(c, k)
 		},
@@ -100,8 +102,16 @@
 	return controller.New(p, k, l.Layer("config"))
 }
 
-func newPool(c hawthornrail.Configuration, s settings.Settings) *pool.Pool {
-	return pool.New(c, s.DataCentre())
+func newPool(c hawthornrail.Configuration, k hawthornrail.Clock, s settings.Settings) *pool.Pool {
+	return pool.New(c, k, s.DataCentre())
+}
+
+func newPoller(c hawthornrail.Configuration, t *http.Transport, p *pool.Pool, k hawthornrail.Clock) *load.Poller {
+	return load.NewPoller(c, t, p, k)
+}
+
+func newQueue(p *pool.Pool, k hawthornrail.Clock) hawthornrail.Queue {
+	return fair.NewQueue(fair.DefaultLimits(), p, k)
 }
 
 func newPeerServer(i hawthornrail.Instance, s settings.Settings, k hawthornrail.Clock, l events.Logger) *peer.Server {
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -23,7 +23,6 @@
 // state is what this VM knows of one endpoint.
 type state struct {
 	endpoint    hawthornrail.Endpoint
-	position    int
 	slots       int
 	inFlight    int
 	ownAtReport int
@@ -33,6 +32,7 @@
 	failures    int
 	retryAt     time.Time
 	probing     bool
+	silent      bool
 	service     average
 }
 
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -74,6 +75,7 @@
 	hints      map[string]hint
 	service    average
 	inFlight   int
+	unknown    int
 	sums
 }
 
@@ -105,7 +107,7 @@
 func (t *Table) Set(endpoints []hawthornrail.Endpoint) {
 	old := t.states
 	t.states = make(map[string]*state, len(endpoints))
-	t.local, t.remote = nil, nil
+	t.local, t.remote, t.unknown = nil, nil, 0
 	for _, e := range endpoints {
 		s, ok := old[e.Name()]
 		if !ok {
@@ -113,6 +115,7 @@
 		}
 		s.endpoint, s.slots = e, e.Slots()
 		if s.slots <= 0 {
+			t.unknown++
 			s.slots = assumedSlots
 		}
 		t.states[e.Name()] = s
@@ -161,6 +164,9 @@
 		return
 	}
 	t.count(s, -1)
+	if s.silent {
+		s.silent, s.failures = false, 0
+	}
 	s.report, s.reported, s.ownAtReport, s.freshTokens = r, now, s.inFlight, 0
 	t.count(s, 1)
 }
@@ -178,12 +184,16 @@
 func (a Allowance) Fresh() bool { return a.fresh }
 
 // Allowance returns what this VM may send: its equal part of the slots, and
-// beyond that its equal part of what the reports show as free.
+// beyond that its equal part of what the reports show as free. Endpoints
+// without a configured number of slots that do not report bound nothing.
 func (t *Table) Allowance() Allowance {
 	if t.slots == 0 {
 		// Let requests through to be refused for want of an endpoint.
 		return Allowance{requests: t.inFlight + 1, fresh: true}
 	}
+	if t.unknown > 0 && t.reports == 0 {
+		return Allowance{requests: math.MaxInt, fresh: true}
+	}
 	share := (t.slots + t.sharers - 1) / t.sharers
 	requests := share
 	if t.reports > 0 {
@@ -240,28 +250,45 @@
 	}
 }
 
+// Outcome is what a request's end says of its endpoint.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// Unknown says nothing of the endpoint.
+	Unknown Outcome = iota
+	// Served means that the endpoint answered.
+	Served
+	// Failed means that the endpoint failed.
+	Failed
+)
+
 // Done takes the end of a request at an endpoint.
-func (t *Table) Done(name string, verdict hawthornrail.Verdict, took time.Duration, now time.Time) {
+func (t *Table) Done(name string, outcome Outcome, took time.Duration, now time.Time) {
+	t.inFlight = max(0, t.inFlight-1)
 	s, ok := t.states[name]
 	if !ok {
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
-	t.inFlight = max(0, t.inFlight-1)
-	if verdict == hawthornrail.VerdictRan {
+	switch outcome {
+	case Served:
 		t.count(s, -1)
 		s.failures, s.probing = 0, false
 		t.count(s, 1)
 		s.service.add(took.Seconds())
 		t.service.add(took.Seconds())
-		return
+	case Failed:
+		t.failed(s, now)
+	default:
+		s.probing = false
 	}
-	t.failed(s, now)
 }
 
 // Silent takes that an endpoint did not answer for its load.
 func (t *Table) Silent(name string, now time.Time) {
 	if s, ok := t.states[name]; ok {
+		s.silent = true
 		t.failed(s, now)
 	}
 }
--- /dev/null
+++ b/internal/policy/fair/queue.go
@@ -0,0 +1,131 @@
+package fair
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+// recheckInterval is how often a waiting request looks at the capacity, which
+// also grows by reports that no request of this VM brings.
+const recheckInterval = 200 * time.Millisecond
+
+// Queue holds requests back while the endpoints look full and lets them go in
+// the order of an Order; it implements hawthornrail.Queue.
+type Queue struct {
+	limits   Limits
+	capacity hawthornrail.Capacity
+	clock    hawthornrail.Clock
+
+	mu      sync.Mutex
+	targets map[target]*targetQueue
+}
+
+// target is a model or service; each has a queue with a lock of its own.
+type target struct {
+	kind hawthornrail.EndpointKind
+	name string
+}
+
+type targetQueue struct {
+	mu       sync.Mutex
+	order    *Order
+	inFlight int
+	granted  map[*Item]chan struct{}
+}
+
+// NewQueue returns an empty queue before a capacity.
+func NewQueue(limits Limits, capacity hawthornrail.Capacity, clock hawthornrail.Clock) *Queue {
+	return &Queue{limits: limits, capacity: capacity, clock: clock, targets: make(map[target]*targetQueue)}
+}
+
+func (q *Queue) target(k target) *targetQueue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t, ok := q.targets[k]
+	if !ok {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		t = &targetQueue{order: NewOrder(q.limits, random), granted: make(map[*Item]chan struct{})}
+		q.targets[k] = t
+	}
+	return t
+}
+
+// Acquire waits until it is the request's turn.
+func (q *Queue) Acquire(ctx context.Context, ticket hawthornrail.Ticket) (func(float64), error) {
+	k := target{ticket.Kind(), ticket.Target()}
+	t := q.target(k)
+	item, granted, err := q.add(t, ticket)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		q.pump(t, k)
+		select {
+		case <-granted:
+			return func(used float64) { q.release(t, k, item, used) }, nil
+		case <-ctx.Done():
+			q.abandon(t, k, item, granted)
+			return nil, hawthornrail.NotRun(hawthornrail.CodeOverload, "wait for capacity: %w", ctx.Err())
+		case <-q.clock.After(recheckInterval):
+		}
+	}
+}
+
+func (q *Queue) add(t *targetQueue, ticket hawthornrail.Ticket) (*Item, chan struct{}, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	item, retryAfter, ok := t.order.Add(ticket, q.clock.Now())
+	if !ok {
+		f := hawthornrail.NotRun(hawthornrail.CodeOverload, "the team's requests for %s wait too long", ticket.Target())
+		return nil, nil, f.WithRetryAfter(retryAfter)
+	}
+	granted := make(chan struct{})
+	t.granted[item] = granted
+	return item, granted, nil
+}
+
+// pump grants what the capacity allows.
+func (q *Queue) pump(t *targetQueue, k target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.order.Waiting() > 0 {
+		requests, fresh := q.capacity.Capacity(k.kind, k.name)
+		if t.inFlight >= requests {
+			return
+		}
+		item, ok := t.order.Next(fresh)
+		if !ok {
+			return
+		}
+		t.inFlight++
+		close(t.granted[item])
+		delete(t.granted, item)
+	}
+}
+
+func (q *Queue) release(t *targetQueue, k target, item *Item, used float64) {
+	t.mu.Lock()
+	t.inFlight--
+	t.order.Finished(item, used, q.clock.Now())
+	t.mu.Unlock()
+	q.pump(t, k)
+}
+
+// abandon takes back a request whose caller has gone, also when it was
+// granted at the same moment.
+func (q *Queue) abandon(t *targetQueue, k target, item *Item, granted <-chan struct{}) {
+	t.mu.Lock()
+	select {
+	case <-granted:
+		t.mu.Unlock()
+		q.release(t, k, item, 0)
+	default:
+		t.order.Remove(item)
+		delete(t.granted, item)
+		t.mu.Unlock()
+	}
+}
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -168,8 +168,13 @@
 	}
 	start := c.home.parts.Clock.Now()
 	answer, err := c.dispatch(ctx, endpoint, p, w)
-	c.home.parts.Picker.Done(endpoint.Name(), query, hawthornrail.VerdictOf(err), c.home.parts.Clock.Since(start))
-	used = float64(answer.Usage().Total())
+	fault := err
+	if ctx.Err() != nil {
+		// The caller has gone, which says nothing of the endpoint.
+		fault = ctx.Err()
+	}
+	c.home.parts.Picker.Done(endpoint.Name(), query, fault, answer.Usage(), c.home.parts.Clock.Since(start))
+	used = answer.Usage().Service()
 	return endpoint.Name(), err
 }
 
--- a/internal/program/ledger/program.go
+++ b/internal/program/ledger/program.go
@@ -40,6 +40,9 @@
 // Budget returns the program's limits.
 func (p *Program) Budget() hawthornrail.Budget { return p.budget }
 
+// Created returns when the program started.
+func (p *Program) Created() time.Time { return p.created }
+
 // NextCall returns the number that the next call must have.
 func (p *Program) NextCall() uint64 { return p.next }
 
--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -134,13 +134,13 @@
 	_, _ = fmt.Fprintf(w, "seed %d, %.0f s of arrivals\n", s.seed, s.seconds)
 	for _, c := range s.scenarios {
 		_, _ = fmt.Fprintf(w, "\n%s\n", c.name)
-		_, _ = fmt.Fprintln(w, "policy\tp50 s\tp95 s\tp99 s\twasted Mtok\tprefill Mtok\tworst team\trefused\tbeyond rate\tretries\tnot done\t")
+		_, _ = fmt.Fprintln(w, "policy\tp50 s\tp95 s\tp99 s\twasted Mtok\tprefill Mtok\tworst team\trefused\tbeyond rate\tmax/mean\tretries\tnot done\t")
 		for _, o := range c.outcomes {
 			r := o.result
-			_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.3f\t%d\t%d\t%d\t%d/%d\t\n", o.policy,
+			_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.3f\t%d\t%d\t%.2f\t%d\t%d/%d\t\n", o.policy,
 				r.Latency(50).Seconds(), r.Latency(95).Seconds(), r.Latency(99).Seconds(),
 				float64(r.WastedTokens())/1e6, float64(r.PrefilledTokens())/1e6,
-				r.WorstTeam(), r.Refused(), r.RefusedByRate(), r.Retries(), r.Unfinished(), r.Programs())
+				r.WorstTeam(), r.Refused(), r.RefusedByRate(), r.Imbalance(), r.Retries(), r.Unfinished(), r.Programs())
 		}
 	}
 	if err := w.Flush(); err != nil {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -179,6 +179,7 @@
 	Waiting       int    `json:"waiting"`
 	Running       int    `json:"running"`
 	CachedTokens  int    `json:"cached_tokens"`
+	CacheCapacity int    `json:"cache_capacity"`
 	HitTokens     uint64 `json:"hit_tokens"`
 	PrefillTokens uint64 `json:"prefill_tokens"`
 	KeysSeen      int    `json:"caller_keys_seen"`
@@ -189,7 +190,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return Load{
-		Waiting: e.waiting, Running: e.running, CachedTokens: e.cached,
+		Waiting: e.waiting, Running: e.running, CachedTokens: e.cached, CacheCapacity: e.params.CacheTokens,
 		HitTokens: e.hits, PrefillTokens: e.prefill, KeysSeen: e.keys,
 	}
 }
--- a/internal/standin/model/policy.go
+++ b/internal/standin/model/policy.go
@@ -132,12 +132,12 @@
 	took := time.Duration((now - j.sent) * float64(time.Second))
 	if !ok {
 		v.order.Finished(item, 0, at(now))
-		v.table.Done(name, hawthornrail.VerdictMayHaveRun, took, at(now))
+		v.table.Done(name, endpoint.Failed, took, at(now))
 		v.table.Forget(c.run.plan.id)
 		return
 	}
 	v.order.Finished(item, float64(j.uncached)+serviceOf(c.turn().completion), at(now))
-	v.table.Done(name, hawthornrail.VerdictRan, took, at(now))
+	v.table.Done(name, endpoint.Served, took, at(now))
 	v.table.Cached(c.run.plan.id, name, c.prompt()+c.turn().completion, at(now))
 }
 
--- a/internal/standin/model/result.go
+++ b/internal/standin/model/result.go
@@ -52,8 +52,35 @@
 	programs      int
 	abandoned     int
 	worst         float64
+	imbalance     average
 }
 
+// average is a mean over samples.
+type average struct {
+	sum   float64
+	count int
+}
+
+// observe samples how much fuller than the mean the fullest engine is.
+func (r *Result) observe(engines []*engine) {
+	fullest, sum, alive := 0, 0, 0
+	for _, e := range engines {
+		if e.lost {
+			continue
+		}
+		n := len(e.waiting) + e.running()
+		fullest, sum, alive = max(fullest, n), sum+n, alive+1
+	}
+	if sum > 0 {
+		r.imbalance.sum += float64(fullest*alive) / float64(sum)
+		r.imbalance.count++
+	}
+}
+
+// Imbalance returns the mean of the fullest engine's requests over the mean
+// engine's.
+func (r Result) Imbalance() float64 { return r.imbalance.sum / max(1, float64(r.imbalance.count)) }
+
 const maxLatencyMS = 10_000_000
 
 func newResult(t Trace) Result {
--- a/internal/standin/model/run.go
+++ b/internal/standin/model/run.go
@@ -278,6 +278,9 @@
 	if e.lost {
 		return
 	}
+	if index == len(w.engines)-1 {
+		w.result.observe(w.engines)
+	}
 	r := report{waiting: len(e.waiting), running: e.running(), cached: e.pinned + e.cached}
 	lag := max(w.faults.ReportLag.Seconds(), 0.05)
 	for vm := range w.trace.size.vms {
