--- a/internal/policy/fair/order.go
+++ b/internal/policy/fair/order.go
@@ -285,15 +285,19 @@
 	heap.Push(items, i)
 	if first {
 		heap.Push(l, i.team)
+		return
 	}
+	heap.Fix(l, i.team.index[l.slot])
 }
 
 func (l *lane) remove(i *Item) {
 	items := &i.team.items[l.slot]
 	heap.Remove(items, i.index)
-	if len(*items) == 0 {
-		heap.Remove(l, i.team.index[l.slot])
+	if len(*items) > 0 {
+		heap.Fix(l, i.team.index[l.slot])
+		return
 	}
+	heap.Remove(l, i.team.index[l.slot])
 }
 
 func (l *lane) top() *Item {
@@ -313,7 +317,9 @@
 func (l *lane) Len() int { return len(l.teams) }
 
 // Less implements heap.Interface.
-func (l *lane) Less(i, j int) bool { return l.teams[i].counter < l.teams[j].counter }
+func (l *lane) Less(i, j int) bool {
+	return before(l.teams[i].items[l.slot][0], l.teams[j].items[l.slot][0])
+}
 
 // Swap implements heap.Interface.
 func (l *lane) Swap(i, j int) {
