Report load in the model as often as the process asks for it

Cause: the model gave a report of each engine every 0.5 s; a VM that asks two engines a second hears of one of ten every 5 s and of one of 35 every 17.5 s.

--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -25,6 +26,7 @@
 	targetSeeds  = 3
 	lateReports  = 2 * time.Second
 	manyVMs      = 40
+	atOnce       = 2
 	exitShort    = 1
 	exitFailed   = 2
 )
@@ -126,17 +128,29 @@
 	return c
 }
 
+// run plays a few scenarios at once; each is seeded by itself.
 func (s *suite) run() {
+	var wait sync.WaitGroup
+	places := make(chan struct{}, atOnce)
 	for _, c := range s.scenarios {
-		trace := model.NewTrace(c.size, c.load, s.seconds, c.seed)
-		for _, p := range model.Naive() {
-			c.outcomes = append(c.outcomes, outcome{p.Name(), true, model.Run(trace, p, c.faults)})
-		}
-		p := model.Scheduler(fair.DefaultLimits(), endpoint.DefaultParams())
-		c.outcomes = append(c.outcomes, outcome{p.Name(), false, model.Run(trace, p, c.faults)})
-		c.outcomes = append(c.outcomes, outcome{"(no contention)", false, model.Ideal(trace)})
-		c.asked = trace.Load()
+		wait.Go(func() {
+			places <- struct{}{}
+			c.run(s.seconds)
+			<-places
+		})
+	}
+	wait.Wait()
+}
+
+func (c *scenario) run(seconds float64) {
+	trace := model.NewTrace(c.size, c.load, seconds, c.seed)
+	for _, p := range model.Naive() {
+		c.outcomes = append(c.outcomes, outcome{p.Name(), true, model.Run(trace, p, c.faults)})
 	}
+	p := model.Scheduler(fair.DefaultLimits(), endpoint.DefaultParams())
+	c.outcomes = append(c.outcomes, outcome{p.Name(), false, model.Run(trace, p, c.faults)})
+	c.outcomes = append(c.outcomes, outcome{"(no contention)", false, model.Ideal(trace)})
+	c.asked = trace.Load()
 }
 
 func (s *suite) write(out io.Writer) error {
--- a/internal/standin/model/params.go
+++ b/internal/standin/model/params.go
@@ -59,7 +59,7 @@
 
 // What engines publish.
 const (
-	reportPeriod   = 0.5 // seconds
+	pollsPerSecond = 2.0 // by each VM, over all engines
 	eventDelay     = 1.0 // seconds
 	eventLoss      = 0.2
 	connectTimeout = 1.0 // seconds
--- a/internal/standin/model/run.go
+++ b/internal/standin/model/run.go
@@ -96,7 +96,7 @@
 		w.at(p.arrival, func() { w.begin(p, w.random.IntN(trace.size.vms), nil) })
 	}
 	for i := range w.engines {
-		w.at(w.random.Float64()*reportPeriod, func() { w.reports(i) })
+		w.at(w.random.Float64()*w.reportPeriod(), func() { w.reports(i) })
 	}
 	if faults.LoseEngine {
 		w.at(trace.duration/2, w.loseEngine)
@@ -272,9 +272,12 @@
 	}
 }
 
+// reportPeriod is how often a VM hears of one engine.
+func (w *world) reportPeriod() float64 { return float64(w.trace.size.engines) / pollsPerSecond }
+
 func (w *world) reports(index int) {
 	e := w.engines[index]
-	w.at(w.now+reportPeriod, func() { w.reports(index) })
+	w.at(w.now+w.reportPeriod(), func() { w.reports(index) })
 	if e.lost {
 		return
 	}
