--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -22,6 +22,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
+	"hawthornrail.example/hawthornrail/internal/policy/retry"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
@@ -152,7 +153,8 @@
 		Engines:  engine.New(in.Transport, in.Tracer),
 		Services: service.New(in.Transport, in.Tracer),
 		Tracer:   in.Tracer, Log: in.Log.Layer("home"),
-		RetryLimit: in.Settings.RetryLimit(), DefaultReply: in.Settings.ReplyTokens(),
+		RetryLimit: in.Settings.RetryLimit(), Retries: retry.NewBudget(),
+		DefaultReply: in.Settings.ReplyTokens(),
 	})
 }
 
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -128,6 +128,7 @@
 	if err != nil {
 		return err
 	}
+	c.home.parts.Retries.Earn()
 	var tried []string
 	counted := &countingWriter{next: w}
 	for {
@@ -150,7 +151,8 @@
 	if ctx.Err() != nil || w.started || tries > c.home.parts.RetryLimit {
 		return false
 	}
-	return c.request.Idempotent() || f.Verdict() == hawthornrail.VerdictNotRun
+	repeatable := c.request.Idempotent() || f.Verdict() == hawthornrail.VerdictNotRun
+	return repeatable && c.home.parts.Retries.Take()
 }
 
 // attempt sends the call to one endpoint and records what came of it.
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -12,6 +12,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/policy/retry"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 )
 
@@ -31,6 +32,7 @@
 	Tracer       *traces.Tracer
 	Log          events.Logger
 	RetryLimit   int
+	Retries      *retry.Budget
 	DefaultReply uint64
 }
 
