--- a/internal/standin/model/naive.go
+++ b/internal/standin/model/naive.go
@@ -68,6 +68,7 @@
 }
 
 func (n *naive) report(int, int, report, float64)  {}
+func (n *naive) silent(int, int, float64)          {}
 func (n *naive) evicted(int, int, string, float64) {}
 func (n *naive) ended(*run) bool                   { return true }
 func (n *naive) dropped(engine int)                { n.alive[engine] = false }
--- a/internal/standin/model/policy.go
+++ b/internal/standin/model/policy.go
@@ -145,6 +145,10 @@
 	s.vms[vm].table.Report(engineName(engine), endpoint.NewReport(r.waiting, r.running, r.cached, cacheTokens), at(now))
 }
 
+func (s *scheduler) silent(vm, engine int, now float64) {
+	s.vms[vm].table.Silent(engineName(engine), at(now))
+}
+
 func (s *scheduler) evicted(vm, engine int, program string, when float64) {
 	s.vms[vm].table.Evicted(program, engineName(engine), at(when))
 }
--- a/internal/standin/model/result.go
+++ b/internal/standin/model/result.go
@@ -229,6 +229,7 @@
 func (*idealBalancer) next(int, float64) (*call, int, bool) { return nil, 0, false }
 func (*idealBalancer) done(*job, int, bool, float64)        {}
 func (*idealBalancer) report(int, int, report, float64)     {}
+func (*idealBalancer) silent(int, int, float64)             {}
 func (*idealBalancer) evicted(int, int, string, float64)    {}
 func (*idealBalancer) ended(*run) bool                      { return false }
 func (*idealBalancer) dropped(int)                          {}
--- a/internal/standin/model/run.go
+++ b/internal/standin/model/run.go
@@ -51,6 +51,8 @@
 	done(j *job, engine int, ok bool, now float64)
 	// report brings an engine's load to a VM.
 	report(vm, engine int, r report, now float64)
+	// silent tells a VM that an engine did not answer for its load.
+	silent(vm, engine int, now float64)
 	// evicted brings a cache event to a VM.
 	evicted(vm, engine int, program string, at float64)
 	// ended reports that a program has ended and whether to release its cache.
@@ -279,6 +281,7 @@
 	e := w.engines[index]
 	w.at(w.now+w.reportPeriod(), func() { w.reports(index) })
 	if e.lost {
+		w.silent(index)
 		return
 	}
 	if index == len(w.engines)-1 && w.now < w.trace.duration {
@@ -294,6 +297,15 @@
 	}
 }
 
+// silent lets the VMs find out that a lost engine does not answer.
+func (w *world) silent(index int) {
+	w.at(w.now+connectTimeout, func() {
+		for vm := range w.trace.size.vms {
+			w.balancer.silent(vm, index, w.now)
+		}
+	})
+}
+
 // publish sends a cache event late, or loses it.
 func (w *world) publish(index int, program string) {
 	if w.random.Float64() < eventLoss {
