Keep a team's credit while another is served out of turn

Cause: a team that came back from a pause began at the highest service of any team served so far. Where memory, and not slots, holds new programs back, calls of started programs go at once, also those of a team that is ahead; so the others lost what was due to them.

--- a/internal/policy/fair/order.go
+++ b/internal/policy/fair/order.go
@@ -33,6 +33,7 @@
 	minWeight      = 1e-6
 	minRate        = 1e-9
 	forgottenTeams = 1024
+	minBacklog     = 4 // requests that a team may have waiting whatever their cost
 )
 
 // Item is a request that waits in an Order.
@@ -60,7 +61,9 @@
 	teams   map[string]*team
 	held    lane
 	fresh   lane
-	floor   float64
+	virtual float64
+	start   float64
+	present float64
 	number  uint64
 	waiting int
 	active  float64
@@ -84,14 +87,12 @@
 	if t.Fresh() {
 		l, limit = &o.fresh, o.limits.FreshWait
 	}
-	if wait := o.expectedWait(m, now); wait > limit || o.waiting >= o.limits.MaxWaiting {
+	if wait := o.expectedWait(m, now); wait > limit && m.waiting >= minBacklog || o.waiting >= o.limits.MaxWaiting {
 		return nil, o.comeBack(wait, limit), false
 	}
 	o.number++
 	item = &Item{ticket: t, since: now, key: o.key(t, now), number: o.number, team: m, lane: l}
-	if m.waiting == 0 {
-		m.counter = max(m.counter, o.floor)
-	}
+	o.arrive(m)
 	m.waiting++
 	m.backlog += t.Cost()
 	o.waiting++
@@ -107,6 +108,7 @@
 	}
 	item.lane.remove(item)
 	o.left(item)
+	o.depart(item.team)
 }
 
 // Next takes the request that goes next; without fresh, only requests of
@@ -121,7 +123,8 @@
 	}
 	item.lane.remove(item)
 	o.left(item)
-	o.floor = max(o.floor, item.team.counter)
+	item.team.inFlight++
+	o.start = o.virtual
 	o.charge(item.team, item.ticket.Cost())
 	return item, true
 }
@@ -129,9 +132,29 @@
 // Finished corrects the team's service by what the request really used.
 func (o *Order) Finished(item *Item, used float64, now time.Time) {
 	o.charge(item.team, used-item.ticket.Cost())
+	item.team.inFlight--
+	o.depart(item.team)
 	o.rate.add(used, now)
 }
 
+// arrive lets a team that had no request begin at the mean service of those
+// that have, as it was before the last one went, unless it has received more.
+func (o *Order) arrive(m *team) {
+	if m.waiting+m.inFlight > 0 {
+		return
+	}
+	m.counter = max(m.counter, o.start)
+	m.present = m.weight
+	o.present += m.present
+}
+
+func (o *Order) depart(m *team) {
+	if m.waiting+m.inFlight == 0 {
+		o.present -= m.present
+		m.present = 0
+	}
+}
+
 // before orders by the teams' service, then by priority and age.
 func before(a, b *Item) bool {
 	if a.team != b.team && a.team.counter != b.team.counter {
@@ -173,6 +196,7 @@
 
 func (o *Order) charge(m *team, tokens float64) {
 	m.counter += tokens / m.weight
+	o.virtual += tokens / max(o.present, minWeight)
 	o.held.fix(m)
 	o.fresh.fix(m)
 }
@@ -193,7 +217,7 @@
 // forget drops idle teams whose service is not above that of the others.
 func (o *Order) forget() {
 	for name, m := range o.teams {
-		if m.waiting == 0 && m.counter <= o.floor {
+		if m.waiting+m.inFlight == 0 && m.counter <= o.start {
 			delete(o.teams, name)
 		}
 	}
@@ -264,13 +288,15 @@
 
 // team is one team's service and its waiting requests in each lane.
 type team struct {
-	weight  float64
-	counter float64
-	backlog float64
-	waiting int
-	active  float64
-	items   [2]itemHeap
-	index   [2]int
+	weight   float64
+	counter  float64
+	backlog  float64
+	waiting  int
+	inFlight int
+	active   float64
+	present  float64
+	items    [2]itemHeap
+	index    [2]int
 }
 
 // lane orders the teams that have a request waiting in it.
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -76,3 +76,13 @@
 		}
 	})
 }
+
+// Fair shares: beyond capacity the team that sends several times its rate
+// gets no more than its share, although other teams pause between calls.
+func TestGreedyTeamKeepsToItsShare(t *testing.T) {
+	trace := NewTrace(Cordillera(), 1.3, 15*testSeconds, 1)
+	got := Run(trace, scheduled(), Faults{}).service[greedyTeam] / fairShares(trace)[greedyTeam]
+	if got > 1.1 {
+		t.Errorf("got %.3f of its fair share", got)
+	}
+}
