--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -2,28 +2,37 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
+	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
 	"hawthornrail.example/hawthornrail/internal/endpoint/load"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
+const handOverTimeout = 10 * time.Second
+
 // processIn are the parts that run for as long as the process does.
 type processIn struct {
 	dig.In
@@ -32,16 +41,19 @@
 	Settings   settings.Settings
 	Log        events.Logger
 	Tracer     *traces.Tracer
-	Registry   metrics.Registry
+	Registry   gometrics.Registry
 	Controller *controller.Controller
 	PeerServer *peer.Server
 	PeerClient *peer.Client
 	Receiver   *fleet.Receiver
 	Home       *home.Home
+	Holdings   *fleet.Holdings
+	Memory     *memory.Controller
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
 	Poller     *load.Poller
+	Rates      *rate.Fleet
 	Callers    *server.Server
 }
 
@@ -59,6 +71,7 @@
 	p := &process{in: in, failed: make(chan error, 4)}
 	p.drained, p.drain = context.WithCancel(context.Background())
 	p.operator = api.New(p.status, p.drain, in.Registry)
+	p.gauges()
 	return p
 }
 
@@ -80,10 +93,29 @@
 	s := api.StatusOf(p.in.Self, p.in.Controller)
 	s.Programs, s.LivePrograms = p.in.Home.Count()
 	s.Replicas = p.in.Replicas.Count()
+	s.SoloReplicas = p.in.Replicas.CountSolo()
+	for holding, pairing := range p.in.Holdings.Pairings() {
+		h := api.Holding{Holding: holding.String(), Epoch: pairing.Epoch()}
+		if !pairing.Backup().IsZero() {
+			h.Backup = pairing.Backup().String()
+		}
+		s.Holdings = append(s.Holdings, h)
+	}
+	s.Ready = p.in.Holdings.Ready()
 	s.Leaving = p.drained.Err() != nil
 	return s
 }
 
+// gauges registers the values that are read when operators ask for them.
+func (p *process) gauges() {
+	metrics.Gauge(p.in.Registry, "config.revision", func() int64 { return int64(p.in.Controller.Snapshot().Revision()) })
+	metrics.Gauge(p.in.Registry, "config.age_ms", func() int64 { return p.in.Controller.Age().Milliseconds() })
+	metrics.Gauge(p.in.Registry, "programs.held", func() int64 { held, _ := p.in.Home.Count(); return int64(held) })
+	metrics.Gauge(p.in.Registry, "programs.live", func() int64 { _, live := p.in.Home.Count(); return int64(live) })
+	metrics.Gauge(p.in.Registry, "programs.replicas", func() int64 { return int64(p.in.Replicas.Count()) })
+	metrics.Gauge(p.in.Registry, "process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+}
+
 func (p *process) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -101,6 +133,7 @@
 	}
 	p.drain()
 	p.in.Table.Leave()
+	p.in.Holdings.Leave()
 	p.shutdown()
 	stop()
 	p.wait.Wait()
@@ -112,23 +145,45 @@
 	if _, err := p.in.PeerServer.Listen(p.in.Settings.PeerAddress()); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", p.in.Settings.CallerAddress())
+	callers, err := listenCallers(p.in.Settings)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
 	operators, err := net.Listen("tcp", p.in.Settings.OperatorAddress())
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	p.start(func() error { p.in.Controller.Run(ctx); return nil })
+	p.in.Holdings.SetHome(p.in.Home)
+	p.in.Holdings.Start(ctx)
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
 	p.start(func() error { p.in.Poller.Run(ctx); return nil })
+	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
+	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
+	p.start(func() error { p.in.Memory.Run(ctx); return nil })
+	p.start(func() error { p.in.Rates.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
 	return nil
 }
 
+// listenCallers listens with TLS unless the settings switch it off.
+func listenCallers(s settings.Settings) (net.Listener, error) {
+	l, err := net.Listen("tcp", s.CallerAddress())
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	if s.CallerPlain() {
+		return l, nil
+	}
+	config, err := vmtls.ForCallers(s.CallerCertificate(), s.CallerKey())
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return tls.NewListener(l, config), nil
+}
+
 func (p *process) start(f func() error) {
 	p.wait.Add(1)
 	go func() {
@@ -147,8 +202,17 @@
 	if err := p.in.Callers.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		p.in.Log.Event(events.DrainTimedOut).Int("requests", p.in.Callers.UnderWay()).Emit()
 	}
+	p.handOver()
 	_ = p.operator.Close()
 	p.in.PeerServer.Close()
 	p.in.PeerClient.Close()
 	_ = p.in.Tracer.Close(ctx)
 }
+
+// handOver gives the programs to other VMs; each one that fails is logged and
+// taken over by its backup later.
+func (p *process) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	_ = p.in.Holdings.HandOver(ctx)
+}
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/filter"
@@ -18,18 +18,21 @@
 	"hawthornrail.example/hawthornrail/internal/endpoint/service"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
+	"hawthornrail.example/hawthornrail/internal/platform/claims"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
-	"hawthornrail.example/hawthornrail/internal/policy/retry"
 	"hawthornrail.example/hawthornrail/internal/program/home"
+	"hawthornrail.example/hawthornrail/internal/program/memory"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
 	"hawthornrail.example/hawthornrail/internal/vm/fleet"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 )
 
 // container provides every part of the process.
@@ -40,7 +43,8 @@
 		clock.Real,
 		newLogger,
 		newTracer,
-		metrics.NewRegistry,
+		gometrics.NewRegistry,
+		metrics.NewRequests,
 		newInstance,
 		func(s settings.Settings) hawthornrail.Dialer { return dial.New(s.TestRoutes()) },
 		func(s settings.Settings, d hawthornrail.Dialer) *client.Client {
@@ -53,17 +57,22 @@
 		func(p *pool.Pool) hawthornrail.Picker { return p },
 		newQueue,
 		newPoller,
-		func(c hawthornrail.Configuration, k hawthornrail.Clock) hawthornrail.Admitter {
-			return rate.NewStatic(c, k)
-		},
+		newMutual,
+		rate.NewRemote,
+		rate.NewFleet,
+		func(f *rate.Fleet) hawthornrail.Admitter { return f },
 		newPeerServer,
 		newPeerClient,
 		newTable,
 		func(t *members.Table) hawthornrail.Membership { return t },
 		members.NewProber,
-		newReplicator,
+		newHoldings,
+		func(o *fleet.Holdings) hawthornrail.Replicator { return o },
+		fleet.NewRouter,
 		replica.NewStore,
 		newHome,
+		newMemory,
+		claims.New,
 		newForwarder,
 		newReceiver,
 		newCallerServer,
@@ -115,16 +124,40 @@
 	return fair.NewQueue(fair.DefaultLimits(), p, k)
 }
 
-func newPeerServer(i hawthornrail.Instance, s settings.Settings, k hawthornrail.Clock, l events.Logger) *peer.Server {
-	return peer.NewServer(i, s.Secret(), k, l.Layer("peer"))
+// newMutual returns nil where the settings switch TLS between VMs off.
+func newMutual(s settings.Settings) (*vmtls.Mutual, error) {
+	if s.PeerPlain() {
+		return nil, nil
+	}
+	return vmtls.NewMutual(s.PeerCertificate(), s.PeerKey(), s.PeerAuthority())
 }
 
-func newPeerClient(i hawthornrail.Instance, s settings.Settings, k hawthornrail.Clock, d hawthornrail.Dialer) *peer.Client {
-	return peer.NewClient(i, s.Secret(), k, d)
+func newPeerServer(i hawthornrail.Instance, s settings.Settings, m *vmtls.Mutual, k hawthornrail.Clock, l events.Logger) *peer.Server {
+	return peer.NewServer(i, s.Secret(), m, k, l.Layer("peer"))
 }
 
-func newReplicator(i hawthornrail.Instance, c hawthornrail.Configuration, p *peer.Client) hawthornrail.Replicator {
-	return fleet.NewReplicator(i, c, p)
+func newPeerClient(i hawthornrail.Instance, s settings.Settings, m *vmtls.Mutual, k hawthornrail.Clock, d hawthornrail.Dialer) *peer.Client {
+	return peer.NewClient(i, s.Secret(), m, k, d)
+}
+
+type holdingsIn struct {
+	dig.In
+
+	Self     hawthornrail.Instance
+	Clock    hawthornrail.Clock
+	Config   hawthornrail.Configuration
+	Members  hawthornrail.Membership
+	Client   *peer.Client
+	Platform *client.Client
+	Replicas *replica.Store
+	Log      events.Logger
+}
+
+func newHoldings(in holdingsIn) *fleet.Holdings {
+	return fleet.NewHoldings(fleet.HoldingsParts{
+		Self: in.Self, Clock: in.Clock, Config: in.Config, Members: in.Members, Client: in.Client,
+		Platform: in.Platform, Replicas: in.Replicas, Log: in.Log.Layer("holdings"),
+	})
 }
 
 func newTable(i hawthornrail.Instance, s settings.Settings) *members.Table {
@@ -153,22 +186,47 @@
 		Engines:  engine.New(in.Transport, in.Tracer),
 		Services: service.New(in.Transport, in.Tracer),
 		Tracer:   in.Tracer, Log: in.Log.Layer("home"),
-		RetryLimit: in.Settings.RetryLimit(), Retries: retry.NewBudget(),
+		RetryLimit:   in.Settings.RetryLimit(),
 		DefaultReply: in.Settings.ReplyTokens(),
 	})
 }
 
-func newForwarder(i hawthornrail.Instance, c hawthornrail.Membership, p *peer.Client, h *home.Home, s settings.Settings) *fleet.Forwarder {
-	return fleet.NewForwarder(i, c, p, h, s.Secret())
+func newForwarder(r *fleet.Router, p *peer.Client, h *home.Home, k *claims.Claims, s settings.Settings) *fleet.Forwarder {
+	return fleet.NewForwarder(r, p, h, k, s.Secret())
+}
+
+func newMemory(h *home.Home, t *http.Transport, c hawthornrail.Configuration, k hawthornrail.Clock, l events.Logger) *memory.Controller {
+	return memory.New(h, engine.NewMemory(t), c, k, l.Layer("memory"))
 }
 
-func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, r *replica.Store, m *members.Prober) *fleet.Receiver {
-	return fleet.NewReceiver(c, s.Secret(), h, r, m)
+func newReceiver(c hawthornrail.Configuration, s settings.Settings, h *home.Home, o *fleet.Holdings, m *members.Prober, f *rate.Fleet) *fleet.Receiver {
+	return fleet.NewReceiver(c, s.Secret(), h, o, m, f)
 }
 
-func newCallerServer(f *fleet.Forwarder, a hawthornrail.Admitter, c hawthornrail.Configuration, t *traces.Tracer, l events.Logger, s settings.Settings) *server.Server {
-	chain := filter.Chain(f, filter.NewIdentify(c), filter.NewAuthorise(c, s.Secret()), filter.NewAdmit(a))
-	return server.New(chain, f, c, t, l.Layer("caller"), server.Options{
+type callersIn struct {
+	dig.In
+
+	Forwarder *fleet.Forwarder
+	Holdings  *fleet.Holdings
+	Admitter  hawthornrail.Admitter
+	Config    hawthornrail.Configuration
+	Clock     hawthornrail.Clock
+	Requests  *metrics.Requests
+	Tracer    *traces.Tracer
+	Log       events.Logger
+	Settings  settings.Settings
+}
+
+func newCallerServer(in callersIn) *server.Server {
+	s := in.Settings
+	chain := filter.Chain(in.Forwarder,
+		filter.NewObserve(in.Clock, in.Requests),
+		filter.NewIdentify(in.Config),
+		filter.NewAuthorise(in.Config, s.Secret()),
+		filter.NewAdmit(in.Admitter),
+	)
+	return server.New(chain, in.Forwarder, in.Config, in.Tracer, in.Log.Layer("caller"), server.Options{
 		MaxBodyBytes: s.MaxBodyBytes(), ReadTimeout: s.ReadTimeout(), RequestTimeout: s.RequestTimeout(),
+		Ready: in.Holdings.Ready,
 	})
 }
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -32,16 +32,17 @@
 	Tracer       *traces.Tracer
 	Log          events.Logger
 	RetryLimit   int
-	Retries      *retry.Budget
 	DefaultReply uint64
 }
 
 // Home holds the program trees of this VM.
 type Home struct {
-	parts  Parts
-	number atomic.Uint64
-	seed   maphash.Seed
-	shards [shardCount]shard
+	parts     Parts
+	retries   *retry.Budget
+	number    atomic.Uint64
+	recording atomic.Int64
+	seed      maphash.Seed
+	shards    [shardCount]shard
 }
 
 type shard struct {
@@ -53,6 +54,8 @@
 type entry struct {
 	mu      sync.Mutex
 	tree    *ledger.Tree
+	doubt   bool
+	moved   bool
 	claimed map[callKey]bool
 	changed chan struct{}
 }
@@ -64,7 +67,7 @@
 
 // New returns a home without programs.
 func New(parts Parts) *Home {
-	h := &Home{parts: parts, seed: maphash.MakeSeed()}
+	h := &Home{parts: parts, retries: retry.NewBudget(), seed: maphash.MakeSeed()}
 	for i := range h.shards {
 		h.shards[i].trees = make(map[string]*entry)
 	}
@@ -81,10 +84,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.trees[tree]
-	if !ok {
-		return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
+	if ok {
+		return e, nil
 	}
-	return e, nil
+	if !h.parts.Replicator.Holds(id.Home()) {
+		return nil, movedFailure(id)
+	}
+	return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
 }
 
 func (h *Home) put(e *entry) {
@@ -97,15 +103,14 @@
 
 // Create starts a program tree and returns the id of its root.
 func (h *Home) Create(ctx context.Context, team, deployment string, budget hawthornrail.Budget) (hawthornrail.ProgramID, error) {
-	id := hawthornrail.NewProgramID(h.parts.Self, h.number.Add(1), team, h.parts.Secret)
-	e := &entry{tree: ledger.NewTree(id), claimed: make(map[callKey]bool), changed: make(chan struct{})}
+	id := hawthornrail.NewProgramID(h.parts.Replicator.Holding(), h.number.Add(1), team, h.parts.Secret)
+	e := newEntry(ledger.NewTree(id))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	change := hawthornrail.NewCreateTree(team, deployment, budget, h.parts.Clock.Now())
 	if err := h.step(ctx, e, change); err != nil {
 		return id, err
 	}
-	h.put(e)
 	h.parts.Log.Event(events.ProgramCreated).Str("program", id.String()).Str("team", team).Emit()
 	return id, nil
 }
@@ -141,28 +146,38 @@
 	if p.Ended() != "" {
 		return nil
 	}
-	if err := h.step(ctx, e, hawthornrail.NewEnd(id.Index(), reason)); err != nil {
-		return err
-	}
-	h.parts.Log.Event(events.ProgramEnded).Str("program", id.String()).Str("reason", reason).Emit()
-	return nil
+	return h.end(ctx, e, p, reason)
 }
 
 // step replicates a change and then applies it; the caller holds the entry's
-// lock.
+// lock. After a step of unknown outcome the whole copy is replaced first.
 func (h *Home) step(ctx context.Context, e *entry, change hawthornrail.Change) error {
 	s := e.tree.Next(change)
 	if err := e.tree.Check(s); err != nil {
 		return ledgerFailure(err)
 	}
-	if err := h.parts.Replicator.Replicate(ctx, s); err != nil {
+	if e.doubt && e.tree.Sequence() > 0 {
+		if err := h.parts.Replicator.Sync(ctx, e.tree.Steps()); err != nil {
+			return err
+		}
+		e.doubt = false
+	}
+	err := h.parts.Replicator.Replicate(ctx, s, func() error { return h.apply(e, s) })
+	if err != nil {
+		e.doubt = true
 		return err
 	}
+	e.wake()
+	return nil
+}
+
+func (h *Home) apply(e *entry, s hawthornrail.Step) error {
 	if err := e.tree.Apply(s); err != nil {
 		return ledgerFailure(err)
 	}
-	close(e.changed)
-	e.changed = make(chan struct{})
+	if s.Sequence() == 1 {
+		h.put(e)
+	}
 	return nil
 }
 
--- a/internal/standin/capacity/measure_test.go
+++ b/internal/standin/capacity/measure_test.go
@@ -80,7 +80,7 @@
 	for _, vms := range []int{10, 100, 340} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
 			self, secret := table(vms), []byte("secret")
-			s := peer.NewServer(hawthornrail.NewInstance("vm1", "dc1", 1), secret, clock.Real(), events.Discard())
+			s := peer.NewServer(hawthornrail.NewInstance("vm1", "dc1", 1), secret, nil, clock.Real(), events.Discard())
 			address, err := s.Listen("127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
@@ -93,7 +93,7 @@
 				})
 			}()
 			count := &counter{next: dial.New(nil)}
-			c := peer.NewClient(self.Self().Instance(), secret, clock.Real(), count)
+			c := peer.NewClient(self.Self().Instance(), secret, nil, clock.Real(), count)
 			defer c.Close()
 			for b.Loop() {
 				open := &vmpb.Open{Kind: &vmpb.Open_Heartbeat{Heartbeat: &vmpb.Heartbeat{
--- a/internal/vm/fleet/receive.go
+++ b/internal/vm/fleet/receive.go
@@ -7,6 +7,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/replica"
+	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -15,17 +16,23 @@
 
 // Receiver serves what other VMs ask of this one.
 type Receiver struct {
+	self     hawthornrail.Instance
+	holdings *Holdings
 	config   hawthornrail.Configuration
 	secret   []byte
 	local    *home.Home
 	replicas *replica.Store
 	prober   *members.Prober
+	rates    *rate.Fleet
 }
 
-// NewReceiver returns a receiver for the programs homed here and the replicas
-// kept here.
-func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, replicas *replica.Store, prober *members.Prober) *Receiver {
-	return &Receiver{config: config, secret: secret, local: local, replicas: replicas, prober: prober}
+// NewReceiver returns a receiver for the programs held here, the replicas
+// kept here and the rates that this VM has a part of.
+func NewReceiver(config hawthornrail.Configuration, secret []byte, local *home.Home, holdings *Holdings, prober *members.Prober, rates *rate.Fleet) *Receiver {
+	return &Receiver{
+		self: holdings.parts.Self, config: config, secret: secret, local: local,
+		holdings: holdings, replicas: holdings.parts.Replicas, prober: prober, rates: rates,
+	}
 }
 
 // Handle serves one stream; it implements peer.Handler.
@@ -41,6 +48,10 @@
 		v.createChild(ctx, k.CreateProgram, s)
 	case *vmpb.Open_EndProgram:
 		v.endProgram(ctx, k.EndProgram, s)
+	case *vmpb.Open_Borrow, *vmpb.Open_ShareState:
+		v.rates.Receive(open, s)
+	default:
+		v.pairing(open, s)
 	}
 }
 
@@ -69,7 +80,7 @@
 	if home := convert.InstanceFromWire(m.GetHome()); home != from {
 		return fmt.Errorf("step of %s came from %s", home, from)
 	}
-	return v.replicas.Accept(from, step)
+	return v.replicas.Step(from, m.GetEpoch(), step)
 }
 
 func (v *Receiver) createChild(ctx context.Context, m *vmpb.CreateProgram, s *peer.Stream) {
