Keep the verdict of a try that may have run when its retry is refused

Cause: a call whose first try may have run and whose retry found no endpoint or no place in the queue was answered with the retry's "not run". The queue's refusals make this likelier than before. TestVerdictAfterRetry failed before the change.

--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -159,11 +159,14 @@
 	c.home.retries.Earn()
 	var tried []string
 	counted := &countingWriter{next: w}
+	verdict := hawthornrail.VerdictNotRun
 	for {
 		endpoint, err := c.attempt(ctx, p, tried, counted)
 		if err == nil {
 			return nil
 		}
+		verdict = max(verdict, hawthornrail.VerdictOf(err))
+		err = atLeast(err, verdict)
 		tried = append(tried, endpoint)
 		if !c.mayRetry(ctx, err, counted, len(tried)) {
 			c.endExhausted(ctx, err, p.reserve)
@@ -172,6 +175,16 @@
 	}
 }
 
+// atLeast gives a failure the verdict of an earlier try that went further: a
+// refused retry does not undo that an earlier one may have run.
+func atLeast(err error, verdict hawthornrail.Verdict) error {
+	f := hawthornrail.AsFailure(err)
+	if f.Verdict() >= verdict {
+		return err
+	}
+	return hawthornrail.NewFailure(f.Code(), verdict, err).WithRetryAfter(f.RetryAfter())
+}
+
 func (c *call) mayRetry(ctx context.Context, err error, w *countingWriter, tries int) bool {
 	f := hawthornrail.AsFailure(err)
 	if f.Code() != hawthornrail.CodeEndpointFailed && f.Code() != hawthornrail.CodeAnswerCut {
