--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -16,6 +16,7 @@
 	"hawthornrail.example/hawthornrail/internal/caller/server"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
 	"hawthornrail.example/hawthornrail/internal/config/relay"
+	"hawthornrail.example/hawthornrail/internal/endpoint/load"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
@@ -54,6 +55,7 @@
 	Replicas   *replica.Store
 	Table      *members.Table
 	Prober     *members.Prober
+	Poller     *load.Poller
 	Rates      *rate.Fleet
 	Callers    *server.Server
 }
@@ -162,6 +164,7 @@
 	p.start(func() error { p.in.Controller.Run(ctx, p.in.Relay.Watches, p.in.Relay.Advanced); return nil })
 	p.start(func() error { p.in.Relay.Run(ctx); return nil })
 	p.start(func() error { p.in.Prober.Run(ctx); return nil })
+	p.start(func() error { p.in.Poller.Run(ctx); return nil })
 	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
 	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
 	p.start(func() error { p.in.Memory.Run(ctx); return nil })
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -14,6 +14,7 @@
 	"hawthornrail.example/hawthornrail/internal/config/relay"
 	"hawthornrail.example/hawthornrail/internal/endpoint/engine"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
+	"hawthornrail.example/hawthornrail/internal/endpoint/load"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
 	"hawthornrail.example/hawthornrail/internal/endpoint/service"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
@@ -57,7 +58,8 @@
 		http.New,
 		newPool,
 		func(p *pool.Pool) hawthornrail.Picker { return p },
-		func() hawthornrail.Queue { return fair.Unbounded{} },
+		newQueue,
+		newPoller,
 		newMutual,
 		rate.NewRemote,
 		rate.NewFleet,
@@ -120,8 +122,16 @@
 	return r
 }
 
-func newPool(c hawthornrail.Configuration, s settings.Settings) *pool.Pool {
-	return pool.New(c, s.DataCentre())
+func newPool(c hawthornrail.Configuration, k hawthornrail.Clock, s settings.Settings) *pool.Pool {
+	return pool.New(c, k, s.DataCentre())
+}
+
+func newPoller(c hawthornrail.Configuration, t *http.Transport, p *pool.Pool, k hawthornrail.Clock) *load.Poller {
+	return load.NewPoller(c, t, p, k)
+}
+
+func newQueue(p *pool.Pool, k hawthornrail.Clock) hawthornrail.Queue {
+	return fair.NewQueue(fair.DefaultLimits(), p, k)
 }
 
 // newMutual returns nil where the settings switch TLS between VMs off.
@@ -186,7 +196,8 @@
 		Engines:  engine.New(in.Transport, in.Tracer),
 		Services: service.New(in.Transport, in.Tracer),
 		Tracer:   in.Tracer, Log: in.Log.Layer("home"),
-		RetryLimit: in.Settings.RetryLimit(), DefaultReply: in.Settings.ReplyTokens(),
+		RetryLimit:   in.Settings.RetryLimit(),
+		DefaultReply: in.Settings.ReplyTokens(),
 	})
 }
 
--- a/internal/program/home/call.go
+++ b/internal/program/home/call.go
@@ -161,13 +161,17 @@
 		c.endExhausted(ctx, err, minModelTokens)
 		return err
 	}
+	c.home.retries.Earn()
 	var tried []string
 	counted := &countingWriter{next: w}
+	verdict := hawthornrail.VerdictNotRun
 	for {
 		endpoint, err := c.attempt(ctx, p, tried, counted)
 		if err == nil {
 			return nil
 		}
+		verdict = max(verdict, hawthornrail.VerdictOf(err))
+		err = atLeast(err, verdict)
 		tried = append(tried, endpoint)
 		if !c.mayRetry(ctx, err, counted, len(tried)) {
 			c.endExhausted(ctx, err, p.reserve)
@@ -176,6 +180,16 @@
 	}
 }
 
+// atLeast gives a failure the verdict of an earlier try that went further: a
+// refused retry does not undo that an earlier one may have run.
+func atLeast(err error, verdict hawthornrail.Verdict) error {
+	f := hawthornrail.AsFailure(err)
+	if f.Verdict() >= verdict {
+		return err
+	}
+	return hawthornrail.NewFailure(f.Code(), verdict, err).WithRetryAfter(f.RetryAfter())
+}
+
 func (c *call) mayRetry(ctx context.Context, err error, w *countingWriter, tries int) bool {
 	f := hawthornrail.AsFailure(err)
 	if f.Code() != hawthornrail.CodeEndpointFailed && f.Code() != hawthornrail.CodeAnswerCut {
@@ -184,7 +198,8 @@
 	if ctx.Err() != nil || w.started || tries > c.home.parts.RetryLimit {
 		return false
 	}
-	return c.request.Idempotent() || f.Verdict() == hawthornrail.VerdictNotRun
+	repeatable := c.request.Idempotent() || f.Verdict() == hawthornrail.VerdictNotRun
+	return repeatable && c.home.retries.Take()
 }
 
 // attempt sends the call to one endpoint and records what came of it.
@@ -202,8 +217,13 @@
 	}
 	start := c.home.parts.Clock.Now()
 	answer, err := c.dispatch(ctx, endpoint, p, w)
-	c.home.parts.Picker.Done(endpoint.Name(), query, hawthornrail.VerdictOf(err), c.home.parts.Clock.Since(start))
-	used = float64(answer.Usage().Total())
+	fault := err
+	if ctx.Err() != nil {
+		// The caller has gone, which says nothing of the endpoint.
+		fault = ctx.Err()
+	}
+	c.home.parts.Picker.Done(endpoint.Name(), query, fault, answer.Usage(), c.home.parts.Clock.Since(start))
+	used = answer.Usage().Service()
 	return endpoint.Name(), err
 }
 
--- a/internal/program/home/crash_test.go
+++ b/internal/program/home/crash_test.go
@@ -430,7 +430,7 @@
 	return hawthornrail.NewEndpoint("service", hawthornrail.ServiceEndpoint, "dc1", "", nil), nil
 }
 
-func (picker) Done(string, hawthornrail.PickQuery, hawthornrail.Verdict, time.Duration) {}
+func (picker) Done(string, hawthornrail.PickQuery, error, hawthornrail.Usage, time.Duration) {}
 
 type collector struct {
 	body string
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -12,6 +12,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/policy/retry"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 )
 
@@ -37,6 +38,7 @@
 // Home holds the program trees of this VM.
 type Home struct {
 	parts     Parts
+	retries   *retry.Budget
 	number    atomic.Uint64
 	recording atomic.Int64
 	seed      maphash.Seed
@@ -67,7 +69,7 @@
 
 // New returns a home without programs.
 func New(parts Parts) *Home {
-	h := &Home{parts: parts, seed: maphash.MakeSeed()}
+	h := &Home{parts: parts, retries: retry.NewBudget(), seed: maphash.MakeSeed()}
 	for i := range h.shards {
 		h.shards[i].trees = make(map[string]*entry)
 	}
