Come back to the platform within three seconds

Cause: a VM that could not reach the platform for a while waited up to 7.5 s before its next try; a key withdrawn meanwhile, known to the platform only, could have taken longer than 3 s. The backoff now ends at 2 s, 170 calls a second of 340 VMs (computed).

--- a/internal/config/controller/controller.go
+++ b/internal/config/controller/controller.go
@@ -17,7 +17,7 @@
 
 const (
 	firstBackoff = time.Second
-	maxBackoff   = 5 * time.Second
+	maxBackoff   = 2 * time.Second
 	idlePeriod   = 100 * time.Millisecond
 )
 
