Kill one VM and drain another in the demo

Cause: the demo ran without failures. It now applies a template and waits until the deployment is in force on all VMs, kills a VM with SIGKILL while programs run, drains another, and takes the services' own counts as the judge. The caller leaves a VM that refuses connections out for a second, as a balancer that checks health does.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -43,6 +43,7 @@
 	report := newReport()
 	stop := report.showProgress(options.Progress)
 	defer stop()
+	vms := newBalancer(options.VMs)
 	var wait sync.WaitGroup
 	places := make(chan struct{}, options.Concurrent)
 	for i := range options.Programs {
@@ -57,7 +58,7 @@
 		go func() {
 			defer wait.Done()
 			defer func() { <-places }()
-			p := newProgram(options, report, uint64(i))
+			p := newProgram(options, vms, report, uint64(i))
 			p.run(ctx)
 		}()
 	}
@@ -69,6 +70,7 @@
 // now and then a sub-agent.
 type program struct {
 	options  Options
+	vms      *balancer
 	report   *Report
 	random   *rand.Rand
 	http     *fasthttp.Client
@@ -78,9 +80,9 @@
 	expected []engine.Message
 }
 
-func newProgram(options Options, report *Report, number uint64) *program {
+func newProgram(options Options, vms *balancer, report *Report, number uint64) *program {
 	return &program{
-		options: options, report: report, number: number,
+		options: options, vms: vms, report: report, number: number,
 		random: rand.New(rand.NewPCG(options.Seed, number)),
 		http:   &fasthttp.Client{MaxIdemponentCallAttempts: 1},
 	}
@@ -120,7 +122,7 @@
 
 // delegate runs a sub-agent of one turn.
 func (p *program) delegate(ctx context.Context) error {
-	child := newProgram(p.options, p.report, p.number)
+	child := newProgram(p.options, p.vms, p.report, p.number)
 	child.random = p.random
 	if err := child.create(ctx, p.id); err != nil {
 		return fmt.Errorf("sub-agent: %w", err)
@@ -283,7 +285,7 @@
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	vm := p.options.VMs[p.random.IntN(len(p.options.VMs))]
+	vm := p.vms.choose(p.random)
 	request.SetRequestURI("http://" + vm + path)
 	request.Header.SetMethod(method)
 	request.Header.SetContentType("application/json")
@@ -294,6 +296,7 @@
 	request.SetBody(body)
 	if err := p.http.DoTimeout(request, response, callTimeout); err != nil {
 		p.report.refuse("connection")
+		p.vms.refused(vm)
 		return nil, fmt.Errorf("VM %s: %w", vm, err)
 	}
 	if response.StatusCode() < http.StatusBadRequest {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,7 +5,6 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 pids=()
-state=failed
 
 finish() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done
@@ -30,8 +29,16 @@
   eval "pid_$name=$!"
 }
 
+# reap waits for a process and no longer counts it as running.
+reap() {
+  local kept=() pid
+  for pid in "${pids[@]}"; do [ "$pid" = "$1" ] || kept+=("$pid"); done
+  pids=("${kept[@]}")
+  wait "$1"
+}
+
 wait_http() {
-  for _ in $(seq 100); do
+  for _ in $(seq 200); do
     curl -fsS -o /dev/null "http://$1" 2>/dev/null && return 0
     sleep 0.1
   done
@@ -122,16 +129,38 @@
 $rail template apply "$work/branch.toml" --platform $platform || fail template
 $rail deployment apply "$work/counter.toml" --platform $platform || fail apply
 key=$($rail key issue counter --platform $platform) || fail key
-sleep 2
+$rail deployment status counter --wait --timeout 20s --address 127.0.0.1:17311 --platform $platform || fail status
 
 vms=()
 for dc in 1 2 3; do for n in 1 2; do vms+=(--vm "127.0.0.1:171$dc$n"); done; done
 echo "demo: running programs through all VMs"
-$standin caller "${vms[@]}" --key "$key" --programs "${DEMO_PROGRAMS:-400}" >"$work/report" &
+$standin caller "${vms[@]}" --key "$key" --programs "${DEMO_PROGRAMS:-600}" --pause 300ms --concurrent 40 \
+  >"$work/report" 2>"$work/progress" &
 caller=$!
 pids+=($caller)
-wait $caller
+tail -f "$work/progress" &
+pids+=($!)
+
+sleep 3
+echo "demo: killing VM vm12 with SIGKILL"
+kill -9 "$pid_vm12"
+reap "$pid_vm12" 2>/dev/null
+sleep 4
+echo "demo: draining VM vm31"
+$rail drain --address 127.0.0.1:17331 >/dev/null || fail drain
+reap "$pid_vm31" || fail "VM vm31 did not shut down cleanly"
+echo "demo: VM vm31 has shut down"
+reap "$caller"
 code=$?
 cat "$work/report"
 [ $code = 0 ] || fail "a promise was broken"
-echo "demo: ok"
+
+# The services' own counts are the judge of what ran twice.
+for dc in 1 2 3; do
+  curl -fsS "http://127.0.0.1:176$dc/control/counts" >"$work/counts$dc" || fail counts
+  sed 's/"caller_keys_seen":[0-9]*//' "$work/counts$dc" | grep -qE '":([2-9]|[1-9][0-9]+)[,}]' && fail "a request ran twice"
+  grep -q '"caller_keys_seen":0' "$work/counts$dc" || fail "a service saw a caller's key"
+done
+turns=$(awk '/^turns/ {print $2}' "$work/report")
+programs=$(awk '/^programs/ {print $2}' "$work/report")
+echo "demo: ok $programs programs, $turns turns, one VM killed, one drained"
