Tell callers of a started VM the true time to come back

Cause: a VM that starts while another holder of a rate is dead waits up to 10 s for it; its refusals said "come back in a minute" (the answer for a team without a rate), and it called itself ready meanwhile. Seen in a takeover test (429 with 60,001 ms) and as a turn that took 9 s after a kill.

Ruled out: a shorter wait (the bound follows from configuration being in force everywhere within 10 s); using a part of the rate before the others confirm (the judge of the property catches it).

Now the refusal says at most the rest of that wait, and /health and the status say ready only once the parts may be used, so that a balancer sends elsewhere. TestRetryAfterStart fails without the change (1m0.023s).

--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -224,6 +224,7 @@
 
 	Forwarder *fleet.Forwarder
 	Holdings  *fleet.Holdings
+	Rates     *rate.Fleet
 	Admitter  hawthornrail.Admitter
 	Config    hawthornrail.Configuration
 	Clock     hawthornrail.Clock
@@ -245,6 +246,6 @@
 	)
 	return server.New(chain, in.Forwarder, in.Config, in.Keys, in.Tracer, in.Log.Layer("caller"), server.Options{
 		MaxBodyBytes: s.MaxBodyBytes(), ReadTimeout: s.ReadTimeout(), RequestTimeout: s.RequestTimeout(),
-		Ready: in.Holdings.Ready,
+		Ready: func() bool { return in.Holdings.Ready() && in.Rates.Ready() },
 	})
 }
--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -100,6 +100,9 @@
 	a.resize(now)
 }
 
+// Starting reports whether the VM must not use its part yet.
+func (a *Account) Starting(now time.Time) bool { return a.change.StartWait(now) > 0 }
+
 func (a *Account) resize(now time.Time) { a.holder.Resize(a.change.Usable(now), now) }
 
 // Admit takes one token, or says when there will be one.
@@ -139,6 +142,9 @@
 // that the fleet needs for the callers that were refused lately.
 func (a *Account) retryAfter(now time.Time) time.Duration {
 	wait := a.holder.Wait(1, now)
+	if start := a.change.StartWait(now); start > 0 {
+		wait = min(wait, start)
+	}
 	for _, v := range a.change.Plan().Holders() {
 		if known, ok := a.views[v.Name()]; ok {
 			wait = min(wait, max(0, known.blocked.Sub(now)))
--- a/internal/team/rate/account_test.go
+++ b/internal/team/rate/account_test.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// A VM that starts while another holder is dead refuses for no longer than it
+// waits for that one.
+func TestRetryAfterStart(t *testing.T) {
+	f := newFleet(1, 10, 10, someVMs(2, 1))
+	f.start(f.machines[0])
+	f.run(2 * time.Second)
+	wait, ok := f.machines[0].account.Admit(f.clock(f.machines[0]))
+	if ok || wait < time.Second || wait > 10*time.Second {
+		t.Errorf("got %s, %v, want a refusal of at most 10 s", wait, ok)
+	}
+}
+
 func TestFirstRequest(t *testing.T) {
 	f := settled(5, 20, someVMs(9, 3))
 	f.request(f.machines[3])
--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -42,6 +42,8 @@
 	shards  [shardCount]shard
 
 	left atomic.Bool
+	// opened says that accounts were opened for the first configuration.
+	opened atomic.Bool
 	// followed is used by Run only.
 	followed *hawthornrail.Snapshot
 
@@ -109,6 +111,31 @@
 	fn(e, now)
 }
 
+// Ready reports whether this VM may use its parts of the rates; a started VM
+// waits for the other holders.
+func (f *Fleet) Ready() bool {
+	if !f.opened.Load() {
+		return false
+	}
+	for i := range f.shards {
+		if f.shards[i].starting(f.clock.Now()) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *shard) starting(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.accounts {
+		if e.account.Starting(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Admit takes one token for a deployment, or says when to come back; it waits
 // a few milliseconds at most for tokens of other VMs.
 func (f *Fleet) Admit(ctx context.Context, d hawthornrail.Deployment) (time.Duration, bool) {
@@ -279,6 +306,9 @@
 			f.use(d.Name(), func(*entry, time.Time) {})
 		}
 	}
+	if snapshot.Revision() > 0 {
+		f.opened.Store(true)
+	}
 }
 
 // tick does the periodic work of every account.
--- a/internal/team/share/change.go
+++ b/internal/team/share/change.go
@@ -304,6 +304,16 @@
 	return true
 }
 
+// StartWait returns how long a started VM may still have to wait until it may
+// use its part; other holders' confirmations can end the wait earlier.
+func (c *Change) StartWait(now time.Time) time.Duration {
+	c.close(now)
+	if !c.fresh {
+		return 0
+	}
+	return c.since.Add(startTimeout).Sub(now)
+}
+
 // Usable returns the part that this VM may use now.
 func (c *Change) Usable(now time.Time) Part {
 	if c.bounds == nil {
