Forget programs some time after they ended

Cause: ended trees were kept for ever at their home and at its backup, so a VM's memory grew with every program it had served.

Ruled out: dropping a tree at its end (a caller whose answer was lost repeats the call and must find its record); a step that tells the backup (the copy can be dropped there by itself, later than at the home).

A call of an issued program that is not known now says may_have_run and not not_run, because an earlier try may have run in the forgotten program.

--- a/interfaces.go
+++ b/interfaces.go
@@ -310,3 +310,9 @@
 	// one or an earlier one.
 	Claim(ctx context.Context, team, key, program string) (string, error)
 }
+
+// MemoryReleases tells what engines still hold for programs that ended.
+type MemoryReleases interface {
+	// Released reports whether an endpoint holds nothing for a program.
+	Released(program, endpoint string) bool
+}
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -168,6 +168,8 @@
 	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
 	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
 	p.start(func() error { p.in.Memory.Run(ctx); return nil })
+	p.start(func() error { p.in.Home.RunForgetter(ctx, p.in.Memory); return nil })
+	p.start(func() error { p.in.Replicas.RunForgetter(ctx); return nil })
 	p.start(func() error { p.in.Rates.Run(ctx); return nil })
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
--- a/internal/program/home/holding.go
+++ b/internal/program/home/holding.go
@@ -74,13 +74,7 @@
 func (h *Home) Drop(holding hawthornrail.Instance) {
 	entries := h.entries(holding)
 	for _, e := range entries {
-		tree := e.tree.ID().String()
-		s := h.shard(tree)
-		s.mu.Lock()
-		if s.trees[tree] == e {
-			delete(s.trees, tree)
-		}
-		s.mu.Unlock()
+		h.drop(e)
 	}
 	for _, e := range entries {
 		e.mu.Lock()
--- a/internal/program/home/home.go
+++ b/internal/program/home/home.go
@@ -52,12 +52,14 @@
 
 // entry is a tree with the calls of it that are under way here.
 type entry struct {
-	mu      sync.Mutex
-	tree    *ledger.Tree
-	doubt   bool
-	moved   bool
-	claimed map[callKey]bool
-	changed chan struct{}
+	mu    sync.Mutex
+	tree  *ledger.Tree
+	doubt bool
+	moved bool
+	// finishedAt is when the tree was first seen to have ended.
+	finishedAt time.Time
+	claimed    map[callKey]bool
+	changed    chan struct{}
 	// unrecorded are the calls whose outcome is not replicated yet.
 	unrecorded map[callKey]bool
 }
@@ -92,7 +94,10 @@
 	if !h.parts.Replicator.Holds(id.Home()) {
 		return nil, movedFailure(id)
 	}
-	return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownProgram, "program %s is not known here", id)
+	// The id was issued, so the program may have been forgotten, and an earlier
+	// try of a call may have run in it.
+	return nil, hawthornrail.NewFailure(hawthornrail.CodeUnknownProgram, hawthornrail.VerdictMayHaveRun,
+		fmt.Errorf("program %s ended some time ago or was never started", id))
 }
 
 func (h *Home) put(e *entry) {
--- a/internal/program/memory/controller.go
+++ b/internal/program/memory/controller.go
@@ -83,8 +83,12 @@
 }
 
 // Released reports whether an engine confirmed that it holds nothing for a
-// program.
+// program; other endpoints and those that are gone hold nothing.
 func (c *Controller) Released(program, endpoint string) bool {
+	e, ok := c.config.Snapshot().Endpoint(endpoint)
+	if !ok || e.Kind() != hawthornrail.EngineEndpoint {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.releases[holding{program, endpoint}]
--- /dev/null
+++ b/internal/program/replica/forget.go
@@ -0,0 +1,57 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/program/ledger"
+)
+
+const (
+	forgetInterval = 30 * time.Second
+	// retention is longer than that of the holder, which may still take
+	// repeats of the calls.
+	retention = 2 * ledger.Retention
+)
+
+// RunForgetter forgets the copies of ended trees until ctx ends.
+func (s *Store) RunForgetter(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(forgetInterval):
+			s.Forget()
+		}
+	}
+}
+
+// Forget drops the copies of the trees that ended longer ago than the
+// retention and returns how many.
+func (s *Store) Forget() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	dropped := 0
+	for _, r := range s.copies {
+		dropped += r.forget(now)
+	}
+	return dropped
+}
+
+func (r *replica) forget(now time.Time) int {
+	dropped := 0
+	for id, tree := range r.trees {
+		if !tree.Finished() {
+			continue
+		}
+		if since, ok := r.finished[id]; !ok {
+			r.finished[id] = now
+		} else if now.Sub(since) >= retention {
+			delete(r.trees, id)
+			delete(r.finished, id)
+			dropped++
+		}
+	}
+	return dropped
+}
--- a/internal/program/replica/offer.go
+++ b/internal/program/replica/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
@@ -35,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p.first {
-		s.staged[holding] = &replica{offer: p.offer, trees: make(map[string]*ledger.Tree)}
+		s.staged[holding] = &replica{offer: p.offer, trees: make(map[string]*ledger.Tree), finished: make(map[string]time.Time)}
 	}
 	r, ok := s.staged[holding]
 	if !ok || r.offer != p.offer || !s.replaces(holding, p.offer) {
--- a/internal/program/replica/store.go
+++ b/internal/program/replica/store.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
@@ -30,6 +31,8 @@
 	backup *pair.Backup
 	trees  map[string]*ledger.Tree
 	synced uint64
+	// finished is since when a tree is known to have ended.
+	finished map[string]time.Time
 }
 
 // NewStore returns an empty store.
