--- a/internal/standin/capacity/inputs.go
+++ b/internal/standin/capacity/inputs.go
@@ -49,11 +49,14 @@
 	Polls  float64 `toml:"polls_per_second"`
 }
 
-// Pending is a role whose cost is measured elsewhere or not yet.
+// Pending is a role whose cost is measured elsewhere or not yet; data is told
+// beside control and not summed with it.
 type Pending struct {
 	Role           string  `toml:"role"`
 	Mechanism      string  `toml:"mechanism"`
+	State          string  `toml:"state"`
 	Measured       bool    `toml:"measured"`
+	Data           bool    `toml:"data"`
 	BytesPerSecond float64 `toml:"bytes_per_second"`
 	CorePercent    float64 `toml:"core_percent"`
 	MemoryMB       float64 `toml:"memory_mb"`
--- a/internal/standin/capacity/page.go
+++ b/internal/standin/capacity/page.go
@@ -19,7 +19,7 @@
 type role struct {
 	Name, State, Mechanism, Command string
 	Bytes, Core, Memory             float64 // bytes a second, per cent, MB
-	Measured                        bool
+	Measured, Data                  bool
 }
 
 // page is everything that the template shows.
@@ -56,7 +56,7 @@
 	p := figures(in, c)
 	p.Roles = append(roles(p, c), pending(in)...)
 	for _, r := range p.Roles {
-		if r.Measured {
+		if r.Measured && !r.Data {
 			p.Total.Bytes += r.Bytes
 			p.Total.Core += r.Core
 			p.Total.Memory += r.Memory
@@ -139,7 +139,7 @@
 	var list []role
 	for _, p := range in.Pending {
 		list = append(list, role{
-			Name: p.Role, State: "-", Mechanism: p.Mechanism, Command: p.Command, Measured: p.Measured,
+			Name: p.Role, State: p.State, Mechanism: p.Mechanism, Command: p.Command, Measured: p.Measured, Data: p.Data,
 			Bytes: p.BytesPerSecond, Core: p.CorePercent, Memory: p.MemoryMB,
 		})
 	}
