Move what only tests use into test files

Cause: a static split of rates, a token bucket and a queue without bounds were the first versions and served only as baselines of tests since; a fake clock and an accessor had no use left.

Nothing that runs changed; tests of home and rate pass.

--- a/internal/observe/clock/clock.go
+++ b/internal/observe/clock/clock.go
@@ -7,6 +7,3 @@
 
 // Real returns the machine's clock.
 func Real() hawthornrail.Clock { return clockwork.NewRealClock() }
-
-// Fake returns a clock that tests advance by hand.
-func Fake() *clockwork.FakeClock { return clockwork.NewFakeClock() }
--- a/internal/program/home/budget_test.go
+++ b/internal/program/home/budget_test.go
@@ -12,7 +12,6 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
-	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 	"pgregory.net/rapid"
@@ -131,7 +130,7 @@
 	s.holder = &holder{spender: s}
 	return home.New(home.Parts{
 		Self: hawthornrail.NewInstance(vm, "dc1", 1), Secret: []byte("secret"), Clock: s.clock,
-		Replicator: s.holder, Queue: fair.Unbounded{}, Picker: picker{}, Engines: s, Services: s,
+		Replicator: s.holder, Queue: unbounded{}, Picker: picker{}, Engines: s, Services: s,
 		Tracer: traces.NewNone(), Log: events.Discard(), RetryLimit: 1, DefaultReply: 20,
 	})
 }
--- a/internal/program/home/crash_test.go
+++ b/internal/program/home/crash_test.go
@@ -13,7 +13,6 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
-	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 	"pgregory.net/rapid"
@@ -105,7 +104,7 @@
 	s := &site{world: w}
 	s.home = home.New(home.Parts{
 		Self: hawthornrail.NewInstance(vm, "dc1", 1), Secret: w.secret, Clock: w.clock,
-		Replicator: s, Queue: fair.Unbounded{}, Picker: picker{}, Services: s,
+		Replicator: s, Queue: unbounded{}, Picker: picker{}, Services: s,
 		Tracer: traces.NewNone(), Log: events.Discard(), RetryLimit: 2,
 	})
 	return s
--- a/internal/program/home/retry_test.go
+++ b/internal/program/home/retry_test.go
@@ -10,7 +10,6 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
-	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 )
 
@@ -46,7 +45,7 @@
 		t.Run("first try "+first.String(), func(t *testing.T) {
 			h := home.New(home.Parts{
 				Self: hawthornrail.NewInstance("vm1", "dc1", 1), Secret: []byte("secret"), Clock: clockwork.NewFakeClock(),
-				Replicator: acceptAll{}, Queue: fair.Unbounded{}, Picker: oneEndpoint{}, Engines: failing(first),
+				Replicator: acceptAll{}, Queue: unbounded{}, Picker: oneEndpoint{}, Engines: failing(first),
 				Tracer: traces.NewNone(), Log: events.Discard(), RetryLimit: 2, DefaultReply: 20,
 			})
 			budget := hawthornrail.NewBudget(10, 10_000, time.Hour, 0, 0)
--- a/internal/program/ledger/program.go
+++ b/internal/program/ledger/program.go
@@ -46,9 +46,6 @@
 // NextCall returns the number that the next call must have.
 func (p *Program) NextCall() uint64 { return p.next }
 
-// UsedCalls returns the calls made by the program itself.
-func (p *Program) UsedCalls() uint64 { return p.usedCalls }
-
 // UsedTokens returns the tokens used or reserved by the program itself.
 func (p *Program) UsedTokens() uint64 { return p.usedTokens }
 
--- a/internal/team/rate/bucket.go
+++ b/internal/team/rate/bucket_test.go
@@ -1,22 +1,22 @@
-package rate
+package rate_test
 
 import "time"
 
-// Bucket is a token bucket; it starts empty.
-type Bucket struct {
+// bucket is a token bucket; it starts empty.
+type bucket struct {
 	rate   float64
 	burst  float64
 	tokens float64
 	last   time.Time
 }
 
-// NewBucket returns an empty bucket with a rate in tokens per second.
-func NewBucket(rate, burst float64, now time.Time) *Bucket {
-	return &Bucket{rate: rate, burst: burst, last: now}
+// newBucket returns an empty bucket with a rate in tokens per second.
+func newBucket(rate, burst float64, now time.Time) *bucket {
+	return &bucket{rate: rate, burst: burst, last: now}
 }
 
 // Take takes one token, or returns how long it takes until there is one.
-func (b *Bucket) Take(now time.Time) (time.Duration, bool) {
+func (b *bucket) Take(now time.Time) (time.Duration, bool) {
 	b.refill(now)
 	if b.tokens >= 1 {
 		b.tokens--
@@ -29,13 +29,13 @@
 }
 
 // Resize sets a new rate and burst from now on.
-func (b *Bucket) Resize(rate, burst float64, now time.Time) {
+func (b *bucket) Resize(rate, burst float64, now time.Time) {
 	b.refill(now)
 	b.rate, b.burst = rate, burst
 	b.tokens = min(b.tokens, burst)
 }
 
-func (b *Bucket) refill(now time.Time) {
+func (b *bucket) refill(now time.Time) {
 	if passed := now.Sub(b.last); passed > 0 {
 		b.tokens = min(b.burst, b.tokens+b.rate*passed.Seconds())
 	}
--- a/internal/team/rate/refusals_test.go
+++ b/internal/team/rate/refusals_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"hawthornrail.example/hawthornrail/internal/team/rate"
 )
 
 const (
@@ -61,8 +59,8 @@
 	return f.rng.IntN(vms)
 }
 
-func newCentral(tr traffic) *rate.Bucket {
-	b := rate.NewBucket(tr.rate, tr.burst, origin.Add(-time.Hour))
+func newCentral(tr traffic) *bucket {
+	b := newBucket(tr.rate, tr.burst, origin.Add(-time.Hour))
 	b.Resize(tr.rate, tr.burst, origin)
 	return b
 }
@@ -104,7 +102,7 @@
 	}
 	r := refusals{}
 	central := newCentral(tr)
-	static := make([]*rate.Bucket, tr.vms)
+	static := make([]*bucket, tr.vms)
 	for i := range static {
 		part := traffic{rate: tr.rate / float64(tr.vms), burst: tr.burst / float64(tr.vms)}
 		static[i] = newCentral(part)
