Search for a lost holder at most five times a second, and start loops in one place

Cause: a call of a program that no VM holds asked every VM of the fleet; at full size each retry of each of its callers would be 339 questions. A holding that was not found is not searched for again for 200 ms; the caller is told at once when to come back, as before.

Ruled out: asking the platform (away when it matters most).

The process's loops are listed in one function now; nothing changed in what they do.

--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -116,8 +116,14 @@
 func (p *process) gauges() {
 	metrics.Gauge(p.in.Registry, "config.revision", func() int64 { return int64(p.in.Controller.Snapshot().Revision()) })
 	metrics.Gauge(p.in.Registry, "config.age_ms", func() int64 { return p.in.Controller.Age().Milliseconds() })
-	metrics.Gauge(p.in.Registry, "programs.held", func() int64 { held, _ := p.in.Home.Count(); return int64(held) })
-	metrics.Gauge(p.in.Registry, "programs.live", func() int64 { _, live := p.in.Home.Count(); return int64(live) })
+	metrics.Gauge(p.in.Registry, "programs.held", func() int64 {
+		held, _ := p.in.Home.Count()
+		return int64(held)
+	})
+	metrics.Gauge(p.in.Registry, "programs.live", func() int64 {
+		_, live := p.in.Home.Count()
+		return int64(live)
+	})
 	metrics.Gauge(p.in.Registry, "programs.replicas", func() int64 { return int64(p.in.Replicas.Count()) })
 	metrics.Gauge(p.in.Registry, "process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 }
@@ -147,6 +153,7 @@
 	return failure
 }
 
+// listen binds every address before anything starts to serve.
 func (p *process) listen(ctx context.Context) error {
 	if _, err := p.in.PeerServer.Listen(p.in.Settings.PeerAddress()); err != nil {
 		return err
@@ -159,24 +166,37 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	p.in.Holdings.SetHome(p.in.Home)
-	p.in.Holdings.Start(ctx)
-	p.start(func() error { p.in.Controller.Run(ctx, p.in.Relay.Watches, p.in.Relay.Advanced); return nil })
-	p.start(func() error { p.in.Relay.Run(ctx); return nil })
-	p.start(func() error { p.in.Prober.Run(ctx); return nil })
-	p.start(func() error { p.in.Poller.Run(ctx); return nil })
-	p.start(func() error { p.in.Holdings.Run(ctx); return nil })
-	p.start(func() error { p.in.Home.RunSweeper(ctx); return nil })
-	p.start(func() error { p.in.Memory.Run(ctx); return nil })
-	p.start(func() error { p.in.Home.RunForgetter(ctx, p.in.Memory); return nil })
-	p.start(func() error { p.in.Replicas.RunForgetter(ctx); return nil })
-	p.start(func() error { p.in.Rates.Run(ctx); return nil })
+	p.startControllers(ctx)
 	p.start(func() error { return p.in.PeerServer.Serve(p.in.Receiver.Handle) })
 	p.start(func() error { return p.in.Callers.Serve(callers) })
 	p.start(func() error { return p.operator.Serve(operators) })
 	return nil
 }
 
+// startControllers starts the loops that keep the VM's state until ctx ends.
+func (p *process) startControllers(ctx context.Context) {
+	p.in.Holdings.SetHome(p.in.Home)
+	p.in.Holdings.Start(ctx)
+	loops := []func(context.Context){
+		func(ctx context.Context) { p.in.Controller.Run(ctx, p.in.Relay.Watches, p.in.Relay.Advanced) },
+		p.in.Relay.Run,
+		p.in.Prober.Run,
+		p.in.Poller.Run,
+		p.in.Holdings.Run,
+		p.in.Home.RunSweeper,
+		p.in.Memory.Run,
+		func(ctx context.Context) { p.in.Home.RunForgetter(ctx, p.in.Memory) },
+		p.in.Replicas.RunForgetter,
+		p.in.Rates.Run,
+	}
+	for _, loop := range loops {
+		p.start(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+}
+
 // listenCallers listens with TLS unless the settings switch it off.
 func listenCallers(s settings.Settings) (net.Listener, error) {
 	l, err := net.Listen("tcp", s.CallerAddress())
--- a/internal/vm/fleet/route.go
+++ b/internal/vm/fleet/route.go
@@ -4,14 +4,20 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-// maxRoutes bounds the holdings whose holder is remembered.
-const maxRoutes = 4096
+const (
+	// maxRoutes bounds the holdings whose holder is remembered.
+	maxRoutes = 4096
+	// searchPause is how long a holding that no VM holds is not searched
+	// again, so that its callers' retries don't ask the whole fleet each time.
+	searchPause = 200 * time.Millisecond
+)
 
 // Router finds the VM that holds a holding.
 type Router struct {
@@ -23,6 +29,7 @@
 
 	mu     sync.Mutex
 	routes map[hawthornrail.Instance]route
+	missed map[hawthornrail.Instance]time.Time
 }
 
 // route is the VM that answered as the holder of a holding.
@@ -36,6 +43,7 @@
 	return &Router{
 		self: o.parts.Self, config: c, members: m, client: p, holdings: o,
 		routes: make(map[hawthornrail.Instance]route),
+		missed: make(map[hawthornrail.Instance]time.Time),
 	}
 }
 
@@ -72,6 +80,9 @@
 // search asks the VMs of the holding's data centre, and then the others, which
 // of them holds it.
 func (r *Router) search(ctx context.Context, holding hawthornrail.Instance) (string, error) {
+	if r.missedLately(holding) {
+		return "", fmt.Errorf("no VM held %s a moment ago", holding)
+	}
 	var near, far []hawthornrail.VM
 	for _, v := range r.config.Snapshot().VMs() {
 		switch {
@@ -88,9 +99,26 @@
 			return found.address, nil
 		}
 	}
+	r.miss(holding)
 	return "", fmt.Errorf("no VM that answers holds %s", holding)
 }
 
+func (r *Router) missedLately(holding hawthornrail.Instance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	missed, ok := r.missed[holding]
+	return ok && r.holdings.parts.Clock.Since(missed) < searchPause
+}
+
+func (r *Router) miss(holding hawthornrail.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.missed) >= maxRoutes {
+		clear(r.missed)
+	}
+	r.missed[holding] = r.holdings.parts.Clock.Now()
+}
+
 // askAll returns the answer with the highest epoch.
 func (r *Router) askAll(ctx context.Context, holding hawthornrail.Instance, vms []hawthornrail.VM) route {
 	ctx, cancel := context.WithTimeout(ctx, pairTimeout)
