Record the outcome of a program's last call and its end as one step

Cause: every one-call program replicated four steps, two of them one after the other before its answer could end.

Ruled out for now: creating a tree with its first intent (the tree would stand at the home before its backup knows of it, and a hand-over could list it).

If the step fails the call may have run, as for any outcome; the special case of an answered call whose end failed is gone.

--- a/internal/program/home/budget.go
+++ b/internal/program/home/budget.go
@@ -13,8 +13,9 @@
 const (
 	sweepInterval = time.Second
 
-	reasonWallTime = "wall time used up"
-	reasonBudget   = "budget used up"
+	reasonWallTime  = "wall time used up"
+	reasonCompleted = "completed"
+	reasonBudget    = "budget used up"
 )
 
 // expired refuses a call whose program's wall time is over; the caller holds
--- a/internal/program/home/record.go
+++ b/internal/program/home/record.go
@@ -33,8 +33,10 @@
 		f := hawthornrail.AsFailure(err)
 		outcome = hawthornrail.NewOutcome(c.key.program, c.key.number, f.Verdict(), f.Code())
 	}
-	ends := err == nil && c.request.EndsProgram()
-	recordErr := c.recordSoon(outcome, ends)
+	if err == nil && c.request.EndsProgram() {
+		outcome = outcome.WithEnd(reasonCompleted)
+	}
+	recordErr := c.recordSoon(outcome)
 	if recordErr == nil {
 		return nil
 	}
@@ -45,7 +47,7 @@
 		defer c.home.recording.Add(-1)
 		defer c.release()
 		defer c.markUnrecorded(false)
-		c.home.recordLater(c.entry, outcome, ends)
+		c.home.recordLater(c.entry, outcome)
 	}()
 	if c.entry.settled(outcome) {
 		return nil
@@ -82,10 +84,10 @@
 
 // recordSoon repeats record while the backup is being replaced, so that the
 // caller of a call that ran meanwhile gets its answer.
-func (c *call) recordSoon(outcome hawthornrail.Outcome, ends bool) error {
+func (c *call) recordSoon(outcome hawthornrail.Outcome) error {
 	k := c.home.parts.Clock
 	for start := k.Now(); ; k.Sleep(replaceDelay) {
-		err := c.home.record(c.entry, outcome, ends)
+		err := c.home.record(c.entry, outcome)
 		replacing := err != nil && hawthornrail.AsFailure(err).Code() == hawthornrail.CodeReplicaUnreached
 		if !replacing || k.Since(start) > recordTimeout || !c.home.parts.Replicator.Holds(c.id.Home()) {
 			return err
@@ -93,8 +95,8 @@
 	}
 }
 
-// record takes the steps that follow a call and that were not taken yet.
-func (h *Home) record(e *entry, outcome hawthornrail.Outcome, ends bool) error {
+// record takes the step that follows a call, unless it was taken.
+func (h *Home) record(e *entry, outcome hawthornrail.Outcome) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	e.mu.Lock()
@@ -103,23 +105,18 @@
 	if err != nil {
 		return ledgerFailure(err)
 	}
-	if p.Call(outcome.Number()).Pending() {
-		if err := h.step(ctx, e, outcome); err != nil {
-			return err
-		}
-	}
-	if !ends || p.Ended() != "" {
+	if !p.Call(outcome.Number()).Pending() {
 		return nil
 	}
-	return h.step(ctx, e, hawthornrail.NewEnd(outcome.Program(), "completed"))
+	return h.step(ctx, e, outcome)
 }
 
 // recordLater repeats record until it succeeds or the program has moved.
-func (h *Home) recordLater(e *entry, outcome hawthornrail.Outcome, ends bool) {
+func (h *Home) recordLater(e *entry, outcome hawthornrail.Outcome) {
 	delay := recordRetryDelay
 	for {
 		h.parts.Clock.Sleep(delay)
-		err := h.record(e, outcome, ends)
+		err := h.record(e, outcome)
 		if err == nil || hawthornrail.AsFailure(err).Code() == hawthornrail.CodeMoved {
 			return
 		}
--- a/internal/program/ledger/ledger_test.go
+++ b/internal/program/ledger/ledger_test.go
@@ -56,6 +56,16 @@
 		assertApply(t, tree, outcome(1, hawthornrail.VerdictNotRun), nil)
 		assertApply(t, tree, intent(1, false), nil)
 	})
+	t.Run("last call ends the program", func(t *testing.T) {
+		tree := newTree(t, budget)
+		assertApply(t, tree, intent(1, false), nil)
+		last := hawthornrail.NewAnsweredOutcome(0, 1, 200, "text", nil).WithEnd("completed")
+		assertApply(t, tree, last, nil)
+		assertApply(t, tree, intent(2, false), ledger.ErrEnded)
+		if got := tree.Programs()[0].Ended(); got != "completed" {
+			t.Errorf("ended by %q, want completed", got)
+		}
+	})
 	t.Run("step out of sequence is refused", func(t *testing.T) {
 		tree := newTree(t, budget)
 		step := hawthornrail.NewStep(tree.ID(), 5, intent(1, false))
--- a/internal/program/ledger/tree.go
+++ b/internal/program/ledger/tree.go
@@ -245,6 +245,9 @@
 	if !c.repeatable() {
 		p.next++
 	}
+	if o.EndReason() != "" {
+		t.end(p, o.EndReason())
+	}
 }
 
 func (t *Tree) checkEnd(e hawthornrail.End) error {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,4 +5,6 @@
 checks=${SOAK_CHECKS:-20000}
 props=$(go list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
 echo "soak: $checks checks a property, fresh seeds; a failure prints its seed"
-exec go test -count=1 -timeout 60m $props -rapid.checks="$checks"
+go test -count=1 -timeout 60m $props -rapid.checks="$checks"
+CHECKER_SEEDS=${SOAK_SEEDS:-30} go test -count=1 -timeout 60m -run TestFaultSchedules -v ./internal/standin/checker
+echo "soak: ok"
--- a/step.go
+++ b/step.go
@@ -139,6 +139,7 @@
 	answer      []byte
 	reply       []byte
 	usedTokens  uint64
+	endReason   string
 }
 
 // NewOutcome returns the outcome of a call that has no answer.
@@ -191,6 +192,15 @@
 // Reply returns the assistant's message, a JSON object, or nil.
 func (o Outcome) Reply() []byte { return o.reply }
 
+// WithEnd returns a copy that also ends the program, for a reason.
+func (o Outcome) WithEnd(reason string) Outcome {
+	o.endReason = reason
+	return o
+}
+
+// EndReason returns why the program ends with the call, or the empty string.
+func (o Outcome) EndReason() string { return o.endReason }
+
 // UsedTokens returns the prompt and completion tokens that the call used.
 func (o Outcome) UsedTokens() uint64 { return o.usedTokens }
 
