--- a/internal/endpoint/engine/answer.go
+++ b/internal/endpoint/engine/answer.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
@@ -30,21 +29,17 @@
 	limit  uint64
 	body   bytes.Buffer
 	parsed int
-	text   strings.Builder
+	reply  replyBuilder
 	tokens uint64
 	usage  hawthornrail.Usage
 	done   bool
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
+// choice holds the message of a whole answer as the engine wrote it, or a part
+// of a streamed one.
 type choice struct {
-	Message      message `json:"message"`
-	Delta        message `json:"delta"`
-	FinishReason string  `json:"finish_reason"`
+	Message json.RawMessage `json:"message"`
+	Delta   delta           `json:"delta"`
 }
 
 type completion struct {
@@ -108,9 +103,10 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return fmt.Errorf("event: %w: %w", errNotWhole, err)
 	}
-	if len(c.Choices) > 0 && c.Choices[0].Delta.Content != "" {
-		a.text.WriteString(c.Choices[0].Delta.Content)
-		a.tokens++
+	if len(c.Choices) > 0 {
+		if err := a.addDelta(c.Choices[0].Delta); err != nil {
+			return err
+		}
 	}
 	if c.Usage.PromptTokens > 0 {
 		a.usage = c.usage()
@@ -118,6 +114,13 @@
 	return a.checkLimit(max(a.tokens, a.usage.CompletionTokens()))
 }
 
+func (a *assembler) addDelta(d delta) error {
+	if d.Content != "" || len(d.ToolCalls) > 0 {
+		a.tokens++
+	}
+	return a.reply.add(d)
+}
+
 func (a *assembler) checkLimit(tokens uint64) error {
 	if a.limit > 0 && tokens > a.limit {
 		return fmt.Errorf("%w of %d", errOverLimit, a.limit)
@@ -134,28 +137,19 @@
 	if err := json.Unmarshal(a.body.Bytes(), &c); err != nil {
 		return nil, hawthornrail.Usage{}, fmt.Errorf("%w: %w", errNotWhole, err)
 	}
-	if len(c.Choices) == 0 {
-		return nil, hawthornrail.Usage{}, fmt.Errorf("no choice: %w", errNotWhole)
+	if len(c.Choices) == 0 || len(c.Choices[0].Message) == 0 {
+		return nil, hawthornrail.Usage{}, fmt.Errorf("no message: %w", errNotWhole)
 	}
 	if err := a.checkLimit(c.Usage.CompletionTokens); err != nil {
 		return nil, hawthornrail.Usage{}, err
 	}
-	reply, err := encodeReply(c.Choices[0].Message.Content)
-	return reply, c.usage(), err
+	return c.Choices[0].Message, c.usage(), nil
 }
 
 func (a *assembler) finishStream() ([]byte, hawthornrail.Usage, error) {
 	if !a.done {
 		return nil, a.usage, errNotWhole
 	}
-	reply, err := encodeReply(a.text.String())
+	reply, err := a.reply.encode()
 	return reply, a.usage, err
 }
-
-func encodeReply(content string) ([]byte, error) {
-	reply, err := json.Marshal(message{Role: "assistant", Content: content})
-	if err != nil {
-		return nil, fmt.Errorf("encode reply: %w", err)
-	}
-	return reply, nil
-}
