Leave replies without kept messages out of a program's history

Cause: a call that sent its whole conversation itself keeps no messages, but its reply was put before the messages of a later call that asks for the kept history: an answer without its question.

TestJoinHistory failed before (a second "reply" in a row) and passes.

--- a/internal/program/home/body.go
+++ b/internal/program/home/body.go
@@ -116,7 +116,8 @@
 	var history []json.RawMessage
 	for n := uint64(1); n < number; n++ {
 		earlier := program.Call(n)
-		if earlier == nil || earlier.Outcome().Reply() == nil {
+		// A reply to a call that kept no messages would answer nothing.
+		if earlier == nil || earlier.Outcome().Reply() == nil || len(earlier.Intent().Messages()) == 0 {
 			continue
 		}
 		part, err := decodeMessages(earlier.Intent().Messages())
