Let a VM's server close while a handshake is under way

A connection whose handshake ended just after Close had closed the sessions was served from then on, and Close waited for its end for ever; a VM that shuts down while another one connects would have hung until it was killed.

Ruled out: the connections' own end (the other VM keeps its connection for as long as it lives) and the exchange of questions (its contexts end with the stream).

TestCloseDuringHandshake holds a handshake back until Close has begun: it did not close within 8 s before, and closes at once now.

--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -41,6 +41,7 @@
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
+	closed   bool
 	wait     sync.WaitGroup
 }
 
@@ -96,9 +97,11 @@
 		_ = conn.Close()
 		return
 	}
-	s.track(session, true)
-	defer s.track(session, false)
 	defer func() { _ = session.Close() }()
+	if !s.track(session) {
+		return
+	}
+	defer s.untrack(session)
 	for {
 		stream, err := session.Accept()
 		if err != nil {
@@ -108,13 +111,21 @@
 	}
 }
 
-func (s *Server) track(session *yamux.Session, add bool) {
+// track reports whether the session may be served; one whose handshake ended
+// after Close may not.
+func (s *Server) track(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if add {
-		s.sessions[session] = struct{}{}
-		return
+	if s.closed {
+		return false
 	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(session *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.sessions, session)
 }
 
@@ -144,6 +155,7 @@
 		_ = s.listener.Close()
 	}
 	s.mu.Lock()
+	s.closed = true
 	for session := range s.sessions {
 		_ = session.Close()
 	}
