Ask a VM in one place, and decide in one place whether it is ready

Cause: the read-through found the request to a VM's operator address written twice in the command line, and the condition of readiness twice, in the status and in /health; the two could have come to differ.

Behaviour stays: the status now also says not ready while the callers' server is leaving, as /health did.

--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -118,9 +118,14 @@
 	}
 }
 
+// Ready reports whether the balancer may send requests here.
+func (s *Server) Ready() bool {
+	return !s.leaving.Load() && (s.options.Ready == nil || s.options.Ready())
+}
+
 // health tells the balancer whether to send requests here.
 func (s *Server) health(ctx *fasthttp.RequestCtx) {
-	if s.leaving.Load() || s.options.Ready != nil && !s.options.Ready() {
+	if !s.Ready() {
 		ctx.Error("not ready\n", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/operator/cmds/programs.go
+++ b/internal/operator/cmds/programs.go
@@ -12,7 +12,6 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
-	"github.com/valyala/fasthttp"
 	"hawthornrail.example/hawthornrail/internal/operator/api"
 )
 
@@ -69,22 +68,18 @@
 
 // askPrograms prints the programs that a VM answers with, one a line.
 func askPrograms(c *cli.Command, method, path string) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + c.String("address") + path)
-	if err := fasthttp.DoTimeout(request, response, operatorTimeout); err != nil {
-		return exitError{ExitUnavailable, fmt.Errorf("VM at %s: %w", c.String("address"), err)}
+	status, body, err := request(c, method, path)
+	if err != nil {
+		return err
 	}
-	if response.StatusCode() != http.StatusOK {
-		return exitError{ExitFailed, errors.New(strings.TrimSpace(string(response.Body())))}
+	if status != http.StatusOK {
+		return exitError{ExitFailed, errors.New(strings.TrimSpace(string(body)))}
 	}
 	if c.String("output") == "json" {
-		_, err := c.Root().Writer.Write(response.Body())
+		_, err := c.Root().Writer.Write(body)
 		return err
 	}
-	lines := bufio.NewScanner(bytes.NewReader(response.Body()))
+	lines := bufio.NewScanner(bytes.NewReader(body))
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
 		if err := printProgram(c, lines.Bytes()); err != nil {
--- a/internal/operator/cmds/vm.go
+++ b/internal/operator/cmds/vm.go
@@ -42,24 +42,35 @@
 	}
 }
 
-func askVM(c *cli.Command, method, path string) error {
+// request sends a request to a VM's operator address and returns the status
+// and the body of the answer.
+func request(c *cli.Command, method, path string) (int, []byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + c.String("address") + path)
 	if err := fasthttp.DoTimeout(request, response, operatorTimeout); err != nil {
-		return exitError{ExitUnavailable, fmt.Errorf("VM at %s: %w", c.String("address"), err)}
+		return 0, nil, exitError{ExitUnavailable, fmt.Errorf("VM at %s: %w", c.String("address"), err)}
+	}
+	return response.StatusCode(), append([]byte{}, response.Body()...), nil
+}
+
+// askVM prints the status that a VM answers with.
+func askVM(c *cli.Command, method, path string) error {
+	_, body, err := request(c, method, path)
+	if err != nil {
+		return err
 	}
 	if c.String("output") == "json" {
-		_, err := c.Root().Writer.Write(response.Body())
+		_, err := c.Root().Writer.Write(body)
 		return err
 	}
 	var s api.Status
-	if err := json.Unmarshal(response.Body(), &s); err != nil {
+	if err := json.Unmarshal(body, &s); err != nil {
 		return fmt.Errorf("VM at %s: %w", c.String("address"), err)
 	}
-	_, err := fmt.Fprintf(c.Root().Writer,
+	_, err = fmt.Fprintf(c.Root().Writer,
 		"vm %s in %s\nconfiguration revision %d, %d ms old\nprograms %d, live %d, replicas %d\nleaving %t\n",
 		s.VM, s.DataCentre, s.ConfigRevision, s.ConfigAgeMS, s.Programs, s.LivePrograms, s.Replicas, s.Leaving)
 	return err
--- a/internal/operator/serve/process.go
+++ b/internal/operator/serve/process.go
@@ -105,7 +105,7 @@
 		}
 		s.Holdings = append(s.Holdings, h)
 	}
-	s.Ready = p.in.Holdings.Ready() && p.in.Rates.Ready()
+	s.Ready = p.in.Callers.Ready()
 	s.Leaving = p.drained.Err() != nil
 	s.Requests, s.Forwarded, s.Recording = p.in.Callers.UnderWay(), p.in.Receiver.UnderWay(), p.in.Home.Recording()
 	s.UnconfirmedReleases = p.in.Memory.Unconfirmed()
