Give the linter a cache of the checkout's own

Cause: the linter's shared cache kept results of checkouts that were removed since; it could not read their generated files, took them for unformatted and reported three issues that are not there. Seen twice; a clean cache gave none.

The same verdict every time now costs the first run in a checkout about 25 s. Checked: the linter with its own cache finds 0 issues; the whole run was not made again.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,6 +14,8 @@
 scripts/setup.sh || failed set-up
 unformatted=$(gofumpt -l .) || failed formatter
 [ -z "$unformatted" ] || failed "formatter: $unformatted"
+# A cache of its own: a shared one can name files of checkouts that are gone.
+export GOLANGCI_LINT_CACHE="$PWD/bin/lint-cache"
 golangci-lint run ./... || failed linter
 make -s build || failed build
 ldd bin/hawthornrail | grep -q 'libc\.so' || failed "hawthornrail is not linked to libc"
