--- /dev/null
+++ b/accepted.go
@@ -0,0 +1,87 @@
+package hawthornrail
+
+import "context"
+
+// AcceptedConfig is an accepted version of the configuration of routes and
+// teams.
+type AcceptedConfig struct {
+	version     uint64
+	deployments []Deployment
+	keys        []Key
+	routes      []Route
+	services    []Service
+}
+
+// NewAcceptedConfig returns a version without content.
+func NewAcceptedConfig(version uint64) AcceptedConfig { return AcceptedConfig{version: version} }
+
+// WithTeams returns a copy with the teams' deployments and keys.
+func (a AcceptedConfig) WithTeams(deployments []Deployment, keys []Key) AcceptedConfig {
+	a.deployments, a.keys = deployments, keys
+	return a
+}
+
+// WithRoutes returns a copy with routes and the services that they lead to.
+func (a AcceptedConfig) WithRoutes(routes []Route, services []Service) AcceptedConfig {
+	a.routes, a.services = routes, services
+	return a
+}
+
+// Version returns the version; versions rise.
+func (a AcceptedConfig) Version() uint64 { return a.version }
+
+// Deployments returns the teams' deployments.
+func (a AcceptedConfig) Deployments() []Deployment { return a.deployments }
+
+// Keys returns the teams' keys.
+func (a AcceptedConfig) Keys() []Key { return a.keys }
+
+// Routes returns the routes.
+func (a AcceptedConfig) Routes() []Route { return a.routes }
+
+// Services returns the services.
+func (a AcceptedConfig) Services() []Service { return a.services }
+
+// Holder is the VM that holds a data centre's shares of budgets and rates.
+type Holder struct {
+	dataCentre string
+	vm         string
+	address    string
+}
+
+// NewHolder returns the holder of a data centre with the address at which
+// other VMs reach it.
+func NewHolder(dataCentre, vm, address string) Holder {
+	return Holder{dataCentre: dataCentre, vm: vm, address: address}
+}
+
+// DataCentre returns the data centre whose shares are held.
+func (h Holder) DataCentre() string { return h.dataCentre }
+
+// VM returns the name of the VM.
+func (h Holder) VM() string { return h.vm }
+
+// Address returns the IP address and port for other VMs.
+func (h Holder) Address() string { return h.address }
+
+// VMRegistry keeps the list of VMs in the platform's store.
+type VMRegistry interface {
+	// Register lists a VM under its name.
+	Register(ctx context.Context, vm VM) error
+	// Holder returns the holder of a data centre and the revision of its entry,
+	// which is 0 if there is none.
+	Holder(ctx context.Context, dataCentre string) (Holder, uint64, error)
+	// Claim lists a holder if its data centre's entry still has a revision.
+	Claim(ctx context.Context, h Holder, revision uint64) error
+}
+
+// ObjectDecoder reads the platform's objects.
+type ObjectDecoder interface {
+	// Config reads the accepted configuration; ok is false if there is none.
+	Config(objects []Object) (config AcceptedConfig, ok bool, err error)
+	// Endpoints reads the endpoints and returns an error for each object that
+	// names none.
+	Endpoints(objects []Object) ([]Endpoint, []error)
+	// VMs reads the list of VMs and returns an error for each unreadable one.
+	VMs(objects []Object) ([]VM, []error)
+}
--- a/config.go
+++ b/config.go
@@ -144,6 +144,7 @@
 	slots      int
 	leaving    bool
 	fenced     bool
+	instance   string
 }
 
 // NewEndpoint returns an endpoint at an IP address and port that serves the
@@ -170,6 +171,21 @@
 	return e
 }
 
+// WithInstance returns a copy with the id by which its process knows itself.
+func (e Endpoint) WithInstance(id string) Endpoint {
+	e.instance = id
+	return e
+}
+
+// WithKind returns a copy of another kind.
+func (e Endpoint) WithKind(kind EndpointKind) Endpoint {
+	e.kind = kind
+	return e
+}
+
+// Instance returns the id by which the endpoint's process knows itself.
+func (e Endpoint) Instance() string { return e.instance }
+
 // Name returns the name of the endpoint.
 func (e Endpoint) Name() string { return e.name }
 
@@ -200,6 +216,7 @@
 	dataCentre string
 	address    string
 	leaving    bool
+	noRates    bool
 }
 
 // NewVM returns a VM with the address that other VMs reach it at.
@@ -207,6 +224,15 @@
 	return VM{name: name, dataCentre: dataCentre, address: address, leaving: leaving}
 }
 
+// WithoutRates returns a copy that holds no part of any team's rate.
+func (v VM) WithoutRates() VM {
+	v.noRates = true
+	return v
+}
+
+// HoldsRates reports whether the VM may hold parts of the teams' rates.
+func (v VM) HoldsRates() bool { return !v.noRates }
+
 // Name returns the name of the VM.
 func (v VM) Name() string { return v.name }
 
--- /dev/null
+++ b/internal/caller/proxy/filter.go
@@ -0,0 +1,157 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/team/keyring"
+)
+
+// startRetryAfter is when to come back to a VM without a configuration.
+const startRetryAfter = 300 * time.Millisecond
+
+// Chain returns a handler that passes requests through the filters in order
+// and then to last.
+func Chain(last hawthornrail.ForwardHandler, filters ...hawthornrail.ForwardFilter) hawthornrail.ForwardHandler {
+	for _, f := range slices.Backward(filters) {
+		next := last
+		last = hawthornrail.ForwardHandlerFunc(func(ctx context.Context, r *hawthornrail.ForwardRequest) (*hawthornrail.ForwardAnswer, error) {
+			return f.Filter(ctx, r, next)
+		})
+	}
+	return last
+}
+
+// Identify finds the route of a request and the team of its key.
+type Identify struct {
+	config hawthornrail.Configuration
+}
+
+// NewIdentify returns the filter over a configuration.
+func NewIdentify(config hawthornrail.Configuration) *Identify { return &Identify{config: config} }
+
+// Filter refuses a request without a route or without a valid key for it.
+func (f *Identify) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardAnswer, error) {
+	snapshot := f.config.Snapshot()
+	if snapshot.Revision() == 0 {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeConfigStale, "no configuration is loaded yet").WithRetryAfter(startRetryAfter)
+	}
+	route, ok := snapshot.Route(r.Host(), r.Path())
+	if !ok {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownRoute, "no route for the path in version %d", snapshot.Revision())
+	}
+	if !route.Public() && snapshot.HasTeams() {
+		d, err := keyring.CheckOpaque(snapshot, r.Credential())
+		if err != nil {
+			return nil, err
+		}
+		r.Identify(d)
+	} else {
+		r.Identify(hawthornrail.Deployment{})
+	}
+	r.Match(route, snapshot.Revision())
+	return next.Forward(ctx, r)
+}
+
+// Admit counts requests against the rates of their teams.
+type Admit struct {
+	admitter hawthornrail.Admitter
+}
+
+// NewAdmit returns the filter over an admitter.
+func NewAdmit(admitter hawthornrail.Admitter) *Admit { return &Admit{admitter: admitter} }
+
+// Filter refuses a request beyond its team's rate and burst.
+func (f *Admit) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardAnswer, error) {
+	d := r.Deployment()
+	if d.Rate() <= 0 {
+		return next.Forward(ctx, r)
+	}
+	retryAfter, ok := f.admitter.Admit(ctx, d)
+	trail.From(ctx).Note(events.ForwardAdmitted).Str("team", d.Team()).Uint64("version", d.Version()).
+		Str("route", r.Route().Name()).Bool("admitted", ok).Emit()
+	if !ok {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeRate, "the rate of team %s is used up", d.Team()).WithRetryAfter(retryAfter)
+	}
+	return next.Forward(ctx, r)
+}
+
+// Budget keeps programs within their budgets.
+type Budget struct {
+	accounts hawthornrail.Accounts
+	config   hawthornrail.Configuration
+}
+
+// NewBudget returns the filter over the accounts of programs.
+func NewBudget(accounts hawthornrail.Accounts, config hawthornrail.Configuration) *Budget {
+	return &Budget{accounts: accounts, config: config}
+}
+
+// Filter reserves the most that a call may generate before it runs, and
+// settles what it has generated once it has ended.
+func (f *Budget) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardAnswer, error) {
+	call := r.Call()
+	if call.Program() == "" || call.Budget() == 0 || r.Route().Kind() != hawthornrail.StreamRoute {
+		return next.Forward(ctx, r)
+	}
+	perEvent := uint64(f.perEvent(r.Route()))
+	tokens := roundUp(uint64(max(1, r.Prompt().MaxOutput())), perEvent)
+	err := f.accounts.Reserve(ctx, call.Program(), r.ID(), call.Budget(), tokens)
+	trail.From(ctx).Note(events.ForwardReserved).Str("program", call.Program()).Uint64("budget", call.Budget()).
+		Uint64("tokens", tokens).Bool("granted", err == nil).Err(err).Emit()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := next.Forward(ctx, r)
+	if err != nil || answer.Stream() == nil {
+		f.accounts.Settle(call.Program(), r.ID(), 0)
+		return answer, err
+	}
+	counted := &countedStream{ReadCloser: answer.Stream()}
+	counted.settle = func() { f.accounts.Settle(call.Program(), r.ID(), min(tokens, counted.events*perEvent)) }
+	return answer.WithStream(counted), nil
+}
+
+// perEvent is the most tokens that an event of the route's services counts for.
+func (f *Budget) perEvent(route hawthornrail.Route) int {
+	most := 1
+	for _, t := range route.Targets() {
+		if s, ok := f.config.Snapshot().Service(t.Service()); ok {
+			most = max(most, s.TokensPerEvent())
+		}
+	}
+	return most
+}
+
+func roundUp(tokens, unit uint64) uint64 { return (tokens + unit - 1) / unit * unit }
+
+// countedStream counts the events that went to the caller.
+type countedStream struct {
+	io.ReadCloser
+	events  uint64
+	newline bool
+	settle  func()
+}
+
+// Read counts the ends of events, which are empty lines.
+func (s *countedStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	for _, b := range p[:n] {
+		if b == '\n' && s.newline {
+			s.events++
+		}
+		s.newline = b == '\n'
+	}
+	return n, err
+}
+
+// Close settles what the stream has used.
+func (s *countedStream) Close() error {
+	s.settle()
+	return s.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/caller/proxy/server.go
@@ -0,0 +1,277 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+	"hawthornrail.example/hawthornrail/internal/observe/trail"
+)
+
+const (
+	// maxIdle is how long a kept connection may stay without a request; it is
+	// above what callers count on.
+	maxIdle = 2 * time.Minute
+	// readTimeout bounds how long a request may take to arrive.
+	readTimeout = 15 * time.Second
+	// writeTimeout bounds how long a caller may leave an answer unread.
+	writeTimeout = 30 * time.Second
+)
+
+// errCallerGone is the cause of a context whose caller closed its connection.
+var errCallerGone = errors.New("caller has left")
+
+// Parts are what a Server works with.
+type Parts struct {
+	Handler  hawthornrail.ForwardHandler
+	Dialect  hawthornrail.CallerDialect
+	Clock    hawthornrail.Clock
+	Recorder *trail.Recorder
+	Forwards *metrics.Forwards
+	// MaxHeaderBytes and MaxBodyBytes bound a request.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+}
+
+// Server answers callers whose requests are forwarded.
+type Server struct {
+	parts   Parts
+	http    *fasthttp.Server
+	active  atomic.Int64
+	leaving atomic.Bool
+}
+
+// New returns a server over its parts.
+func New(parts Parts) *Server {
+	s := &Server{parts: parts}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, ReadBufferSize: parts.MaxHeaderBytes, MaxRequestBodySize: parts.MaxBodyBytes,
+		IdleTimeout: maxIdle, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
+		CloseOnShutdown: true, ErrorHandler: badRequest,
+	}
+	return s
+}
+
+// Serve answers callers on a listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(listener{l}); err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Leave asks callers to use other VMs: every answer closes its connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// UnderWay returns the number of requests that are not answered yet.
+func (s *Server) UnderWay() int { return int(s.active.Load()) }
+
+// Shutdown stops accepting and waits until the requests under way have ended.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("shut down caller server: %w", err)
+	}
+	return nil
+}
+
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case strings.Contains(err.Error(), "body size exceeds"):
+		status = http.StatusRequestEntityTooLarge
+	case strings.Contains(err.Error(), "small read buffer"):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	}
+	ctx.Error(err.Error()+"\n", status)
+}
+
+// exchange is one request while it is served.
+type exchange struct {
+	server  *Server
+	request *hawthornrail.ForwardRequest
+	trail   *trail.Trail
+	cancel  context.CancelCauseFunc
+	release context.CancelFunc
+	stop    func()
+	ctx     context.Context
+	ended   bool
+}
+
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		c.SetConnectionClose()
+	}
+	r := s.read(c)
+	e := &exchange{server: s, request: r}
+	if err := s.parts.Dialect.Read(&c.Request.Header, r); err != nil {
+		e.trail = s.parts.Recorder.Start(r.ID())
+		s.fail(c, err)
+		e.trail.Note(events.ForwardRefused).Err(err).Emit()
+		e.trail.Close(true)
+		return
+	}
+	e.begin(c)
+	answer, err := s.parts.Handler.Forward(e.ctx, r)
+	if err != nil {
+		e.end(err)
+		s.fail(c, err)
+		return
+	}
+	s.parts.Forwards.First(s.parts.Clock.Since(r.Received()))
+	s.answer(c, e, answer)
+}
+
+// read takes the parts of a request that are passed on unchanged.
+func (s *Server) read(c *fasthttp.RequestCtx) *hawthornrail.ForwardRequest {
+	uri := string(c.RequestURI())
+	if !strings.HasPrefix(uri, "/") {
+		// A request in absolute form.
+		uri = string(c.URI().RequestURI())
+	}
+	path, _, _ := strings.Cut(uri, "?")
+	body := append([]byte{}, c.PostBody()...)
+	r := hawthornrail.NewForwardRequest(string(c.Method()), string(c.Host()), uri, path, body, s.parts.Clock.Now())
+	var headers []hawthornrail.Header
+	named := connectionHeaders(c)
+	for key, value := range c.Request.Header.All() {
+		name := string(key)
+		if forward.HopHeader(name) || name == fasthttp.HeaderHost || named[strings.ToLower(name)] || !s.parts.Dialect.Passed(name) {
+			continue
+		}
+		headers = append(headers, hawthornrail.NewHeader(name, string(value)))
+	}
+	r.SetHeaders(headers)
+	return r
+}
+
+// connectionHeaders returns the fields that the Connection field names.
+func connectionHeaders(c *fasthttp.RequestCtx) map[string]bool {
+	value := c.Request.Header.Peek(fasthttp.HeaderConnection)
+	if len(value) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for part := range bytes.SplitSeq(value, []byte{','}) {
+		named[strings.ToLower(string(bytes.TrimSpace(part)))] = true
+	}
+	return named
+}
+
+func (e *exchange) begin(c *fasthttp.RequestCtx) {
+	e.server.active.Add(1)
+	e.trail = e.server.parts.Recorder.Start(e.request.ID())
+	call := e.request.Call()
+	e.trail.Note(events.ForwardArrived).Str("method", e.request.Method()).Str("path", e.request.Path()).
+		Str("program", call.Program()).Str("line", call.Line()).
+		Int("deadline_ms", int(e.request.Deadline().Sub(e.request.Received()).Milliseconds())).Emit()
+	ctx := trail.With(context.Background(), e.trail)
+	ctx, e.cancel = context.WithCancelCause(ctx)
+	e.release = func() {}
+	if deadline := e.request.Deadline(); !deadline.IsZero() {
+		ctx, e.release = context.WithDeadline(ctx, deadline)
+	}
+	e.ctx = ctx
+	e.stop = func() {}
+	if watched, ok := c.Conn().(*conn); ok {
+		e.stop = watched.watch(func() { e.cancel(errCallerGone) })
+	}
+}
+
+// end releases what the request holds and records its outcome, once.
+func (e *exchange) end(err error) {
+	if e.ended {
+		return
+	}
+	e.ended = true
+	e.stop()
+	gone := errors.Is(context.Cause(e.ctx), errCallerGone)
+	e.release()
+	e.cancel(nil)
+	e.server.active.Add(-1)
+	took := e.server.parts.Clock.Since(e.request.Received())
+	e.server.parts.Forwards.Ended(err, took)
+	e.trail.Note(outcome(err, gone)).Str("team", e.request.Deployment().Team()).
+		Str("verdict", hawthornrail.VerdictOf(err).String()).Err(err).Int("took_ms", int(took.Milliseconds())).Emit()
+	e.trail.Close(err != nil)
+}
+
+func outcome(err error, gone bool) events.Event {
+	switch {
+	case err == nil:
+		return events.ForwardAnswered
+	case gone:
+		return events.CallerGone
+	case hawthornrail.VerdictOf(err) == hawthornrail.VerdictNotRun:
+		return events.ForwardRefused
+	default:
+		return events.ForwardFailed
+	}
+}
+
+func (s *Server) fail(c *fasthttp.RequestCtx, err error) {
+	f := hawthornrail.AsFailure(err)
+	status, headers := s.parts.Dialect.Failure(f)
+	c.SetStatusCode(status)
+	for _, h := range headers {
+		c.Response.Header.Add(h.Name(), h.Value())
+	}
+	c.SetContentType("text/plain")
+	c.SetBodyString(string(f.Code()) + "\n")
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx, e *exchange, a *hawthornrail.ForwardAnswer) {
+	c.SetStatusCode(a.Status())
+	for _, h := range a.Headers() {
+		c.Response.Header.Add(h.Name(), h.Value())
+	}
+	if a.Stream() == nil {
+		c.SetBody(a.Body())
+		e.end(nil)
+		return
+	}
+	c.SetBodyStream(&body{exchange: e, answer: a}, -1)
+}
+
+// body is the stream of an answer as the connection reads it.
+type body struct {
+	exchange *exchange
+	answer   *hawthornrail.ForwardAnswer
+	err      error
+}
+
+// Read returns the next part; an error other than io.EOF makes the connection
+// close without the end of the body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.answer.Stream().Read(p)
+	if err != nil {
+		b.err = err
+	}
+	return n, err
+}
+
+// Close ends the request.
+func (b *body) Close() error {
+	err := b.answer.Stream().Close()
+	switch {
+	case errors.Is(b.err, io.EOF):
+		b.exchange.end(err)
+	case b.err != nil:
+		b.exchange.end(b.err)
+	default:
+		b.exchange.end(hawthornrail.NewFailure(hawthornrail.CodeAnswerCut, hawthornrail.VerdictMayHaveRun, errCallerGone))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/mirror/follow.go
@@ -0,0 +1,122 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. Dead connections show
+	// earlier, by their keep-alive probes.
+	watchWait = 10 * time.Second
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+)
+
+// Follower keeps a mirror up to date with a store.
+type Follower struct {
+	mirror *Mirror
+	source hawthornrail.ObjectSource
+	clock  hawthornrail.Clock
+	log    events.Logger
+
+	mu       sync.Mutex
+	lost     map[string]bool
+	regained time.Time
+	contact  time.Time
+}
+
+// NewFollower returns a follower that has not called the store yet.
+func NewFollower(m *Mirror, source hawthornrail.ObjectSource, clock hawthornrail.Clock, log events.Logger) *Follower {
+	return &Follower{mirror: m, source: source, clock: clock, log: log, lost: make(map[string]bool)}
+}
+
+// Follow keeps one kind up to date until ctx ends.
+func (f *Follower) Follow(ctx context.Context, kind string) {
+	backoff := firstBackoff
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			err = f.watch(ctx, kind)
+		} else {
+			err = f.list(ctx, kind)
+		}
+		f.report(kind, err)
+		if err == nil {
+			listed, backoff = true, firstBackoff
+			continue
+		}
+		// Whatever failed, only a list is sure to miss nothing.
+		listed = false
+		if errors.Is(err, hawthornrail.ErrHistoryGone) {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.clock.After(backoff/2 + rand.N(backoff)):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (f *Follower) list(ctx context.Context, kind string) error {
+	list, err := f.source.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	f.mirror.Replace(kind, list)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context, kind string) error {
+	since := f.mirror.Revision(kind)
+	changes, err := f.source.Watch(ctx, kind, since, watchWait)
+	if err != nil {
+		return err
+	}
+	if !f.mirror.Change(kind, since, changes) {
+		return hawthornrail.ErrHistoryGone
+	}
+	return nil
+}
+
+// report logs when the store is lost and regained.
+func (f *Follower) report(kind string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || errors.Is(err, hawthornrail.ErrHistoryGone) {
+		f.contact = f.clock.Now()
+		if f.lost[kind] {
+			f.regained = f.contact
+			f.log.Event(events.PlatformBack).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
+		}
+		f.lost[kind] = false
+		return
+	}
+	if !f.lost[kind] {
+		f.log.Event(events.PlatformLost).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Err(err).Emit()
+	}
+	f.lost[kind] = true
+}
+
+// Contact returns when the store last answered.
+func (f *Follower) Contact() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact
+}
+
+// Regained returns when the store last answered again after a failure.
+func (f *Follower) Regained() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.regained
+}
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,14 +18,23 @@
 )
 
 const (
-	idleTimeout  = 5 * time.Second
-	maxIdleConns = 64
+	idleTimeout = 5 * time.Second
+	// keepAliveMargin is how long before an endpoint closes an idle connection
+	// it is used for the last time.
+	keepAliveMargin = 500 * time.Millisecond
+	maxIdleConns    = 64
 
 	// closeDelimited is the content length of a body that ends with its
 	// connection.
 	closeDelimited = -2
 )
 
+// maxStrayResponses bounds the responses on one connection that belong to
+// requests other than the one that waits.
+const maxStrayResponses = 4
+
+var errStrayResponses = errors.New("responses belong to other requests")
+
 // ErrUnsent means that no byte of the request left this VM.
 var ErrUnsent = errors.New("request was not sent")
 
@@ -31,13 +43,15 @@
 	clock  hawthornrail.Clock
 	dialer hawthornrail.Dialer
 
+	dialed atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]idleConn
 }
 
 type idleConn struct {
 	conn  *conn
-	since time.Time
+	until time.Time
 }
 
 type conn struct {
@@ -56,17 +70,33 @@
 	address   string
 	conn      *conn
 	response  *fasthttp.Response
+	accept    Accept
 	stop      func() bool
+	reused    bool
 	finished  bool
 }
 
+// Accept reports whether a response belongs to the request that was sent; one
+// that does not is read to its end and dropped.
+type Accept func(h *fasthttp.ResponseHeader) bool
+
 // Do sends a request to an address and reads the response's header; ctx
 // closes the connection, which cancels the request at the endpoint. With
 // fresh set it uses a new connection, so that a stale one can't leave it open
 // whether the request was sent, and no late answer to an earlier request can
 // be taken for this one's.
 func (t *Transport) Do(ctx context.Context, address string, request *fasthttp.Request, fresh bool) (*Exchange, error) {
-	c, err := t.connect(ctx, address, fresh)
+	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader) bool { return true })
+}
+
+// DoAccepted is Do over a kept connection; late responses to earlier requests
+// are told by accept and dropped.
+func (t *Transport) DoAccepted(ctx context.Context, address string, request *fasthttp.Request, accept Accept) (*Exchange, error) {
+	return t.do(ctx, address, request, false, accept)
+}
+
+func (t *Transport) do(ctx context.Context, address string, request *fasthttp.Request, fresh bool, accept Accept) (*Exchange, error) {
+	c, reused, err := t.connect(ctx, address, fresh)
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
@@ -75,7 +105,7 @@
 		return nil, errors.Join(ErrUnsent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	e := &Exchange{transport: t, address: address, conn: c, stop: stop}
+	e := &Exchange{transport: t, address: address, conn: c, stop: stop, accept: accept, reused: reused}
 	if err := e.roundTrip(request); err != nil {
 		e.Close()
 		return nil, err
@@ -91,6 +121,21 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	for range maxStrayResponses {
+		if err := e.readHead(request); err != nil {
+			return err
+		}
+		if e.accept(&e.response.Header) {
+			return nil
+		}
+		if err := e.dropBody(); err != nil {
+			return err
+		}
+	}
+	return errStrayResponses
+}
+
+func (e *Exchange) readHead(request *fasthttp.Request) error {
 	e.response = fasthttp.AcquireResponse()
 	e.response.StreamBody = true
 	e.response.SkipBody = request.Header.IsHead()
@@ -100,6 +145,26 @@
 	return nil
 }
 
+// dropBody reads a response that belongs to no request to its end.
+func (e *Exchange) dropBody() error {
+	if !e.Framed() {
+		return errStrayResponses
+	}
+	if body := e.response.BodyStream(); body != nil {
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			return fmt.Errorf("read stray response: %w", err)
+		}
+	}
+	_ = e.response.CloseBodyStream()
+	return nil
+}
+
+// Header returns the header of the response.
+func (e *Exchange) Header() *fasthttp.ResponseHeader { return &e.response.Header }
+
+// Reused reports whether the request went over a kept connection.
+func (e *Exchange) Reused() bool { return e.reused }
+
 // Status returns the HTTP status.
 func (e *Exchange) Status() int { return e.response.StatusCode() }
 
@@ -128,52 +193,92 @@
 // Close gives the connection back if the body was read to its end.
 func (e *Exchange) Close() {
 	live := e.stop()
-	keep := live && e.finished && e.response != nil && !e.response.ConnectionClose() && e.conn.reader.Buffered() == 0
+	keep := live && e.finished && e.response != nil && !e.response.ConnectionClose() && e.Framed() && e.conn.reader.Buffered() == 0
+	idle := idleTimeout
 	if e.response != nil {
+		idle = keepAlive(&e.response.Header)
 		_ = e.response.CloseBodyStream()
 	}
 	if keep {
-		e.transport.put(e.address, e.conn)
+		e.transport.put(e.address, e.conn, idle)
 		return
 	}
 	_ = e.conn.Close()
 }
 
-func (t *Transport) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+// keepAlive returns how long the endpoint keeps an idle connection at least.
+func keepAlive(h *fasthttp.ResponseHeader) time.Duration {
+	_, value, ok := strings.Cut(string(h.Peek("Keep-Alive")), "timeout=")
+	if !ok {
+		return idleTimeout
+	}
+	value, _, _ = strings.Cut(value, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(value))
+	if err != nil || seconds < 0 {
+		return idleTimeout
+	}
+	return min(idleTimeout, time.Duration(seconds)*time.Second-keepAliveMargin)
+}
+
+func (t *Transport) connect(ctx context.Context, address string, fresh bool) (c *conn, reused bool, err error) {
 	if !fresh {
 		if c := t.take(address); c != nil {
-			return c, nil
+			return c, true, nil
 		}
 	}
 	raw, err := t.dialer.Dial(ctx, address)
 	if err != nil {
-		return nil, fmt.Errorf("dial endpoint: %w", err)
+		return nil, false, fmt.Errorf("dial endpoint: %w", err)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	t.dialed.Add(1)
+	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, false, nil
 }
 
+// Dialed returns the number of connections opened since the start.
+func (t *Transport) Dialed() int64 { return t.dialed.Load() }
+
 func (t *Transport) take(address string) *conn {
+	for {
+		idle, ok := t.pop(address)
+		if !ok {
+			return nil
+		}
+		if t.clock.Now().Before(idle.until) && !stale(idle.conn.Conn) {
+			return idle.conn
+		}
+		_ = idle.conn.Close()
+	}
+}
+
+func (t *Transport) pop(address string) (idleConn, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	conns := t.idle[address]
-	for len(conns) > 0 {
-		last := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		t.idle[address] = conns
-		if t.clock.Since(last.since) < idleTimeout {
-			return last.conn
-		}
-		_ = last.conn.Close()
+	if len(conns) == 0 {
+		return idleConn{}, false
 	}
-	return nil
+	last := conns[len(conns)-1]
+	t.idle[address] = conns[:len(conns)-1]
+	return last, true
 }
 
-func (t *Transport) put(address string, c *conn) {
+func (t *Transport) put(address string, c *conn, idle time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.idle[address]) >= maxIdleConns {
+	if idle <= 0 || len(t.idle[address]) >= maxIdleConns {
 		_ = c.Close()
 		return
 	}
-	t.idle[address] = append(t.idle[address], idleConn{conn: c, since: t.clock.Now()})
+	t.idle[address] = append(t.idle[address], idleConn{conn: c, until: t.clock.Now().Add(idle)})
+}
+
+// Forget closes the idle connections to an address.
+func (t *Transport) Forget(address string) {
+	t.mu.Lock()
+	conns := t.idle[address]
+	delete(t.idle, address)
+	t.mu.Unlock()
+	for _, c := range conns {
+		_ = c.conn.Close()
+	}
 }
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -38,9 +38,9 @@
 
 // New returns a pool over the configuration's endpoints for a VM in a data
 // centre.
-func New(config hawthornrail.Configuration, clock hawthornrail.Clock, dataCentre string) *Pool {
+func New(config hawthornrail.Configuration, clock hawthornrail.Clock, dataCentre string, params endpoint.Params) *Pool {
 	return &Pool{
-		config: config, clock: clock, dataCentre: dataCentre, params: endpoint.DefaultParams(),
+		config: config, clock: clock, dataCentre: dataCentre, params: params,
 		groups: make(map[groupKey]*group),
 	}
 }
@@ -58,6 +58,12 @@
 	return hawthornrail.Endpoint{}, f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
 }
 
+// Take counts a request as sent to an endpoint that the caller chose.
+func (p *Pool) Take(e hawthornrail.Endpoint, q hawthornrail.PickQuery) hawthornrail.Endpoint {
+	p.each(e, func(t *endpoint.Table, _ time.Time) { t.Take(e.Name(), q) })
+	return e
+}
+
 // Done reports the end of a request and what its endpoint now caches.
 func (p *Pool) Done(name string, q hawthornrail.PickQuery, err error, usage hawthornrail.Usage, took time.Duration) {
 	g := p.group(groupKey{q.Kind(), q.Target()})
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -15,6 +15,9 @@
 	DrainTimedOut   = register(1004, zerolog.WarnLevel, "shutdown limit reached with requests under way", "raise drain_timeout if requests take longer")
 	ListenerFailed  = register(1005, zerolog.ErrorLevel, "listener failed", "check the address in the settings")
 	ProcessDrained  = register(1006, zerolog.InfoLevel, "requests under way ended before the shutdown", "")
+
+	SettingsReloaded = register(1007, zerolog.InfoLevel, "settings read again", "")
+	ReloadFailed     = register(1008, zerolog.ErrorLevel, "changed settings can't be read; the former stay in force", "correct the settings file")
 )
 
 // The events of requests.
@@ -24,6 +27,21 @@
 	AnswerCut      = register(2003, zerolog.WarnLevel, "answer cut before its end", "look at the endpoint's log")
 )
 
+// The events of forwarded requests.
+var (
+	ForwardArrived  = register(2101, zerolog.InfoLevel, "request arrived", "")
+	ForwardAdmitted = register(2102, zerolog.InfoLevel, "request counted against its team's rate", "")
+	ForwardReserved = register(2103, zerolog.InfoLevel, "tokens reserved in the program's budget", "")
+	ForwardSent     = register(2104, zerolog.InfoLevel, "request sent to an endpoint", "")
+	ForwardRetried  = register(2105, zerolog.InfoLevel, "request is sent again", "")
+	StreamResumed   = register(2106, zerolog.InfoLevel, "stream resumed after its last event", "")
+	ForwardAnswered = register(2107, zerolog.InfoLevel, "request answered", "")
+	ForwardRefused  = register(2108, zerolog.InfoLevel, "request refused as not run", "")
+	ForwardFailed   = register(2109, zerolog.WarnLevel, "request failed and may have run", "look at the endpoint's state")
+	ForwardCut      = register(2110, zerolog.WarnLevel, "answer cut before its end", "look at the endpoint's log")
+	CallerGone      = register(2111, zerolog.InfoLevel, "caller left before the answer's end", "")
+)
+
 // The events of programs.
 var (
 	ProgramCreated    = register(3001, zerolog.DebugLevel, "program created", "")
@@ -38,6 +56,15 @@
 	HandOverFailed    = register(3107, zerolog.ErrorLevel, "holding could not be handed over", "raise drain_timeout; the backup takes over")
 )
 
+// The events of program budgets.
+var (
+	AccountsOpened = register(3201, zerolog.InfoLevel, "accounts of programs opened", "")
+	AccountFailed  = register(3202, zerolog.ErrorLevel, "account could not be changed", "look at the disk of the VM")
+	HolderLost     = register(3203, zerolog.WarnLevel, "holder of budgets does not answer", "none unless it lasts")
+	HolderBack     = register(3204, zerolog.InfoLevel, "holder of budgets answers again", "")
+	SettleLost     = register(3205, zerolog.WarnLevel, "settlement did not reach its holder; the reservation stays", "")
+)
+
 // The events of configuration.
 var (
 	ConfigLoaded    = register(4001, zerolog.InfoLevel, "configuration loaded", "")
@@ -45,6 +72,12 @@
 	PlatformLost    = register(4003, zerolog.WarnLevel, "platform does not answer", "none: the last configuration stays in force")
 	PlatformBack    = register(4004, zerolog.InfoLevel, "platform answers again", "")
 	ObjectMalformed = register(4005, zerolog.ErrorLevel, "object could not be read", "apply a correct version of the object")
+
+	EndpointsChanged = register(4006, zerolog.InfoLevel, "list of endpoints changed", "")
+	VMsChanged       = register(4007, zerolog.InfoLevel, "list of VMs changed", "")
+	VMRegistered     = register(4008, zerolog.InfoLevel, "VM listed in the platform", "")
+	RegisterFailed   = register(4009, zerolog.WarnLevel, "VM could not be listed in the platform; it tries again", "")
+	HolderClaimed    = register(4010, zerolog.InfoLevel, "VM is the holder of its data centre", "")
 )
 
 // The events between VMs.
--- a/internal/observe/events/events.go
+++ b/internal/observe/events/events.go
@@ -90,6 +90,12 @@
 	return l
 }
 
+// Bool adds a truth value.
+func (l *Line) Bool(field string, value bool) *Line {
+	l.line.Bool(field, value)
+	return l
+}
+
 // Err adds an error.
 func (l *Line) Err(err error) *Line {
 	l.line.Err(err)
--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 	"hawthornrail.example/hawthornrail/internal/operator/serve"
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
+	"hawthornrail.example/hawthornrail/platform"
 )
 
 // Version is the version of the program.
@@ -54,7 +55,7 @@
 		ErrWriter:             stderr,
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			serveCommand(),
 			checkCommand(),
 			templateCommand(),
@@ -64,7 +65,7 @@
 			statusCommand(),
 			drainCommand(),
 			versionCommand(),
-		},
+		}, platform.Commands()...),
 	}
 }
 
--- /dev/null
+++ b/internal/operator/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry runs the process of an entry VM that forwards requests.
+package entry
--- /dev/null
+++ b/internal/operator/entry/entry.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/dig"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/caller/proxy"
+	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
+	endpointhttp "hawthornrail.example/hawthornrail/internal/endpoint/http"
+	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/operator/machine"
+	"hawthornrail.example/hawthornrail/internal/operator/node"
+	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/program/account"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// leaveTime is how long a VM that shuts down still serves new requests:
+	// the balancer notices within two checks, a second apart.
+	leaveTime = 3 * time.Second
+	// stopMargin is the part of the grace that is left for the end.
+	stopMargin = time.Second
+)
+
+// entry is the running process.
+type entry struct {
+	node    *node.Node
+	server  *proxy.Server
+	leaving atomic.Bool
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func Run(ctx context.Context, s machine.Settings, a node.Adapter) error {
+	kinds := []string{a.Kinds.Config, a.Kinds.Endpoints, a.Kinds.VMs}
+	n := node.New(s, a, s.VM(), kinds)
+	c, err := container(n)
+	if err != nil {
+		return err
+	}
+	var runErr error
+	if err := c.Invoke(func(e *entry) { runErr = e.run(ctx) }); err != nil {
+		return fmt.Errorf("start process: %w", err)
+	}
+	return runErr
+}
+
+// container provides the parts of an entry VM.
+func container(n *node.Node) (*dig.Container, error) {
+	c := dig.New()
+	providers := []any{
+		func() *node.Node { return n },
+		func() *metrics.Forwards { return metrics.NewForwards(n.Metrics()) },
+		func() *trail.Recorder { return trail.NewRecorder(n.Output(), n.Settings().VM(), n.Settings().LogSample()) },
+		func() *endpointhttp.Transport { return endpointhttp.New(n.Clock(), n.Adapter().Dialer) },
+		func() *pool.Pool {
+			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), policy.ForwardParams())
+		},
+		newAccounts,
+		newForwarder,
+		newServer,
+		func(s *proxy.Server) *entry { return &entry{node: n, server: s} },
+	}
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return nil, fmt.Errorf("wire process: %w", err)
+		}
+	}
+	return c, nil
+}
+
+func newAccounts(n *node.Node) hawthornrail.Accounts {
+	return account.NewClient(account.ClientParts{
+		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(),
+		Config: n.Config(), Asker: n.Client(), Clock: n.Clock(), Log: n.Log().Layer("account"),
+	})
+}
+
+func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards) *forward.Forwarder {
+	metrics.Gauge(n.Metrics(), "endpoints.dialed", t.Dialed)
+	return forward.New(forward.Parts{
+		Config: n.Config(), Pool: p, Transport: t, Dialect: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: m,
+	})
+}
+
+func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
+	chain := proxy.Chain(f,
+		proxy.NewIdentify(n.Config()),
+		proxy.NewAdmit(n.Rates()),
+		proxy.NewBudget(a, n.Config()),
+	)
+	return proxy.New(proxy.Parts{
+		Handler: chain, Dialect: n.Adapter().Callers, Clock: n.Clock(), Recorder: r, Forwards: m,
+		MaxHeaderBytes: n.Settings().MaxHeaderBytes(), MaxBodyBytes: n.Settings().MaxBodyBytes(),
+	})
+}
+
+func (e *entry) run(ctx context.Context) error {
+	n := e.node
+	if err := n.Start(func(context.Context, *vmpb.Open, *peer.Stream) bool { return false }); err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", n.Settings().CallerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if err := e.serveReadiness(); err != nil {
+		return err
+	}
+	n.Go(func(context.Context) error { return e.server.Serve(callers) })
+	n.Loop(func(ctx context.Context) {
+		n.Register(ctx, hawthornrail.NewVM(n.Settings().VM(), n.Settings().DataCentre(), n.Settings().PeerAddress(), false))
+	})
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-n.Failed():
+		n.Log().Event(events.ListenerFailed).Err(failure).Emit()
+	}
+	e.shutdown()
+	return node.Outcome(failure)
+}
+
+// Ready reports whether the balancer may send new connections here.
+func (e *entry) ready() bool {
+	return !e.leaving.Load() && e.node.Ready() && len(e.node.Config().Snapshot().Endpoints()) > 0
+}
+
+func (e *entry) serveReadiness() error {
+	l, err := net.Listen("tcp", e.node.Settings().ReadinessAddress())
+	if err != nil {
+		return fmt.Errorf("listen for readiness checks: %w", err)
+	}
+	r := router.New()
+	r.GET(e.node.Adapter().ReadyPath, func(ctx *fasthttp.RequestCtx) {
+		if !e.ready() {
+			ctx.SetStatusCode(http.StatusServiceUnavailable)
+		}
+	})
+	server := &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true}
+	e.node.Go(func(context.Context) error { return server.Serve(l) })
+	return nil
+}
+
+// shutdown goes on serving until the balancer has noticed, then lets the
+// requests under way end.
+func (e *entry) shutdown() {
+	n := e.node
+	start := n.Clock().Now()
+	n.Log().Event(events.ProcessStopping).Int("requests", e.server.UnderWay()).Emit()
+	e.leaving.Store(true)
+	e.server.Leave()
+	grace := n.Settings().Grace() - stopMargin
+	n.Clock().Sleep(min(leaveTime, grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace-n.Clock().Since(start)))
+	defer cancel()
+	if err := e.server.Shutdown(ctx); err != nil {
+		n.Log().Event(events.DrainTimedOut).Int("requests", e.server.UnderWay()).Err(err).Emit()
+	}
+	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
+	n.Stop()
+}
--- /dev/null
+++ b/internal/operator/holder/doc.go
@@ -0,0 +1,3 @@
+// Package holder runs the process of a VM with a disk, which holds a data
+// centre's shares of budgets and rates.
+package holder
--- /dev/null
+++ b/internal/operator/machine/settings.go
@@ -0,0 +1,193 @@
+package machine
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+const (
+	defaultMaxHeaderBytes = 16 << 10
+	defaultMaxBodyBytes   = 4 << 20
+	defaultGrace          = 8 * time.Second
+	defaultSample         = 100
+	defaultMemoryMB       = 128
+	// headerRoom is what a request line may take beside the header fields.
+	headerRoom = 4 << 10
+)
+
+// file is the TOML form of the settings.
+type file struct {
+	VM       vmSection       `toml:"vm"`
+	Listen   listenSection   `toml:"listen"`
+	Peer     peerSection     `toml:"peer"`
+	Store    storeSection    `toml:"store"`
+	Disk     diskSection     `toml:"disk"`
+	Limits   limitsSection   `toml:"limits"`
+	Log      logSection      `toml:"log"`
+	Shutdown shutdownSection `toml:"shutdown"`
+}
+
+type vmSection struct {
+	Name        string   `toml:"name"`
+	DataCentre  string   `toml:"data_centre"`
+	DataCentres []string `toml:"data_centres"`
+}
+
+type listenSection struct {
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+	Peers     string `toml:"peers"`
+	Metrics   string `toml:"metrics"`
+}
+
+type peerSection struct {
+	Seeds []string `toml:"seeds"`
+}
+
+type storeSection struct {
+	Address string `toml:"address"`
+}
+
+type diskSection struct {
+	Folder     string `toml:"folder"`
+	FirstStart bool   `toml:"first_start"`
+}
+
+type limitsSection struct {
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	MaxBodyBytes   int `toml:"max_body_bytes"`
+	MemoryMB       int `toml:"memory_mb"`
+}
+
+type logSection struct {
+	Sample int `toml:"sample"`
+}
+
+type shutdownSection struct {
+	GraceMS int `toml:"grace_ms"`
+}
+
+// Settings are the checked settings of a process.
+type Settings struct {
+	path string
+	file file
+}
+
+// Load reads and checks a settings file; the error lists everything wrong.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(string(text))
+	s.path = path
+	return s, err
+}
+
+// Reload reads the same file again.
+func (s Settings) Reload() (Settings, error) { return Load(s.path) }
+
+// Parse checks the text of a settings file.
+func Parse(text string) (Settings, error) {
+	f := file{
+		Limits:   limitsSection{MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB},
+		Log:      logSection{Sample: defaultSample},
+		Shutdown: shutdownSection{GraceMS: int(defaultGrace.Milliseconds())},
+	}
+	meta, err := toml.Decode(text, &f)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	problems := f.check()
+	for _, key := range meta.Undecoded() {
+		problems = append(problems, fmt.Errorf("%s: unknown key", key))
+	}
+	if len(problems) > 0 {
+		return Settings{}, fmt.Errorf("settings: %w", errors.Join(problems...))
+	}
+	return Settings{file: f}, nil
+}
+
+func (f file) check() []error {
+	var problems []error
+	need := func(ok bool, key, want string) {
+		if !ok {
+			problems = append(problems, fmt.Errorf("%s: want %s", key, want))
+		}
+	}
+	need(f.VM.Name != "", "vm.name", "a name")
+	need(slices.Contains(f.VM.DataCentres, f.VM.DataCentre), "vm.data_centre", "one of vm.data_centres")
+	need(address(f.Listen.Peers), "listen.peers", "IP:PORT")
+	need(f.Listen.Callers == "" || address(f.Listen.Callers), "listen.callers", "IP:PORT")
+	need(f.Listen.Readiness == "" || address(f.Listen.Readiness), "listen.readiness", "IP:PORT")
+	need(f.Listen.Metrics == "" || address(f.Listen.Metrics), "listen.metrics", "IP:PORT")
+	need(address(f.Store.Address), "store.address", "IP:PORT")
+	need(f.Limits.MaxHeaderBytes > 0, "limits.max_header_bytes", "a positive number")
+	need(f.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "a positive number")
+	need(f.Limits.MemoryMB > 0, "limits.memory_mb", "a positive number")
+	need(f.Log.Sample > 0, "log.sample", "a positive number")
+	need(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
+	for _, seed := range f.Peer.Seeds {
+		need(address(seed), "peer.seeds", "a list of IP:PORT")
+	}
+	return problems
+}
+
+func address(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+// VM returns the name of the VM.
+func (s Settings) VM() string { return s.file.VM.Name }
+
+// DataCentre returns the data centre of the VM.
+func (s Settings) DataCentre() string { return s.file.VM.DataCentre }
+
+// DataCentres returns all data centres in order.
+func (s Settings) DataCentres() []string { return slices.Sorted(slices.Values(s.file.VM.DataCentres)) }
+
+// CallerAddress returns the IP address and port for callers.
+func (s Settings) CallerAddress() string { return s.file.Listen.Callers }
+
+// ReadinessAddress returns the IP address and port for the balancer's checks.
+func (s Settings) ReadinessAddress() string { return s.file.Listen.Readiness }
+
+// PeerAddress returns the IP address and port for other VMs.
+func (s Settings) PeerAddress() string { return s.file.Listen.Peers }
+
+// MetricsAddress returns the IP address and port for metrics, or nothing.
+func (s Settings) MetricsAddress() string { return s.file.Listen.Metrics }
+
+// Seeds returns the peer addresses of VMs to start from.
+func (s Settings) Seeds() []string { return s.file.Peer.Seeds }
+
+// StoreAddress returns the IP address and port of the platform's store.
+func (s Settings) StoreAddress() string { return s.file.Store.Address }
+
+// Folder returns the folder for data on disk, or nothing.
+func (s Settings) Folder() string { return s.file.Disk.Folder }
+
+// FirstStart reports whether the whole fleet starts for the first time.
+func (s Settings) FirstStart() bool { return s.file.Disk.FirstStart }
+
+// MaxHeaderBytes returns the most bytes of a request's line and header.
+func (s Settings) MaxHeaderBytes() int { return s.file.Limits.MaxHeaderBytes + headerRoom }
+
+// MaxBodyBytes returns the most bytes of a request's body.
+func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
+
+// MemoryBytes returns the memory that the process may use.
+func (s Settings) MemoryBytes() int64 { return int64(s.file.Limits.MemoryMB) << 20 }
+
+// LogSample returns of how many good requests one is logged.
+func (s Settings) LogSample() int { return s.file.Log.Sample }
+
+// Grace returns how long a shutdown may take.
+func (s Settings) Grace() time.Duration { return time.Duration(s.file.Shutdown.GraceMS) * time.Millisecond }
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -24,6 +24,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/settings"
 	"hawthornrail.example/hawthornrail/internal/platform/claims"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
+	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
 	"hawthornrail.example/hawthornrail/internal/policy/fair"
 	"hawthornrail.example/hawthornrail/internal/program/home"
 	"hawthornrail.example/hawthornrail/internal/program/memory"
@@ -123,7 +124,7 @@
 }
 
 func newPool(c hawthornrail.Configuration, k hawthornrail.Clock, s settings.Settings) *pool.Pool {
-	return pool.New(c, k, s.DataCentre())
+	return pool.New(c, k, s.DataCentre(), policy.DefaultParams())
 }
 
 func newPoller(c hawthornrail.Configuration, t *http.Transport, p *pool.Pool, k hawthornrail.Clock) *load.Poller {
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -27,6 +27,13 @@
 	return s.endpoint, true
 }
 
+// Take counts a request as sent to an endpoint that was chosen elsewhere.
+func (t *Table) Take(name string, q hawthornrail.PickQuery) {
+	if s, ok := t.states[name]; ok {
+		t.send(s, q)
+	}
+}
+
 func (t *Table) send(s *state, q hawthornrail.PickQuery) {
 	s.inFlight++
 	t.inFlight++
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// ForwardParams returns the parameters for requests that are forwarded: turns
+// of a few hundred milliseconds at engines that read prompts fast.
+func ForwardParams() Params {
+	return Params{
+		PrefillPerSecond: 112_000, PrefillCost: 2, Crowding: 0.25,
+		Distance: 12 * time.Millisecond, ReportHalfLife: 500 * time.Millisecond, HintHalfLife: time.Minute,
+		Samples: 32, NearEqual: 2 * time.Millisecond, MemoryShare: 0.9, IdleShare: 0.5,
+		FirstBackoff: 200 * time.Millisecond, LastBackoff: 2 * time.Second,
+	}
+}
+
 const (
 	assumedSlots   = 32
 	assumedService = 5.0 // seconds
--- /dev/null
+++ b/internal/program/account/book.go
@@ -0,0 +1,190 @@
+package account
+
+import (
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// Book is what one holder knows of programs' budgets. It decides and changes
+// nothing but itself; callers serialise its methods and record what they
+// return before anybody relies on it.
+type Book struct {
+	holders  uint64
+	whole    bool
+	programs map[string]*entry
+}
+
+// entry is one program's account at one holder, in tokens.
+type entry struct {
+	budget   uint64
+	received uint64
+	given    uint64
+	spent    uint64
+	reserved map[string]uint64
+	pending  uint64
+	touched  time.Time
+}
+
+// NewBook returns an empty book of one of a number of holders.
+func NewBook(holders int) *Book {
+	return &Book{holders: uint64(max(1, holders)), programs: make(map[string]*entry)}
+}
+
+// Whole reports whether unknown programs are taken as new, which needs that
+// nothing of the book was ever lost.
+func (b *Book) Whole() bool { return b.whole }
+
+// Programs returns the number of programs known.
+func (b *Book) Programs() int { return len(b.programs) }
+
+func (e *entry) available() uint64 {
+	used := e.given + e.spent + e.pending
+	if used >= e.received {
+		return 0
+	}
+	return e.received - used
+}
+
+// Left returns the tokens of a program that may still be reserved here.
+func (b *Book) Left(program string) uint64 {
+	e, ok := b.programs[program]
+	if !ok {
+		return 0
+	}
+	return e.available()
+}
+
+// Open returns the record that starts a program's account, or nil if it is
+// known; a book that is not whole starts with nothing.
+func (b *Book) Open(program string, budget uint64) *vmpb.AccountRecord {
+	if _, ok := b.programs[program]; ok {
+		return nil
+	}
+	share := uint64(0)
+	if b.whole {
+		share = budget / b.holders
+	}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: &vmpb.AccountOpened{Program: program, Budget: budget, Share: share}}}
+}
+
+// Reserve returns the record that sets tokens aside for a call; the record is
+// nil if the call has them already, and ok is false if there are too few.
+func (b *Book) Reserve(m *vmpb.AccountReserve) (record *vmpb.AccountRecord, ok bool) {
+	e, known := b.programs[m.GetProgram()]
+	if !known {
+		return nil, false
+	}
+	if _, repeated := e.reserved[m.GetCall()]; repeated {
+		return nil, true
+	}
+	if e.available() < m.GetTokens() {
+		return nil, false
+	}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{Reserved: m}}, true
+}
+
+// Settle returns the record that replaces a reservation by what was used, or
+// nil if there is none.
+func (b *Book) Settle(m *vmpb.AccountSettle) *vmpb.AccountRecord {
+	e, ok := b.programs[m.GetProgram()]
+	if !ok {
+		return nil
+	}
+	if _, ok := e.reserved[m.GetCall()]; !ok {
+		return nil
+	}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Settled{Settled: m}}
+}
+
+// Give returns the record that gives tokens to another holder, and how many:
+// what is wanted or half of what is left, whichever is more.
+func (b *Book) Give(program string, wanted uint64) (record *vmpb.AccountRecord, tokens uint64) {
+	e, ok := b.programs[program]
+	if !ok {
+		return nil, 0
+	}
+	left := e.available()
+	tokens = min(left, max(wanted, left/2))
+	if tokens == 0 {
+		return nil, 0
+	}
+	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Given{Given: moved}}, tokens
+}
+
+// Receive returns the record that adds tokens of another holder.
+func (b *Book) Receive(program string, tokens uint64) *vmpb.AccountRecord {
+	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Received{Received: moved}}
+}
+
+// Apply makes a record take effect.
+func (b *Book) Apply(record *vmpb.AccountRecord, now time.Time) {
+	switch k := record.GetKind().(type) {
+	case *vmpb.AccountRecord_Origin:
+		b.whole = k.Origin.GetWhole()
+	case *vmpb.AccountRecord_Opened:
+		b.programs[k.Opened.GetProgram()] = &entry{
+			budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
+		}
+	case *vmpb.AccountRecord_Reserved:
+		b.change(k.Reserved.GetProgram(), now, func(e *entry) {
+			e.reserved[k.Reserved.GetCall()] = k.Reserved.GetTokens()
+			e.pending += k.Reserved.GetTokens()
+		})
+	case *vmpb.AccountRecord_Settled:
+		b.change(k.Settled.GetProgram(), now, func(e *entry) {
+			e.pending -= e.reserved[k.Settled.GetCall()]
+			delete(e.reserved, k.Settled.GetCall())
+			e.spent += k.Settled.GetUsed()
+		})
+	case *vmpb.AccountRecord_Given:
+		b.change(k.Given.GetProgram(), now, func(e *entry) { e.given += k.Given.GetTokens() })
+	case *vmpb.AccountRecord_Received:
+		b.change(k.Received.GetProgram(), now, func(e *entry) { e.received += k.Received.GetTokens() })
+	}
+}
+
+func (b *Book) change(program string, now time.Time, do func(*entry)) {
+	e, ok := b.programs[program]
+	if !ok {
+		return
+	}
+	e.touched = now
+	do(e)
+}
+
+// Records returns records that make up the book, without programs that were
+// last used before a time.
+func (b *Book) Records(since time.Time) []*vmpb.AccountRecord {
+	list := []*vmpb.AccountRecord{originRecord(b.whole)}
+	for program, e := range b.programs {
+		if e.touched.Before(since) {
+			continue
+		}
+		share := e.received - min(e.received, e.given+e.spent)
+		list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{
+			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share},
+		}})
+		for call, tokens := range e.reserved {
+			list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{
+				Reserved: &vmpb.AccountReserve{Program: program, Call: call, Budget: e.budget, Tokens: tokens},
+			}})
+		}
+	}
+	return list
+}
+
+// Forget drops programs that were last used before a time.
+func (b *Book) Forget(since time.Time) {
+	for program, e := range b.programs {
+		if e.touched.Before(since) {
+			delete(b.programs, program)
+		}
+	}
+}
+
+func originRecord(whole bool) *vmpb.AccountRecord {
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Origin{Origin: &vmpb.AccountOrigin{Whole: whole}}}
+}
--- /dev/null
+++ b/internal/program/account/client.go
@@ -0,0 +1,179 @@
+package account
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// Message is a message between VMs.
+type Message = proto.Message
+
+const (
+	// reserveTimeout bounds how long one holder is waited for; it covers the
+	// transfer that the holder may need.
+	reserveTimeout = 300 * time.Millisecond
+	// settleTimeout and settleTries bound how a settlement is repeated.
+	settleTimeout = 500 * time.Millisecond
+	settleTries   = 8
+	settlePause   = 300 * time.Millisecond
+	// downPause is how long a holder that did not answer is asked last.
+	downPause = 500 * time.Millisecond
+	// unreachedRetryAfter is when to come back if no holder answers.
+	unreachedRetryAfter = 250 * time.Millisecond
+)
+
+// ClientParts are what a Client works with.
+type ClientParts struct {
+	DataCentre  string
+	DataCentres []string
+	Config      hawthornrail.Configuration
+	Asker       Asker
+	Clock       hawthornrail.Clock
+	Log         events.Logger
+}
+
+// Client reserves tokens at the holders; it implements hawthornrail.Accounts.
+type Client struct {
+	parts ClientParts
+
+	mu    sync.Mutex
+	down  map[string]time.Time
+	calls map[string][]string
+}
+
+// NewClient returns a client that asks the holder of its own data centre first.
+func NewClient(parts ClientParts) *Client {
+	return &Client{parts: parts, down: make(map[string]time.Time), calls: make(map[string][]string)}
+}
+
+// Reserve asks holders in turn until one decides.
+func (c *Client) Reserve(ctx context.Context, program, call string, budget, tokens uint64) error {
+	m := &vmpb.AccountReserve{Program: program, Call: call, Budget: budget, Tokens: tokens}
+	var last error
+	for _, dc := range c.order() {
+		reply, err := c.ask(ctx, dc, m)
+		if err != nil {
+			last = err
+			continue
+		}
+		if reply.GetGranted() {
+			return nil
+		}
+		if !reply.GetUncertain() {
+			c.Settle(program, call, 0)
+			return hawthornrail.NotRun(hawthornrail.CodeBudget, "program %s has %d of its tokens left, the call may need %d", program, reply.GetLeft(), tokens)
+		}
+		last = errUncertain
+	}
+	c.Settle(program, call, 0)
+	f := hawthornrail.NotRun(hawthornrail.CodeAccountUnreached, "no holder can answer for program %s: %w", program, last)
+	return f.WithRetryAfter(unreachedRetryAfter + rand.N(unreachedRetryAfter))
+}
+
+var errUncertain = errors.New("other holders do not answer")
+
+// order returns the data centres, the own one first, and those whose holders
+// did not answer lately last.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.parts.Clock.Now()
+	up, down := make([]string, 0, len(c.parts.DataCentres)), []string(nil)
+	start := max(0, index(c.parts.DataCentres, c.parts.DataCentre))
+	for i := range c.parts.DataCentres {
+		dc := c.parts.DataCentres[(start+i)%len(c.parts.DataCentres)]
+		if now.Before(c.down[dc]) {
+			down = append(down, dc)
+			continue
+		}
+		up = append(up, dc)
+	}
+	return append(up, down...)
+}
+
+func index(list []string, value string) int {
+	for i, v := range list {
+		if v == value {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *Client) ask(ctx context.Context, dataCentre string, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
+	vm, ok := c.parts.Config.Snapshot().VM(dataCentre)
+	if !ok {
+		return nil, errNoHolder
+	}
+	c.mu.Lock()
+	c.calls[m.GetCall()] = append(c.calls[m.GetCall()], dataCentre)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	var reply vmpb.AccountReserveReply
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountReserve{AccountReserve: m}}
+	_, err := c.parts.Asker.Ask(ctx, vm.Address(), open, &reply)
+	c.answered(dataCentre, err)
+	return &reply, err
+}
+
+// answered remembers whether a holder answers.
+func (c *Client) answered(dataCentre string, err error) {
+	c.mu.Lock()
+	_, wasDown := c.down[dataCentre]
+	if err != nil {
+		c.down[dataCentre] = c.parts.Clock.Now().Add(downPause)
+	} else {
+		delete(c.down, dataCentre)
+	}
+	c.mu.Unlock()
+	switch {
+	case err != nil && !wasDown:
+		c.parts.Log.Event(events.HolderLost).Str("data_centre", dataCentre).Err(err).Emit()
+	case err == nil && wasDown:
+		c.parts.Log.Event(events.HolderBack).Str("data_centre", dataCentre).Emit()
+	}
+}
+
+// Settle tells the holder that decided what a call has used, and every other
+// holder that was asked that it has used nothing there.
+func (c *Client) Settle(program, call string, used uint64) {
+	c.mu.Lock()
+	asked := c.calls[call]
+	delete(c.calls, call)
+	c.mu.Unlock()
+	for i, dc := range asked {
+		amount := used
+		if i < len(asked)-1 {
+			amount = 0
+		}
+		go c.settle(dc, &vmpb.AccountSettle{Program: program, Call: call, Used: amount})
+	}
+}
+
+func (c *Client) settle(dataCentre string, m *vmpb.AccountSettle) {
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountSettle{AccountSettle: m}}
+	var last error
+	for range settleTries {
+		vm, ok := c.parts.Config.Snapshot().VM(dataCentre)
+		if ok {
+			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+			_, last = c.parts.Asker.Ask(ctx, vm.Address(), open, &vmpb.AccountSettleReply{})
+			cancel()
+			if last == nil {
+				return
+			}
+		}
+		c.parts.Clock.Sleep(settlePause)
+	}
+	c.parts.Log.Event(events.SettleLost).Str("program", m.GetProgram()).Str("request", m.GetCall()).
+		Str("data_centre", dataCentre).Uint64("used", m.GetUsed()).Err(last).Emit()
+}
--- /dev/null
+++ b/internal/program/account/holder.go
@@ -0,0 +1,288 @@
+package account
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// transferTimeout bounds how long another holder is waited for.
+	transferTimeout = 150 * time.Millisecond
+	// retention is how long a program is known after its last call.
+	retention = 10 * time.Minute
+	// tendInterval is how often old programs are looked for.
+	tendInterval = 30 * time.Second
+)
+
+// Asker asks another VM a question.
+type Asker interface {
+	Ask(ctx context.Context, address string, open *vmpb.Open, reply Message) (hawthornrail.Instance, error)
+}
+
+// HolderParts are what a Holder works with.
+type HolderParts struct {
+	// DataCentre is the holder's own, and DataCentres are those of all holders.
+	DataCentre  string
+	DataCentres []string
+	// FirstStart says that the fleet starts for the first time.
+	FirstStart bool
+	Folder     string
+	Config     hawthornrail.Configuration
+	Asker      Asker
+	Clock      hawthornrail.Clock
+	Log        events.Logger
+}
+
+// Holder answers for the share of programs' budgets that one data centre has.
+type Holder struct {
+	parts   HolderParts
+	journal *Journal
+
+	mu   sync.Mutex
+	book *Book
+}
+
+// OpenHolder reads the holder's journal; without one, the holder divides the
+// budgets of unknown programs only at the first start of the fleet.
+func OpenHolder(parts HolderParts) (*Holder, error) {
+	h := &Holder{parts: parts, book: NewBook(len(parts.DataCentres))}
+	now := parts.Clock.Now()
+	journal, fresh, err := OpenJournal(parts.Folder, func(r *vmpb.AccountRecord) { h.book.Apply(r, now) })
+	if err != nil {
+		return nil, err
+	}
+	h.journal = journal
+	if fresh {
+		if err := h.record(originRecord(parts.FirstStart)); err != nil {
+			return nil, err
+		}
+	}
+	parts.Log.Event(events.AccountsOpened).Bool("whole", h.book.Whole()).Int("programs", h.book.Programs()).Emit()
+	return h, nil
+}
+
+// record appends a record, makes it take effect and waits for the disk.
+func (h *Holder) record(r *vmpb.AccountRecord) error {
+	h.mu.Lock()
+	number, err := h.append(r)
+	h.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return h.journal.Wait(number)
+}
+
+// append needs the lock; the record counts once Wait returns for its number.
+func (h *Holder) append(r *vmpb.AccountRecord) (uint64, error) {
+	number, err := h.journal.Append(r)
+	if err != nil {
+		return 0, err
+	}
+	h.book.Apply(r, h.parts.Clock.Now())
+	return number, nil
+}
+
+// Receive serves the messages of other VMs about accounts and reports whether
+// open is one.
+func (h *Holder) Receive(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
+	var err error
+	switch k := open.GetKind().(type) {
+	case *vmpb.Open_AccountReserve:
+		var reply *vmpb.AccountReserveReply
+		if reply, err = h.Reserve(ctx, k.AccountReserve); err == nil {
+			_ = s.Send(reply)
+		}
+	case *vmpb.Open_AccountSettle:
+		if err = h.Settle(k.AccountSettle); err == nil {
+			_ = s.Send(&vmpb.AccountSettleReply{})
+		}
+	case *vmpb.Open_AccountTransfer:
+		var reply *vmpb.AccountTransferReply
+		if reply, err = h.Transfer(k.AccountTransfer); err == nil {
+			_ = s.Send(reply)
+		}
+	default:
+		return false
+	}
+	if err != nil {
+		// The asker gets no answer and turns to another holder.
+		h.parts.Log.Event(events.AccountFailed).Err(err).Emit()
+	}
+	return true
+}
+
+// Reserve sets tokens aside, with tokens of other holders if the own share is
+// too small.
+func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
+	reply, missing, err := h.tryReserve(m)
+	if err != nil || reply.GetGranted() {
+		return reply, err
+	}
+	answered, err := h.collect(ctx, m, missing)
+	if err != nil {
+		return nil, err
+	}
+	reply, _, err = h.tryReserve(m)
+	if err != nil {
+		return nil, err
+	}
+	reply.Uncertain = !reply.GetGranted() && !answered
+	return reply, nil
+}
+
+// tryReserve reserves from the own share, or returns how much is missing.
+func (h *Holder) tryReserve(m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, uint64, error) {
+	h.mu.Lock()
+	if open := h.book.Open(m.GetProgram(), m.GetBudget()); open != nil {
+		if _, err := h.append(open); err != nil {
+			h.mu.Unlock()
+			return nil, 0, err
+		}
+	}
+	record, ok := h.book.Reserve(m)
+	left := h.book.Left(m.GetProgram())
+	number := uint64(0)
+	var err error
+	if record != nil {
+		number, err = h.append(record)
+	}
+	h.mu.Unlock()
+	if err != nil {
+		return nil, 0, err
+	}
+	if !ok {
+		return &vmpb.AccountReserveReply{Left: left}, m.GetTokens() - min(m.GetTokens(), left), nil
+	}
+	if err := h.journal.Wait(number); err != nil {
+		return nil, 0, err
+	}
+	return &vmpb.AccountReserveReply{Granted: true, Left: left}, 0, nil
+}
+
+// collect asks the other holders for tokens and reports whether all answered.
+func (h *Holder) collect(ctx context.Context, m *vmpb.AccountReserve, missing uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	ask := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: missing}
+	type result struct {
+		moved uint64
+		err   error
+	}
+	results := make(chan result, len(h.parts.DataCentres))
+	asked := 0
+	for _, dc := range h.parts.DataCentres {
+		if dc == h.parts.DataCentre {
+			continue
+		}
+		asked++
+		go func() {
+			moved, err := h.ask(ctx, dc, ask)
+			results <- result{moved, err}
+		}()
+	}
+	answered := true
+	for range asked {
+		r := <-results
+		if r.err != nil {
+			answered = false
+			continue
+		}
+		if r.moved == 0 {
+			continue
+		}
+		if err := h.record(h.book.Receive(m.GetProgram(), r.moved)); err != nil {
+			return false, err
+		}
+	}
+	return answered, nil
+}
+
+func (h *Holder) ask(ctx context.Context, dataCentre string, m *vmpb.AccountTransfer) (uint64, error) {
+	vm, ok := h.parts.Config.Snapshot().VM(dataCentre)
+	if !ok {
+		return 0, fmt.Errorf("holder of %s: %w", dataCentre, errNoHolder)
+	}
+	var reply vmpb.AccountTransferReply
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: m}}
+	if _, err := h.parts.Asker.Ask(ctx, vm.Address(), open, &reply); err != nil {
+		return 0, fmt.Errorf("holder of %s: %w", dataCentre, err)
+	}
+	return reply.GetMoved(), nil
+}
+
+var errNoHolder = errors.New("holder is not known")
+
+// Transfer gives tokens to another holder; they are gone here before the
+// answer leaves, so a lost answer loses tokens and never doubles any.
+func (h *Holder) Transfer(m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
+	h.mu.Lock()
+	if open := h.book.Open(m.GetProgram(), m.GetBudget()); open != nil {
+		if _, err := h.append(open); err != nil {
+			h.mu.Unlock()
+			return nil, err
+		}
+	}
+	record, tokens := h.book.Give(m.GetProgram(), m.GetWanted())
+	number := uint64(0)
+	var err error
+	if record != nil {
+		number, err = h.append(record)
+	}
+	h.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if err := h.journal.Wait(number); err != nil {
+		return nil, err
+	}
+	return &vmpb.AccountTransferReply{Moved: tokens}, nil
+}
+
+// Settle replaces a reservation by what was used; it does not wait for the
+// disk, since a lost settlement only leaves the reservation in place.
+func (h *Holder) Settle(m *vmpb.AccountSettle) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	record := h.book.Settle(m)
+	if record == nil {
+		return nil
+	}
+	_, err := h.append(record)
+	return err
+}
+
+// Run forgets old programs and keeps the journal small until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.parts.Clock.After(tendInterval):
+			h.tend()
+		}
+	}
+}
+
+func (h *Holder) tend() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	since := h.parts.Clock.Now().Add(-retention)
+	h.book.Forget(since)
+	if !h.journal.Large() {
+		return
+	}
+	if err := h.journal.Compact(h.book.Records(since)); err != nil {
+		h.parts.Log.Event(events.AccountFailed).Err(err).Emit()
+	}
+}
+
+// Close writes what is queued.
+func (h *Holder) Close() error { return h.journal.Close() }
--- a/internal/standin/capacity/measure_test.go
+++ b/internal/standin/capacity/measure_test.go
@@ -197,7 +197,7 @@
 			one, two := hawthornrail.NewSnapshot(1, nil, nil, list, nil), hawthornrail.NewSnapshot(2, nil, nil, list, nil)
 			config := &fixedConfig{snapshot: one}
 			before := heap()
-			p := pool.New(config, clock.Real(), "dc1")
+			p := pool.New(config, clock.Real(), "dc1", endpoint.DefaultParams())
 			p.Capacity(hawthornrail.EngineEndpoint, "model-1")
 			held := heap() - before
 			for b.Loop() {
--- a/internal/team/keyring/keyring.go
+++ b/internal/team/keyring/keyring.go
@@ -16,6 +16,8 @@
 	keyPrefix   = "hr"
 	idBytes     = 6
 	secretBytes = 24
+	// opaqueIDBytes is the part of a hash that names a key.
+	opaqueIDBytes = 12
 )
 
 // Issue returns a new key as the caller gets it, its public id and the hash
@@ -58,6 +60,28 @@
 	return d, k.ID(), nil
 }
 
+// OpaqueID returns the id under which a key without a public part is held.
+func OpaqueID(key string) string { return hashOf(key)[:2*opaqueIDBytes] }
+
+// OpaqueKey returns the configured form of a key without a public part.
+func OpaqueKey(key, deployment string) hawthornrail.Key {
+	return hawthornrail.NewKey(OpaqueID(key), hashOf(key), deployment, false)
+}
+
+// CheckOpaque returns the deployment of a key without a public part, or a
+// Failure of a request that did not run.
+func CheckOpaque(s *hawthornrail.Snapshot, credential string) (hawthornrail.Deployment, error) {
+	k, ok := s.Key(OpaqueID(credential))
+	if !ok || subtle.ConstantTimeCompare([]byte(k.Hash()), []byte(hashOf(credential))) != 1 {
+		return hawthornrail.Deployment{}, hawthornrail.NotRun(hawthornrail.CodeUnauthorized, "no valid key came with the request")
+	}
+	d, ok := s.Deployment(k.Deployment())
+	if !ok {
+		return hawthornrail.Deployment{}, hawthornrail.NotRun(hawthornrail.CodeForbidden, "deployment %s does not exist", k.Deployment())
+	}
+	return d, nil
+}
+
 // Working reports whether a key that was checked before still works for the
 // same team.
 func Working(s *hawthornrail.Snapshot, id, team string) bool {
--- a/internal/team/share/plan.go
+++ b/internal/team/share/plan.go
@@ -97,8 +97,8 @@
 	count := 0
 	for i, v := range vms {
 		scores[i] = mix(seed ^ hash(v.Name()))
-		taken[i] = v.Leaving()
-		if !v.Leaving() {
+		taken[i] = v.Leaving() || !v.HoldsRates()
+		if !taken[i] {
 			count++
 		}
 	}
--- /dev/null
+++ b/route.go
@@ -0,0 +1,195 @@
+package hawthornrail
+
+import (
+	"strings"
+	"time"
+)
+
+// RouteKind says how often a request of a route may run.
+type RouteKind string
+
+// The kinds of route.
+const (
+	// IdempotentRoute lets a request run more than once.
+	IdempotentRoute RouteKind = "idempotent"
+	// OnceRoute lets a request run at most once.
+	OnceRoute RouteKind = "once"
+	// StreamRoute answers with a stream of events; its requests run at most
+	// once unless the route is resumable.
+	StreamRoute RouteKind = "stream"
+)
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	service string
+	weight  int
+}
+
+// NewTarget returns a target with its weight among the route's targets.
+func NewTarget(service string, weight int) Target { return Target{service: service, weight: weight} }
+
+// Service returns the name of the service.
+func (t Target) Service() string { return t.service }
+
+// Weight returns the target's share relative to the other targets.
+func (t Target) Weight() int { return t.weight }
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	name      string
+	host      string
+	prefix    string
+	kind      RouteKind
+	resumable bool
+	public    bool
+	priority  int
+	attempts  int
+	timeout   time.Duration
+	objective time.Duration
+	targets   []Target
+}
+
+// NewRoute returns a route of a host and a path prefix that ends with a slash.
+func NewRoute(name, host, prefix string, kind RouteKind, targets []Target) Route {
+	return Route{name: name, host: host, prefix: prefix, kind: kind, targets: targets, attempts: 1}
+}
+
+// WithResumable returns a copy whose streams may go on at another endpoint.
+func (r Route) WithResumable(resumable bool) Route {
+	r.resumable = resumable
+	return r
+}
+
+// WithPublic returns a copy that needs no key.
+func (r Route) WithPublic(public bool) Route {
+	r.public = public
+	return r
+}
+
+// WithPriority returns a copy with a priority; 0 goes first.
+func (r Route) WithPriority(priority int) Route {
+	r.priority = priority
+	return r
+}
+
+// WithAttempts returns a copy with the number of endpoints that may run one
+// request.
+func (r Route) WithAttempts(attempts int) Route {
+	r.attempts = max(1, attempts)
+	return r
+}
+
+// WithTimes returns a copy with the longest time that a request may take and
+// the time within which its answer is wanted.
+func (r Route) WithTimes(timeout, objective time.Duration) Route {
+	r.timeout, r.objective = timeout, objective
+	return r
+}
+
+// Name returns the name of the route.
+func (r Route) Name() string { return r.name }
+
+// Host returns the host of the route's requests.
+func (r Route) Host() string { return r.host }
+
+// Prefix returns the path prefix.
+func (r Route) Prefix() string { return r.prefix }
+
+// Kind returns how often a request may run.
+func (r Route) Kind() RouteKind { return r.kind }
+
+// Resumable reports whether a stream may go on at another endpoint.
+func (r Route) Resumable() bool { return r.resumable }
+
+// Repeatable reports whether a request may run more than once.
+func (r Route) Repeatable() bool { return r.kind == IdempotentRoute || r.kind == StreamRoute && r.resumable }
+
+// Public reports whether the route needs no key.
+func (r Route) Public() bool { return r.public }
+
+// Priority returns the route's priority; 0 goes first.
+func (r Route) Priority() int { return r.priority }
+
+// Attempts returns the number of endpoints that may run one request.
+func (r Route) Attempts() int { return r.attempts }
+
+// Timeout returns the longest time that a request may take, or 0.
+func (r Route) Timeout() time.Duration { return r.timeout }
+
+// Objective returns the time within which the answer is wanted.
+func (r Route) Objective() time.Duration { return r.objective }
+
+// Targets returns the services that take the route's requests.
+func (r Route) Targets() []Target { return r.targets }
+
+// Service is what is configured of the endpoints of one name.
+type Service struct {
+	name           string
+	maxConns       int
+	slots          int
+	memoryTokens   int
+	tokensPerEvent int
+}
+
+// NewService returns a service whose endpoints take a number of connections
+// from all callers together.
+func NewService(name string, maxConns int) Service { return Service{name: name, maxConns: maxConns} }
+
+// WithEngine returns a copy whose endpoints are engines that batch requests,
+// hold a number of tokens in memory and send tokens in events of a size.
+func (s Service) WithEngine(slots, memoryTokens, tokensPerEvent int) Service {
+	s.slots, s.memoryTokens, s.tokensPerEvent = slots, memoryTokens, tokensPerEvent
+	return s
+}
+
+// Name returns the name of the service.
+func (s Service) Name() string { return s.name }
+
+// MaxConns returns the connections that one endpoint takes.
+func (s Service) MaxConns() int { return s.maxConns }
+
+// Engine reports whether the endpoints are engines.
+func (s Service) Engine() bool { return s.slots > 0 }
+
+// Slots returns the requests that one engine batches, or 0.
+func (s Service) Slots() int { return s.slots }
+
+// MemoryTokens returns the tokens that one engine holds, or 0.
+func (s Service) MemoryTokens() int { return s.memoryTokens }
+
+// TokensPerEvent returns the tokens that each event of a stream counts for.
+func (s Service) TokensPerEvent() int { return max(1, s.tokensPerEvent) }
+
+// RouteTable finds the route of a request by host and longest path prefix; it
+// does not change.
+type RouteTable struct {
+	hosts map[string]map[string]Route
+}
+
+// NewRouteTable returns a table of routes.
+func NewRouteTable(routes []Route) *RouteTable {
+	t := &RouteTable{hosts: make(map[string]map[string]Route)}
+	for _, r := range routes {
+		prefixes, ok := t.hosts[r.host]
+		if !ok {
+			prefixes = make(map[string]Route)
+			t.hosts[r.host] = prefixes
+		}
+		prefixes[r.prefix] = r
+	}
+	return t
+}
+
+// Find returns the route of a path at a host.
+func (t *RouteTable) Find(host, path string) (Route, bool) {
+	prefixes, ok := t.hosts[host]
+	if !ok {
+		return Route{}, false
+	}
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if r, ok := prefixes[path[:end]]; ok {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -13,11 +13,13 @@
 	endpoints   map[string]Endpoint
 	vms         map[string]VM
 	openRoutes  map[string]string
+	routes      *RouteTable
+	services    map[string]Service
 }
 
 // NewSnapshot returns a snapshot of the given objects at a revision.
 func NewSnapshot(revision uint64, deployments []Deployment, keys []Key, endpoints []Endpoint, vms []VM) *Snapshot {
-	s := &Snapshot{revision: revision, openRoutes: make(map[string]string)}
+	s := &Snapshot{revision: revision, openRoutes: make(map[string]string), routes: NewRouteTable(nil)}
 	return s.WithDeployments(deployments).WithKeys(keys).WithEndpoints(endpoints).WithVMs(vms)
 }
 
@@ -69,6 +71,18 @@
 	return &c
 }
 
+// WithRoutes returns a copy with other routes and services of forwarded
+// requests.
+func (s *Snapshot) WithRoutes(routes []Route, services []Service) *Snapshot {
+	c := *s
+	c.routes = NewRouteTable(routes)
+	c.services = make(map[string]Service, len(services))
+	for _, v := range services {
+		c.services[v.Name()] = v
+	}
+	return &c
+}
+
 // AtRevision returns a copy that reflects a later revision with the same
 // objects.
 func (s *Snapshot) AtRevision(revision uint64) *Snapshot {
@@ -149,3 +163,16 @@
 	d, ok := s.openRoutes[service+path]
 	return d, ok
 }
+
+// Route returns the route of a forwarded request.
+func (s *Snapshot) Route(host, path string) (Route, bool) { return s.routes.Find(host, path) }
+
+// Service returns a service of forwarded requests by name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	v, ok := s.services[name]
+	return v, ok
+}
+
+// HasTeams reports whether any team is configured; without one callers need no
+// key.
+func (s *Snapshot) HasTeams() bool { return len(s.deployments) > 0 }
--- a/verdict.go
+++ b/verdict.go
@@ -61,6 +61,9 @@
 	CodeClaimUnreached   Code = "claim_unreachable"
 	CodeLeaving          Code = "leaving"
 	CodeConfigStale      Code = "config_stale"
+	CodeUnknownRoute     Code = "unknown_route"
+	CodeDeadline         Code = "deadline_passed"
+	CodeAccountUnreached Code = "account_unreachable"
 	CodeInternal         Code = "internal"
 )
 
