Let VMs without a part of a rate be ready at once, and pace watches

Cause: a VM that holds no part of any rate waited 10 s for confirmations of a part that it never uses, again for each account it opened, and said meanwhile that it was not ready. Watches that return for each single change cost 32 calls a VM at the start.

--- a/internal/config/mirror/follow.go
+++ b/internal/config/mirror/follow.go
@@ -15,6 +15,9 @@
 	// watchWait is how long a watch waits for a change. Dead connections show
 	// earlier, by their keep-alive probes.
 	watchWait = 10 * time.Second
+	// watchPause is the time between two watches, so that changes which come
+	// close together cost one call.
+	watchPause = 150 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -50,20 +53,19 @@
 			err = f.list(ctx, kind)
 		}
 		f.report(kind, err)
-		if err == nil {
-			listed, backoff = true, firstBackoff
-			continue
-		}
 		// Whatever failed, only a list is sure to miss nothing.
-		listed = false
-		if errors.Is(err, hawthornrail.ErrHistoryGone) {
-			continue
+		listed = err == nil
+		pause := watchPause
+		if err == nil || errors.Is(err, hawthornrail.ErrHistoryGone) {
+			backoff = firstBackoff
+		} else {
+			pause = backoff/2 + rand.N(backoff)
+			backoff = min(2*backoff, maxBackoff)
 		}
 		select {
 		case <-ctx.Done():
-		case <-f.clock.After(backoff/2 + rand.N(backoff)):
+		case <-f.clock.After(pause):
 		}
-		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
--- a/internal/team/share/change.go
+++ b/internal/team/share/change.go
@@ -308,7 +308,7 @@
 // use its part; other holders' confirmations can end the wait earlier.
 func (c *Change) StartWait(now time.Time) time.Duration {
 	c.close(now)
-	if !c.fresh {
+	if !c.fresh || c.plan.Part(c.self) == (Part{}) {
 		return 0
 	}
 	return c.since.Add(startTimeout).Sub(now)
--- a/internal/team/share/change_test.go
+++ b/internal/team/share/change_test.go
@@ -166,3 +166,23 @@
 		share.NewPlan(d, list)
 	}
 }
+
+// A VM that holds no part has nothing to wait for.
+func TestStartWaitWithoutPart(t *testing.T) {
+	list := append(vms(3, 3), hawthornrail.NewVM("entry", "dc0", "", false).WithoutRates())
+	p := plan(60, 60, list)
+	t.Run("holder waits", func(t *testing.T) {
+		c := share.NewChange("vm000", now)
+		c.Follow(p, now)
+		if c.StartWait(now) <= 0 {
+			t.Error("a started holder does not wait")
+		}
+	})
+	t.Run("entry VM does not wait", func(t *testing.T) {
+		c := share.NewChange("entry", now)
+		c.Follow(p, now)
+		if wait := c.StartWait(now); wait > 0 {
+			t.Errorf("waits %v", wait)
+		}
+	})
+}
