Make a program's budget once, at one home, and learn after a lost disk

Cause: each holder started with a third of every budget, but a turn may need 132 of 200 tokens, and a holder whose disk was lost kept no share at all: after two replacements nobody could grant anything. Ruled out: shares given with the announcement (an aborted announcement left tokens that could be spent: 434 of 400, found by the property test), replication of each reservation (a cut-off data centre could go on only as far as its unacknowledged window). Now the first holder that all others accept holds the whole budget and grants parts once it is the home; the platform decides for holders that do not answer or have lost their disk, and a holder with an empty disk learns the known programs from a whole one and from the claims.

--- a/interfaces.go
+++ b/interfaces.go
@@ -311,6 +311,12 @@
 	Claim(ctx context.Context, team, key, program string) (string, error)
 }
 
+// ClaimList lists what was claimed.
+type ClaimList interface {
+	// Claimed returns the owner of every key that is claimed without a team.
+	Claimed(ctx context.Context) (map[string]string, error)
+}
+
 // MemoryReleases tells what engines still hold for programs that ended.
 type MemoryReleases interface {
 	// Released reports whether an endpoint holds nothing for a program.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -63,7 +63,9 @@
 	providers := []any{
 		func() *node.Node { return n },
 		func() *metrics.Forwards { return metrics.NewForwards(n.Metrics()) },
-		func() *trail.Recorder { return trail.NewRecorder(n.Output(), n.Settings().VM(), n.Settings().LogSample()) },
+		func() *trail.Recorder {
+			return trail.NewRecorder(n.Output(), n.Settings().VM(), n.Settings().LogSample())
+		},
 		func() *endpointhttp.Transport { return endpointhttp.New(n.Clock(), n.Adapter().Dialer) },
 		func() *pool.Pool {
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), policy.ForwardParams())
--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -40,7 +40,7 @@
 	n := node.New(s, a, s.DataCentre(), []string{a.Kinds.Config, a.Kinds.VMs})
 	h, err := account.OpenHolder(account.HolderParts{
 		DataCentre: s.DataCentre(), DataCentres: s.DataCentres(), FirstStart: s.FirstStart(), Folder: s.Folder(),
-		Config: n.Config(), Asker: n.Client(), Clock: n.Clock(), Log: n.Log().Layer("account"),
+		Config: n.Config(), Claims: a.Claims, Claimed: a.Claimed, Asker: n.Client(), Clock: n.Clock(), Log: n.Log().Layer("account"),
 	})
 	if err != nil {
 		return fmt.Errorf("open accounts: %w", err)
@@ -55,6 +55,7 @@
 		return err
 	}
 	n.Loop(p.holder.Run)
+	n.Loop(p.holder.Recover)
 	n.Loop(p.claim)
 	var failure error
 	select {
@@ -123,4 +124,3 @@
 	_, err := p.node.Client().Ask(ctx, h.Address(), open, &vmpb.ObjectsReply{})
 	return err == nil
 }
-
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -190,4 +190,6 @@
 func (s Settings) LogSample() int { return s.file.Log.Sample }
 
 // Grace returns how long a shutdown may take.
-func (s Settings) Grace() time.Duration { return time.Duration(s.file.Shutdown.GraceMS) * time.Millisecond }
+func (s Settings) Grace() time.Duration {
+	return time.Duration(s.file.Shutdown.GraceMS) * time.Millisecond
+}
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -39,6 +39,8 @@
 type Adapter struct {
 	Source    hawthornrail.ObjectSource
 	Registry  hawthornrail.VMRegistry
+	Claims    hawthornrail.Claims
+	Claimed   hawthornrail.ClaimList
 	Decoder   hawthornrail.ObjectDecoder
 	Callers   hawthornrail.CallerDialect
 	Endpoints hawthornrail.EndpointDialect
--- a/internal/program/account/book.go
+++ b/internal/program/account/book.go
@@ -1,6 +1,8 @@
 package account
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -10,13 +12,14 @@
 // nothing but itself; callers serialise its methods and record what they
 // return before anybody relies on it.
 type Book struct {
-	holders  uint64
+	id       string
 	whole    bool
 	programs map[string]*entry
 }
 
 // entry is one program's account at one holder, in tokens.
 type entry struct {
+	home     string
 	budget   uint64
 	received uint64
 	given    uint64
@@ -26,15 +29,25 @@
 	touched  time.Time
 }
 
-// NewBook returns an empty book of one of a number of holders.
-func NewBook(holders int) *Book {
-	return &Book{holders: uint64(max(1, holders)), programs: make(map[string]*entry)}
-}
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{programs: make(map[string]*entry)} }
+
+// ID returns the name of the journal that the book was read from.
+func (b *Book) ID() string { return b.id }
 
-// Whole reports whether unknown programs are taken as new, which needs that
-// nothing of the book was ever lost.
+// Whole reports whether the holder knows every program that all holders were
+// told of.
 func (b *Book) Whole() bool { return b.whole }
 
+// Home returns the journal that got a program's whole budget.
+func (b *Book) Home(program string) (id string, known bool) {
+	e, ok := b.programs[program]
+	if !ok {
+		return "", false
+	}
+	return e.home, true
+}
+
 // Programs returns the number of programs known.
 func (b *Book) Programs() int { return len(b.programs) }
 
@@ -55,17 +68,27 @@
 	return e.available()
 }
 
-// Open returns the record that starts a program's account, or nil if it is
-// known; a book that is not whole starts with nothing.
-func (b *Book) Open(program string, budget uint64) *vmpb.AccountRecord {
-	if _, ok := b.programs[program]; ok {
-		return nil
-	}
-	share := uint64(0)
-	if b.whole {
-		share = budget / b.holders
+// Open returns the record that starts a program's account with a share of
+// the budget that belongs to a home.
+func (b *Book) Open(program string, budget, share uint64, home string) *vmpb.AccountRecord {
+	opened := &vmpb.AccountOpened{Program: program, Budget: budget, Share: share, Home: home}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: opened}}
+}
+
+// Known returns programs in the order of their names, after a name, and
+// whether there are more.
+func (b *Book) Known(after string, most int) (list []*vmpb.AccountOpened, more bool) {
+	for _, program := range slices.Sorted(maps.Keys(b.programs)) {
+		if program <= after {
+			continue
+		}
+		if len(list) == most {
+			return list, true
+		}
+		e := b.programs[program]
+		list = append(list, &vmpb.AccountOpened{Program: program, Budget: e.budget, Home: e.home})
 	}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: &vmpb.AccountOpened{Program: program, Budget: budget, Share: share}}}
+	return list, false
 }
 
 // Reserve returns the record that sets tokens aside for a call; the record is
@@ -100,12 +123,20 @@
 // Give returns the record that gives tokens to another holder, and how many:
 // what is wanted or half of what is left, whichever is more.
 func (b *Book) Give(program string, wanted uint64) (record *vmpb.AccountRecord, tokens uint64) {
-	e, ok := b.programs[program]
-	if !ok {
+	left := b.Left(program)
+	return b.give(program, min(left, max(wanted, left/2)))
+}
+
+// GivePart returns the record that gives a part of the budget away, which is
+// nothing if less is left.
+func (b *Book) GivePart(program string, part uint64) (record *vmpb.AccountRecord, tokens uint64) {
+	if b.Left(program) < part {
 		return nil, 0
 	}
-	left := e.available()
-	tokens = min(left, max(wanted, left/2))
+	return b.give(program, part)
+}
+
+func (b *Book) give(program string, tokens uint64) (*vmpb.AccountRecord, uint64) {
 	if tokens == 0 {
 		return nil, 0
 	}
@@ -123,10 +154,10 @@
 func (b *Book) Apply(record *vmpb.AccountRecord, now time.Time) {
 	switch k := record.GetKind().(type) {
 	case *vmpb.AccountRecord_Origin:
-		b.whole = k.Origin.GetWhole()
+		b.id, b.whole = k.Origin.GetId(), k.Origin.GetWhole()
 	case *vmpb.AccountRecord_Opened:
 		b.programs[k.Opened.GetProgram()] = &entry{
-			budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
+			home: k.Opened.GetHome(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
 		}
 	case *vmpb.AccountRecord_Reserved:
 		b.change(k.Reserved.GetProgram(), now, func(e *entry) {
@@ -158,14 +189,14 @@
 // Records returns records that make up the book, without programs that were
 // last used before a time.
 func (b *Book) Records(since time.Time) []*vmpb.AccountRecord {
-	list := []*vmpb.AccountRecord{originRecord(b.whole)}
+	list := []*vmpb.AccountRecord{originRecord(b.id, b.whole)}
 	for program, e := range b.programs {
 		if e.touched.Before(since) {
 			continue
 		}
 		share := e.received - min(e.received, e.given+e.spent)
 		list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{
-			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share},
+			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share, Home: e.home},
 		}})
 		for call, tokens := range e.reserved {
 			list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{
@@ -185,6 +216,6 @@
 	}
 }
 
-func originRecord(whole bool) *vmpb.AccountRecord {
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Origin{Origin: &vmpb.AccountOrigin{Whole: whole}}}
+func originRecord(id string, whole bool) *vmpb.AccountRecord {
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Origin{Origin: &vmpb.AccountOrigin{Id: id, Whole: whole}}}
 }
--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -17,9 +17,9 @@
 type Message = proto.Message
 
 const (
-	// reserveTimeout bounds how long one holder is waited for; it covers the
-	// transfer that the holder may need.
-	reserveTimeout = 300 * time.Millisecond
+	// reserveTimeout bounds how long one holder is waited for; it covers what
+	// the holder may need from others and from the platform.
+	reserveTimeout = 600 * time.Millisecond
 	// settleTimeout and settleTries bound how a settlement is repeated.
 	settleTimeout = 500 * time.Millisecond
 	settleTries   = 8
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"sync"
@@ -36,6 +37,8 @@
 	FirstStart bool
 	Folder     string
 	Config     hawthornrail.Configuration
+	Claims     hawthornrail.Claims
+	Claimed    hawthornrail.ClaimList
 	Asker      Asker
 	Clock      hawthornrail.Clock
 	Log        events.Logger
@@ -45,15 +48,18 @@
 type Holder struct {
 	parts   HolderParts
 	journal *Journal
+	id      string
 
-	mu   sync.Mutex
-	book *Book
+	mu      sync.Mutex
+	book    *Book
+	opening map[string]chan struct{}
+	down    map[string]time.Time
 }
 
-// OpenHolder reads the holder's journal; without one, the holder divides the
-// budgets of unknown programs only at the first start of the fleet.
+// OpenHolder reads the holder's journal; without one, and but for the first
+// start of the fleet, an earlier journal counts as lost.
 func OpenHolder(parts HolderParts) (*Holder, error) {
-	h := &Holder{parts: parts, book: NewBook(len(parts.DataCentres))}
+	h := &Holder{parts: parts, book: NewBook(), opening: make(map[string]chan struct{}), down: make(map[string]time.Time)}
 	now := parts.Clock.Now()
 	journal, fresh, err := OpenJournal(parts.Folder, func(r *vmpb.AccountRecord) { h.book.Apply(r, now) })
 	if err != nil {
@@ -61,10 +67,11 @@
 	}
 	h.journal = journal
 	if fresh {
-		if err := h.record(originRecord(parts.FirstStart)); err != nil {
+		if err := h.record(originRecord(rand.Text(), parts.FirstStart)); err != nil {
 			return nil, err
 		}
 	}
+	h.id = h.book.ID()
 	parts.Log.Event(events.AccountsOpened).Bool("whole", h.book.Whole()).Int("programs", h.book.Programs()).Emit()
 	return h, nil
 }
@@ -109,6 +116,17 @@
 		if reply, err = h.Transfer(k.AccountTransfer); err == nil {
 			_ = s.Send(reply)
 		}
+	case *vmpb.Open_AccountSync:
+		_ = s.Send(h.Sync(k.AccountSync))
+	case *vmpb.Open_AccountGrant:
+		if err = h.Granted(k.AccountGrant); err == nil {
+			_ = s.Send(&vmpb.AccountGrantReply{})
+		}
+	case *vmpb.Open_AccountAnnounce:
+		var reply *vmpb.AccountAnnounceReply
+		if reply, err = h.Announced(k.AccountAnnounce); err == nil {
+			_ = s.Send(reply)
+		}
 	default:
 		return false
 	}
@@ -122,6 +140,9 @@
 // Reserve sets tokens aside, with tokens of other holders if the own share is
 // too small.
 func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
+	if err := h.open(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens()); err != nil {
+		return nil, err
+	}
 	reply, missing, err := h.tryReserve(m)
 	if err != nil || reply.GetGranted() {
 		return reply, err
@@ -141,19 +162,13 @@
 // tryReserve reserves from the own share, or returns how much is missing.
 func (h *Holder) tryReserve(m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, uint64, error) {
 	h.mu.Lock()
-	if open := h.book.Open(m.GetProgram(), m.GetBudget()); open != nil {
-		if _, err := h.append(open); err != nil {
-			h.mu.Unlock()
-			return nil, 0, err
-		}
-	}
 	record, ok := h.book.Reserve(m)
-	left := h.book.Left(m.GetProgram())
 	number := uint64(0)
 	var err error
 	if record != nil {
 		number, err = h.append(record)
 	}
+	left := h.book.Left(m.GetProgram())
 	h.mu.Unlock()
 	if err != nil {
 		return nil, 0, err
@@ -178,14 +193,12 @@
 	}
 	results := make(chan result, len(h.parts.DataCentres))
 	asked := 0
-	for _, dc := range h.parts.DataCentres {
-		if dc == h.parts.DataCentre {
-			continue
-		}
+	for _, dc := range h.others() {
 		asked++
 		go func() {
-			moved, err := h.ask(ctx, dc, ask)
-			results <- result{moved, err}
+			var reply vmpb.AccountTransferReply
+			err := h.ask(ctx, dc, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: ask}}, &reply)
+			results <- result{reply.GetMoved(), err}
 		}()
 	}
 	answered := true
@@ -205,17 +218,36 @@
 	return answered, nil
 }
 
-func (h *Holder) ask(ctx context.Context, dataCentre string, m *vmpb.AccountTransfer) (uint64, error) {
+// ask asks the holder of a data centre and remembers whether it answers.
+func (h *Holder) ask(ctx context.Context, dataCentre string, open *vmpb.Open, reply Message) error {
 	vm, ok := h.parts.Config.Snapshot().VM(dataCentre)
 	if !ok {
-		return 0, fmt.Errorf("holder of %s: %w", dataCentre, errNoHolder)
+		return fmt.Errorf("holder of %s: %w", dataCentre, errNoHolder)
 	}
-	var reply vmpb.AccountTransferReply
-	open := &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: m}}
-	if _, err := h.parts.Asker.Ask(ctx, vm.Address(), open, &reply); err != nil {
-		return 0, fmt.Errorf("holder of %s: %w", dataCentre, err)
+	_, err := h.parts.Asker.Ask(ctx, vm.Address(), open, reply)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, wasDown := h.down[dataCentre]
+	if err != nil {
+		if !wasDown {
+			h.parts.Log.Event(events.HolderLost).Str("data_centre", dataCentre).Err(err).Emit()
+		}
+		h.down[dataCentre] = h.parts.Clock.Now().Add(downPause)
+		return fmt.Errorf("holder of %s: %w", dataCentre, err)
 	}
-	return reply.GetMoved(), nil
+	if wasDown {
+		h.parts.Log.Event(events.HolderBack).Str("data_centre", dataCentre).Emit()
+		delete(h.down, dataCentre)
+	}
+	return nil
+}
+
+// silent reports whether a holder did not answer a moment ago.
+func (h *Holder) silent(dataCentre string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	until, ok := h.down[dataCentre]
+	return ok && h.parts.Clock.Now().Before(until)
 }
 
 var errNoHolder = errors.New("holder is not known")
@@ -224,12 +256,6 @@
 // answer leaves, so a lost answer loses tokens and never doubles any.
 func (h *Holder) Transfer(m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
 	h.mu.Lock()
-	if open := h.book.Open(m.GetProgram(), m.GetBudget()); open != nil {
-		if _, err := h.append(open); err != nil {
-			h.mu.Unlock()
-			return nil, err
-		}
-	}
 	record, tokens := h.book.Give(m.GetProgram(), m.GetWanted())
 	number := uint64(0)
 	var err error
--- a/route.go
+++ b/route.go
@@ -102,7 +102,9 @@
 func (r Route) Resumable() bool { return r.resumable }
 
 // Repeatable reports whether a request may run more than once.
-func (r Route) Repeatable() bool { return r.kind == IdempotentRoute || r.kind == StreamRoute && r.resumable }
+func (r Route) Repeatable() bool {
+	return r.kind == IdempotentRoute || r.kind == StreamRoute && r.resumable
+}
 
 // Public reports whether the route needs no key.
 func (r Route) Public() bool { return r.public }
