--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -198,6 +198,10 @@
 		go func() {
 			var reply vmpb.AccountTransferReply
 			err := h.ask(ctx, dc, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: ask}}, &reply)
+			if err == nil && !reply.GetKnown() {
+				// The program may be about to get its budget there.
+				err = errUnsettled
+			}
 			results <- result{reply.GetMoved(), err}
 		}()
 	}
@@ -250,12 +254,16 @@
 	return ok && h.parts.Clock.Now().Before(until)
 }
 
-var errNoHolder = errors.New("holder is not known")
+var (
+	errNoHolder  = errors.New("holder is not known")
+	errUnsettled = errors.New("program has no account at the holder")
+)
 
 // Transfer gives tokens to another holder; they are gone here before the
 // answer leaves, so a lost answer loses tokens and never doubles any.
 func (h *Holder) Transfer(m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
 	h.mu.Lock()
+	_, known := h.book.Home(m.GetProgram())
 	record, tokens := h.book.Give(m.GetProgram(), m.GetWanted())
 	number := uint64(0)
 	var err error
@@ -269,7 +277,7 @@
 	if err := h.journal.Wait(number); err != nil {
 		return nil, err
 	}
-	return &vmpb.AccountTransferReply{Moved: tokens}, nil
+	return &vmpb.AccountTransferReply{Moved: tokens, Known: known}, nil
 }
 
 // Settle replaces a reservation by what was used; it does not wait for the
