--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -19,7 +19,7 @@
 const (
 	// reserveTimeout bounds how long one holder is waited for; it covers what
 	// the holder may need from others and from the platform.
-	reserveTimeout = 600 * time.Millisecond
+	reserveTimeout = 1300 * time.Millisecond
 	// settleTimeout and settleTries bound how a settlement is repeated.
 	settleTimeout = 500 * time.Millisecond
 	settleTries   = 8
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -24,9 +24,9 @@
 	// announceTimeout bounds how long another holder is waited for.
 	announceTimeout = 120 * time.Millisecond
 	// claimTimeout bounds how long the platform is waited for.
-	claimTimeout = 400 * time.Millisecond
+	claimTimeout = time.Second
 	// settleLimit is the age from which answers do not count any more.
-	settleLimit = time.Second
+	settleLimit = 2 * time.Second
 )
 
 var (
