--- a/internal/caller/proxy/conn.go
+++ b/internal/caller/proxy/conn.go
@@ -54,7 +54,7 @@
 func (c *conn) watch(gone func()) (stop func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ahead) > 0 || c.failure != nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
+	if len(c.ahead) > 0 || c.failure != nil || c.SetReadDeadline(time.Time{}) != nil {
 		return func() {}
 	}
 	stopping := make(chan struct{})
@@ -64,9 +64,9 @@
 		close(stopping)
 		// An expired deadline ends the read; it fails only on a closed
 		// connection, which ends it too.
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 		<-ended
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 	}
 }
 
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -59,18 +59,15 @@
 // The events of program budgets.
 var (
 	AccountsOpened    = register(3201, zerolog.InfoLevel, "accounts of programs opened", "")
-	AccountFailed     = register(3202, zerolog.ErrorLevel, "account could not be changed", "look at the disk of the VM")
+	AccountFailed     = register(3202, zerolog.WarnLevel, "account could not be changed", "look at the disk of the VM and at the other holders")
 	HolderLost        = register(3203, zerolog.WarnLevel, "holder of budgets does not answer", "none unless it lasts")
 	HolderBack        = register(3204, zerolog.InfoLevel, "holder of budgets answers again", "")
+	SettleLost        = register(3205, zerolog.WarnLevel, "settlement did not reach its holder; the reservation stays", "")
 	AccountsRecovered = register(3206, zerolog.InfoLevel, "programs with an account learned again after the loss of a disk", "")
 	RecoverFailed     = register(3207, zerolog.WarnLevel, "programs with an account can't be learned yet; it tries again", "none unless it lasts")
-
-	SettleLost = register(3205, zerolog.WarnLevel, "settlement did not reach its holder; the reservation stays", "")
+	GrantLost         = register(3208, zerolog.WarnLevel, "part of a budget may not have reached its holder; it counts as used", "")
 )
 
-// The events of shares of budgets.
-var GrantLost = register(3208, zerolog.WarnLevel, "part of a budget may not have reached its holder; it counts as used", "")
-
 // The events of configuration.
 var (
 	ConfigLoaded    = register(4001, zerolog.InfoLevel, "configuration loaded", "")
