--- a/forward.go
+++ b/forward.go
@@ -108,6 +108,7 @@
 	route      Route
 	deployment Deployment
 	revision   uint64
+	first      bool
 }
 
 // NewForwardRequest returns a request of a method for the path of a URI at a
@@ -151,6 +152,12 @@
 // Identify drops the credential and sets the team's deployment.
 func (r *ForwardRequest) Identify(d Deployment) { r.credential, r.deployment = "", d }
 
+// SetFirst says that the request is its program's first.
+func (r *ForwardRequest) SetFirst(first bool) { r.first = first }
+
+// First reports whether the request is its program's first.
+func (r *ForwardRequest) First() bool { return r.first }
+
 // ID returns the id of this attempt of the caller.
 func (r *ForwardRequest) ID() string { return r.id }
 
@@ -294,9 +301,10 @@
 
 // Accounts keeps programs within their budgets over all VMs.
 type Accounts interface {
-	// Reserve sets tokens of a program's budget aside for a call; it returns a
-	// Failure if the budget does not hold them or no holder answers.
-	Reserve(ctx context.Context, program, call string, budget, tokens uint64) error
+	// Reserve sets tokens of a program's budget aside for a call and reports
+	// whether it is the program's first; it returns a Failure if the budget does
+	// not hold them or no holder answers.
+	Reserve(ctx context.Context, program, call string, budget, tokens uint64) (first bool, err error)
 	// Settle replaces a call's reservation by what it used.
 	Settle(program, call string, used uint64)
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -52,6 +52,9 @@
 type Admitter interface {
 	// Admit takes one token for a deployment, or says when to come back.
 	Admit(ctx context.Context, d Deployment) (retryAfter time.Duration, ok bool)
+	// Level returns the part of a deployment's burst that is believed to be
+	// left, from 0 to 1.
+	Level(d Deployment) float64
 }
 
 // Ticket describes a request that waits for capacity.
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,8 +13,15 @@
 	"hawthornrail.example/hawthornrail/internal/team/keyring"
 )
 
-// startRetryAfter is when to come back to a VM without a configuration.
-const startRetryAfter = 300 * time.Millisecond
+const (
+	// startRetryAfter is when to come back to a VM without a configuration.
+	startRetryAfter = 300 * time.Millisecond
+	// startLevel is the part of a team's burst that must be left for a program
+	// to start.
+	startLevel = 0.4
+	// minRefill is the shortest time to come back to a team's rate.
+	minRefill = 50 * time.Millisecond
+)
 
 // Chain returns a handler that passes requests through the filters in order
 // and then to last.
@@ -66,21 +74,39 @@
 // NewAdmit returns the filter over an admitter.
 func NewAdmit(admitter hawthornrail.Admitter) *Admit { return &Admit{admitter: admitter} }
 
-// Filter refuses a request beyond its team's rate and burst.
+// Filter refuses a request beyond its team's rate and burst. What is left of a
+// burst is kept for programs under way: a program that is refused at its start
+// has cost nothing yet.
 func (f *Admit) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardAnswer, error) {
 	d := r.Deployment()
 	if d.Rate() <= 0 {
 		return next.Forward(ctx, r)
 	}
-	retryAfter, ok := f.admitter.Admit(ctx, d)
+	level := 1.0
+	if r.First() {
+		level = f.admitter.Level(d)
+	}
+	retryAfter, ok := time.Duration(0), false
+	if level >= startLevel {
+		retryAfter, ok = f.admitter.Admit(ctx, d)
+	} else {
+		retryAfter = refill(d, startLevel-level)
+	}
 	trail.From(ctx).Note(events.ForwardAdmitted).Str("team", d.Team()).Uint64("version", d.Version()).
-		Str("route", r.Route().Name()).Bool("admitted", ok).Emit()
+		Str("route", r.Route().Name()).Bool("first", r.First()).Int("level_percent", int(100*level)).Bool("admitted", ok).Emit()
 	if !ok {
 		return nil, hawthornrail.NotRun(hawthornrail.CodeRate, "the rate of team %s is used up", d.Team()).WithRetryAfter(retryAfter)
 	}
 	return next.Forward(ctx, r)
 }
 
+// refill returns when a part of a team's burst is there again, spread over
+// twice that time.
+func refill(d hawthornrail.Deployment, part float64) time.Duration {
+	wait := time.Duration(part * d.Burst() / d.Rate() * float64(time.Second))
+	return max(minRefill, wait) + rand.N(max(minRefill, wait))
+}
+
 // Budget keeps programs within their budgets.
 type Budget struct {
 	accounts hawthornrail.Accounts
@@ -101,12 +127,13 @@
 	}
 	perEvent := uint64(f.perEvent(r.Route()))
 	tokens := roundUp(uint64(max(1, r.Prompt().MaxOutput())), perEvent)
-	err := f.accounts.Reserve(ctx, call.Program(), r.ID(), call.Budget(), tokens)
+	first, err := f.accounts.Reserve(ctx, call.Program(), r.ID(), call.Budget(), tokens)
 	trail.From(ctx).Note(events.ForwardReserved).Str("program", call.Program()).Uint64("budget", call.Budget()).
 		Uint64("tokens", tokens).Bool("granted", err == nil).Err(err).Emit()
 	if err != nil {
 		return nil, err
 	}
+	r.SetFirst(first)
 	answer, err := next.Forward(ctx, r)
 	if err != nil || answer.Stream() == nil {
 		f.accounts.Settle(call.Program(), r.ID(), 0)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -100,8 +100,8 @@
 func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
 	chain := proxy.Chain(f,
 		proxy.NewIdentify(n.Config()),
-		proxy.NewAdmit(n.Rates()),
 		proxy.NewBudget(a, n.Config()),
+		proxy.NewAdmit(n.Rates()),
 	)
 	return proxy.New(proxy.Parts{
 		Handler: chain, Dialect: n.Adapter().Callers, Clock: n.Clock(), Recorder: r, Forwards: m,
--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -55,7 +55,7 @@
 }
 
 // Reserve asks holders in turn until one decides.
-func (c *Client) Reserve(ctx context.Context, program, call string, budget, tokens uint64) error {
+func (c *Client) Reserve(ctx context.Context, program, call string, budget, tokens uint64) (first bool, err error) {
 	m := &vmpb.AccountReserve{Program: program, Call: call, Budget: budget, Tokens: tokens}
 	var last error
 	for _, dc := range c.order() {
@@ -65,17 +65,17 @@
 			continue
 		}
 		if reply.GetGranted() {
-			return nil
+			return reply.GetFirst(), nil
 		}
 		if !reply.GetUncertain() {
 			c.Settle(program, call, 0)
-			return hawthornrail.NotRun(hawthornrail.CodeBudget, "program %s has %d of its tokens left, the call may need %d", program, reply.GetLeft(), tokens)
+			return false, hawthornrail.NotRun(hawthornrail.CodeBudget, "program %s has %d of its tokens left, the call may need %d", program, reply.GetLeft(), tokens)
 		}
 		last = errUncertain
 	}
 	c.Settle(program, call, 0)
 	f := hawthornrail.NotRun(hawthornrail.CodeAccountUnreached, "no holder can answer for program %s: %w", program, last)
-	return f.WithRetryAfter(unreachedRetryAfter + rand.N(unreachedRetryAfter))
+	return false, f.WithRetryAfter(unreachedRetryAfter + rand.N(unreachedRetryAfter))
 }
 
 var errUncertain = errors.New("other holders do not answer")
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -140,12 +140,17 @@
 // Reserve sets tokens aside, with tokens of other holders if the own share is
 // too small.
 func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
-	if err := h.open(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens()); err != nil {
+	first, err := h.open(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens())
+	if err != nil {
 		return nil, err
 	}
 	reply, missing, err := h.tryReserve(m)
-	if err != nil || reply.GetGranted() {
-		return reply, err
+	if err != nil {
+		return nil, err
+	}
+	reply.First = first
+	if reply.GetGranted() {
+		return reply, nil
 	}
 	answered, err := h.collect(ctx, m, missing)
 	if err != nil {
--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -265,6 +265,24 @@
 	return min(part.Burst(), known.tokens+part.Rate()*now.Sub(known.at).Seconds())
 }
 
+// Level returns the part of the team's burst that the holders are believed to
+// have, from 0 to 1; it is 1 without a rate.
+func (a *Account) Level(now time.Time) float64 {
+	burst, tokens := 0.0, 0.0
+	for _, v := range a.change.Plan().Holders() {
+		burst += a.change.Plan().Part(v.Name()).Burst()
+		if v.Name() == a.self.VM() {
+			tokens += a.holder.Tokens(now)
+			continue
+		}
+		tokens += a.estimate(v.Name(), now)
+	}
+	if burst <= 0 {
+		return 1
+	}
+	return min(1, tokens/burst)
+}
+
 // Lend answers the ask of another VM.
 func (a *Account) Lend(from hawthornrail.Instance, ask Ask, now time.Time) Reply {
 	a.resize(now)
--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -16,7 +16,7 @@
 const (
 	shardCount = 64
 	// admitWait bounds how long a request waits for a token of another VM.
-	admitWait = 25 * time.Millisecond
+	admitWait = 60 * time.Millisecond
 	// askTimeout is when a holder counts as not answering.
 	askTimeout = 100 * time.Millisecond
 	// stateTimeout bounds one exchange of plans.
@@ -187,6 +187,13 @@
 	return wait, ok, changed
 }
 
+// Level returns the part of a team's burst that is believed to be left.
+func (f *Fleet) Level(d hawthornrail.Deployment) float64 {
+	level := 1.0
+	f.use(d.Name(), func(e *entry, now time.Time) { level = e.account.Level(now) })
+	return level
+}
+
 func (f *Fleet) leave(deployment string) {
 	f.use(deployment, func(e *entry, _ time.Time) { e.waiting-- })
 }
