--- a/interfaces.go
+++ b/interfaces.go
@@ -52,6 +52,8 @@
 type Admitter interface {
 	// Admit takes one token for a deployment, or says when to come back.
 	Admit(ctx context.Context, d Deployment) (retryAfter time.Duration, ok bool)
+	// AdmitWithin is Admit with a bound on the wait for a token.
+	AdmitWithin(ctx context.Context, d Deployment, patience time.Duration) (retryAfter time.Duration, ok bool)
 	// Level returns the part of a deployment's burst that is believed to be
 	// left, from 0 to 1.
 	Level(d Deployment) float64
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -18,7 +18,10 @@
 	startRetryAfter = 300 * time.Millisecond
 	// startLevel is the part of a team's burst that must be left for a program
 	// to start.
-	startLevel = 0.4
+	startLevel = 0.7
+	// underWayPatience is how long a request of a program under way waits for
+	// its team's rate; no program starts meanwhile, so the wait goes down.
+	underWayPatience = 150 * time.Millisecond
 	// minRefill is the shortest time to come back to a team's rate.
 	minRefill = 50 * time.Millisecond
 )
@@ -82,14 +85,14 @@
 	if d.Rate() <= 0 {
 		return next.Forward(ctx, r)
 	}
-	level := 1.0
-	if r.First() {
-		level = f.admitter.Level(d)
-	}
+	level := f.admitter.Level(d)
 	retryAfter, ok := time.Duration(0), false
-	if level >= startLevel {
+	switch {
+	case !r.First():
+		retryAfter, ok = f.admitter.AdmitWithin(ctx, d, underWayPatience)
+	case level >= startLevel:
 		retryAfter, ok = f.admitter.Admit(ctx, d)
-	} else {
+	default:
 		retryAfter = refill(d, startLevel-level)
 	}
 	trail.From(ctx).Note(events.ForwardAdmitted).Str("team", d.Team()).Uint64("version", d.Version()).
--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -17,6 +17,9 @@
 	shardCount = 64
 	// admitWait bounds how long a request waits for a token of another VM.
 	admitWait = 60 * time.Millisecond
+	// retryInterval is how often a request that waits looks for tokens that no
+	// answer has told of.
+	retryInterval = 40 * time.Millisecond
 	// askTimeout is when a holder counts as not answering.
 	askTimeout = 100 * time.Millisecond
 	// stateTimeout bounds one exchange of plans.
@@ -139,26 +142,33 @@
 // Admit takes one token for a deployment, or says when to come back; it waits
 // a few milliseconds at most for tokens of other VMs.
 func (f *Fleet) Admit(ctx context.Context, d hawthornrail.Deployment) (time.Duration, bool) {
+	return f.AdmitWithin(ctx, d, admitWait)
+}
+
+// AdmitWithin is Admit with another bound on the wait.
+func (f *Fleet) AdmitWithin(ctx context.Context, d hawthornrail.Deployment, patience time.Duration) (time.Duration, bool) {
 	if f.left.Load() {
 		return leftRetryAfter, false
 	}
-	var deadline <-chan time.Time
 	wait, ok, changed := f.try(d.Name(), false)
-	for !ok {
-		if deadline == nil {
-			deadline = f.clock.After(admitWait)
-			defer f.leave(d.Name())
-		}
+	if ok {
+		return 0, true
+	}
+	defer f.leave(d.Name())
+	deadline := f.clock.After(patience)
+	for {
 		select {
 		case <-changed:
-			wait, ok, changed = f.try(d.Name(), true)
-			continue
+		case <-f.clock.After(retryInterval):
 		case <-deadline:
+			return wait, false
 		case <-ctx.Done():
+			return wait, false
+		}
+		if wait, ok, changed = f.try(d.Name(), true); ok {
+			return 0, true
 		}
-		return wait, false
 	}
-	return 0, true
 }
 
 // try takes a token; a request that finds none counts as waiting from then on.
