--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -121,6 +121,6 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: &vmpb.ObjectsAsk{}}}
-	_, err := p.node.Client().Ask(ctx, h.Address(), open, &vmpb.ObjectsReply{})
+	_, err := p.node.Direct().Ask(ctx, h.Address(), open, &vmpb.ObjectsReply{})
 	return err == nil
 }
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -23,6 +23,7 @@
 	"hawthornrail.example/hawthornrail/internal/team/rate"
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/vm/relay"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -74,6 +75,7 @@
 	catalogue *catalogue.Catalogue
 	server    *peer.Server
 	client    *peer.Client
+	relay     *relay.Client
 	rates     *rate.Fleet
 	kinds     []string
 
@@ -102,7 +104,8 @@
 	n.catalogue = catalogue.New(n.clock, n.follower.Contact)
 	n.exchange = mirror.NewExchange(n.mirror, kinds, n.client, n.peers, n.clock)
 	table := members.NewTable(hawthornrail.NewMember(self, s.PeerAddress(), false, time.Time{}))
-	n.rates = rate.NewFleet(self, n.catalogue, table, rate.NewRemote(n.client), n.clock)
+	n.relay = relay.NewClient(n.client, n.peers, n.clock)
+	n.rates = rate.NewFleet(self, n.catalogue, table, rate.NewRemote(n.relay), n.clock)
 	return n
 }
 
@@ -197,8 +200,12 @@
 // Config returns the configuration in force.
 func (n *Node) Config() *catalogue.Catalogue { return n.catalogue }
 
-// Client returns the client to other VMs.
-func (n *Node) Client() *peer.Client { return n.client }
+// Direct returns the client to other VMs without any in between.
+func (n *Node) Direct() *peer.Client { return n.client }
+
+// Client returns the client to other VMs that also reaches them through
+// others.
+func (n *Node) Client() *relay.Client { return n.relay }
 
 // Rates returns the teams' rates.
 func (n *Node) Rates() *rate.Fleet { return n.rates }
@@ -228,12 +235,17 @@
 	if _, err := n.server.Listen(n.settings.PeerAddress()); err != nil {
 		return err
 	}
+	handler := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
+		if n.exchange.Receive(open, s) || n.rates.Receive(open, s) {
+			return
+		}
+		extra(ctx, open, s)
+	}
 	n.Go(func(context.Context) error {
 		return n.server.Serve(func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
-			if n.exchange.Receive(open, s) || n.rates.Receive(open, s) {
-				return
+			if !n.relay.Receive(ctx, open, s, handler) {
+				handler(ctx, open, s)
 			}
-			extra(ctx, open, s)
 		})
 	})
 	for _, kind := range n.kinds {
--- a/internal/operator/serve/wire.go
+++ b/internal/operator/serve/wire.go
@@ -62,7 +62,7 @@
 		newQueue,
 		newPoller,
 		newMutual,
-		rate.NewRemote,
+		func(c *peer.Client) *rate.Remote { return rate.NewRemote(c) },
 		rate.NewFleet,
 		func(f *rate.Fleet) hawthornrail.Admitter { return f },
 		newPeerServer,
--- a/internal/program/account/book.go
+++ b/internal/program/account/book.go
@@ -20,6 +20,7 @@
 // entry is one program's account at one holder, in tokens.
 type entry struct {
 	home     string
+	granted  bool
 	budget   uint64
 	received uint64
 	given    uint64
@@ -151,6 +152,17 @@
 	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Given{Given: moved}}, tokens
 }
 
+// Accept returns the record that adds the part that a program's home gives, or
+// nil if it is there already or the program is not known.
+func (b *Book) Accept(program string, tokens uint64) *vmpb.AccountRecord {
+	e, ok := b.programs[program]
+	if !ok || e.granted {
+		return nil
+	}
+	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens, Part: true}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Received{Received: moved}}
+}
+
 // Receive returns the record that adds tokens of another holder.
 func (b *Book) Receive(program string, tokens uint64) *vmpb.AccountRecord {
 	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
@@ -164,7 +176,7 @@
 		b.id, b.whole = k.Origin.GetId(), k.Origin.GetWhole()
 	case *vmpb.AccountRecord_Opened:
 		b.programs[k.Opened.GetProgram()] = &entry{
-			home: k.Opened.GetHome(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
+			home: k.Opened.GetHome(), granted: k.Opened.GetGranted(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
 		}
 	case *vmpb.AccountRecord_Reserved:
 		b.change(k.Reserved.GetProgram(), now, func(e *entry) {
@@ -180,7 +192,10 @@
 	case *vmpb.AccountRecord_Given:
 		b.change(k.Given.GetProgram(), now, func(e *entry) { e.given += k.Given.GetTokens() })
 	case *vmpb.AccountRecord_Received:
-		b.change(k.Received.GetProgram(), now, func(e *entry) { e.received += k.Received.GetTokens() })
+		b.change(k.Received.GetProgram(), now, func(e *entry) {
+			e.received += k.Received.GetTokens()
+			e.granted = e.granted || k.Received.GetPart()
+		})
 	}
 }
 
@@ -203,7 +218,7 @@
 		}
 		share := e.received - min(e.received, e.given+e.spent)
 		list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{
-			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share, Home: e.home},
+			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share, Home: e.home, Granted: e.granted},
 		}})
 		for call, tokens := range e.reserved {
 			list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -145,8 +145,8 @@
 	return all
 }
 
-// grantParts gives the other holders their parts of a budget. A part is sent
-// once: what does not arrive is lost to the program.
+// grantParts gives the other holders their parts of a budget; what does not
+// arrive is lost to the program.
 func (h *Holder) grantParts(program string, budget, call uint64) {
 	others := h.others()
 	for i, part := range Parts(budget, call, len(others)) {
@@ -176,9 +176,20 @@
 	}
 }
 
-// Granted takes a part of a program's budget.
+// Granted takes the part of a program's budget that its home gives.
 func (h *Holder) Granted(m *vmpb.AccountGrant) error {
-	return h.record(h.book.Receive(m.GetProgram(), m.GetTokens()))
+	h.mu.Lock()
+	record := h.book.Accept(m.GetProgram(), m.GetTokens())
+	var number uint64
+	var err error
+	if record != nil {
+		number, err = h.append(record)
+	}
+	h.mu.Unlock()
+	if record == nil || err != nil {
+		return err
+	}
+	return h.journal.Wait(number)
 }
 
 // others returns the data centres of the other holders, the deciding one
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -117,10 +117,15 @@
 	h := f.holders[to]
 	lostBefore := f.cut[a.from] || f.cut[to] || h == nil || f.lossy && f.random.IntN(6) == 0
 	lostAfter := f.lossy && f.random.IntN(6) == 0
+	doubled := f.lossy && f.random.IntN(6) == 0
 	f.mu.Unlock()
 	if lostBefore {
 		return hawthornrail.Instance{}, errCut
 	}
+	if doubled {
+		// Only one of the two answers arrives.
+		_, _ = serve(ctx, h, proto.CloneOf(open))
+	}
 	answer, err := serve(ctx, h, open)
 	if err != nil || lostAfter {
 		return hawthornrail.Instance{}, errors.Join(errCut, err)
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -122,9 +122,21 @@
 // Ask sends a question to the VM at an address and reads the one reply; an
 // error that wraps ErrUnsent means that the VM can't have seen the question.
 func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
+	payload, remote, err := c.AskEncoded(ctx, address, open)
+	if err != nil {
+		return remote, err
+	}
+	if err := proto.Unmarshal(payload, reply); err != nil {
+		return remote, fmt.Errorf("decode answer: %w", err)
+	}
+	return remote, nil
+}
+
+// AskEncoded is Ask for a reply that is not decoded here.
+func (c *Client) AskEncoded(ctx context.Context, address string, open *vmpb.Open) ([]byte, hawthornrail.Instance, error) {
 	a, remote, err := c.asker(ctx, address)
 	if err != nil {
-		return remote, errors.Join(ErrUnsent, err)
+		return nil, remote, errors.Join(ErrUnsent, err)
 	}
 	open.TraceParent = traces.Parent(ctx)
 	l := c.link(address)
@@ -133,14 +145,14 @@
 	c.watch(l)
 	payload, err := a.ask(ctx, open)
 	if err != nil {
-		return remote, fmt.Errorf("ask VM at %s: %w", address, err)
-	}
-	if err := proto.Unmarshal(payload, reply); err != nil {
-		return remote, fmt.Errorf("decode answer: %w", err)
+		return nil, remote, fmt.Errorf("ask VM at %s: %w", address, err)
 	}
-	return remote, nil
+	return payload, remote, nil
 }
 
+// Self returns the instance that the client speaks for.
+func (c *Client) Self() hawthornrail.Instance { return c.identity.self }
+
 // asker returns the stream for questions to an address, a new one if the last
 // has failed.
 func (c *Client) asker(ctx context.Context, address string) (*asker, hawthornrail.Instance, error) {
--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -28,6 +28,14 @@
 // From returns the instance that opened the stream.
 func (s *Stream) From() hawthornrail.Instance { return s.from }
 
+// For returns the stream as one that another instance has opened, whose
+// question the VM at the other end has passed on.
+func (s *Stream) For(from hawthornrail.Instance) *Stream {
+	c := *s
+	c.from = from
+	return &c
+}
+
 // Handler serves the streams that other VMs open.
 type Handler func(ctx context.Context, open *vmpb.Open, s *Stream)
 
