Give new programs an isolated share in a data centre that reaches nobody

Ruled out: homes by hash (both sides refuse what the other side owns), letting one turn through without an account (beyond the budget). A holder that reaches neither another one nor the platform gives a third of the budget; homes leave that out for holders that did not answer, and isolated programs get the rest once others answer.

--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -56,6 +56,7 @@
 	}
 	n.Loop(p.holder.Run)
 	n.Loop(p.holder.Recover)
+	n.Loop(p.holder.Join)
 	n.Loop(p.claim)
 	var failure error
 	select {
--- a/internal/program/account/book.go
+++ b/internal/program/account/book.go
@@ -21,6 +21,8 @@
 type entry struct {
 	home     string
 	granted  bool
+	isolated bool
+	taken    uint64
 	budget   uint64
 	received uint64
 	given    uint64
@@ -99,6 +101,40 @@
 	return list, false
 }
 
+// OpenIsolated returns the record that starts a program's account while nobody
+// can be asked whether the program has a home.
+func (b *Book) OpenIsolated(program string, budget, share uint64) *vmpb.AccountRecord {
+	opened := &vmpb.AccountOpened{Program: program, Budget: budget, Share: share, Home: b.id, Isolated: true, Taken: share}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: opened}}
+}
+
+// Join returns the record that ends a program's isolation: its home is known,
+// and the holder gets more tokens if that is here.
+func (b *Book) Join(program, home string, tokens uint64) *vmpb.AccountRecord {
+	joined := &vmpb.AccountOpened{Program: program, Home: home, Share: tokens}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Joined{Joined: joined}}
+}
+
+// Taken returns the isolated share that a program got here.
+func (b *Book) Taken(program string) uint64 {
+	if e, ok := b.programs[program]; ok {
+		return e.taken
+	}
+	return 0
+}
+
+// Isolated returns the programs whose home could not be asked for, with their
+// budgets.
+func (b *Book) Isolated() map[string]uint64 {
+	list := make(map[string]uint64)
+	for program, e := range b.programs {
+		if e.isolated {
+			list[program] = e.budget
+		}
+	}
+	return list
+}
+
 // Reserve returns the record that sets tokens aside for a call; the record is
 // nil if the call has them already, and ok is false if there are too few.
 func (b *Book) Reserve(m *vmpb.AccountReserve) (record *vmpb.AccountRecord, ok bool) {
@@ -176,8 +212,14 @@
 		b.id, b.whole = k.Origin.GetId(), k.Origin.GetWhole()
 	case *vmpb.AccountRecord_Opened:
 		b.programs[k.Opened.GetProgram()] = &entry{
-			home: k.Opened.GetHome(), granted: k.Opened.GetGranted(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
+			home: k.Opened.GetHome(), granted: k.Opened.GetGranted(),
+			isolated: k.Opened.GetIsolated(), taken: k.Opened.GetTaken(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reserved: make(map[string]uint64), touched: now,
 		}
+	case *vmpb.AccountRecord_Joined:
+		b.change(k.Joined.GetProgram(), now, func(e *entry) {
+			e.home, e.isolated = k.Joined.GetHome(), false
+			e.received += k.Joined.GetShare()
+		})
 	case *vmpb.AccountRecord_Reserved:
 		b.change(k.Reserved.GetProgram(), now, func(e *entry) {
 			e.reserved[k.Reserved.GetCall()] = k.Reserved.GetTokens()
@@ -218,7 +260,7 @@
 		}
 		share := e.received - min(e.received, e.given+e.spent)
 		list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{
-			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share, Home: e.home, Granted: e.granted},
+			Opened: &vmpb.AccountOpened{Program: program, Budget: e.budget, Share: share, Home: e.home, Granted: e.granted, Isolated: e.isolated, Taken: e.taken},
 		}})
 		for call, tokens := range e.reserved {
 			list = append(list, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{
--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -59,6 +59,9 @@
 	m := &vmpb.AccountReserve{Program: program, Call: call, Budget: budget, Tokens: tokens}
 	var last error
 	for _, dc := range c.order() {
+		if last != nil && c.isDown(dc) {
+			continue
+		}
 		reply, err := c.ask(ctx, dc, m)
 		if err != nil {
 			last = err
@@ -99,6 +102,13 @@
 	return append(up, down...)
 }
 
+// isDown reports whether a holder did not answer a moment ago.
+func (c *Client) isDown(dataCentre string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.parts.Clock.Now().Before(c.down[dataCentre])
+}
+
 func index(list []string, value string) int {
 	for i, v := range list {
 		if v == value {
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -54,6 +54,8 @@
 	book    *Book
 	opening map[string]chan struct{}
 	down    map[string]time.Time
+	// away is until when the platform is not asked.
+	away time.Time
 }
 
 // OpenHolder reads the holder's journal; without one, and but for the first
--- a/internal/program/account/holder_test.go
+++ b/internal/program/account/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"hawthornrail.example/hawthornrail/internal/program/account"
@@ -38,3 +39,34 @@
 		assertReply(t, f.holders["dc1"], "d", false, false)
 	})
 }
+
+// Two holders that were alone gave a program their shares; whoever becomes its
+// home later leaves both out of the rest.
+func TestIsolatedShares(t *testing.T) {
+	f := newFleet(t, 1)
+	f.flip(func() { f.cut, f.storeCut = map[string]bool{"dc1": true, "dc2": true, "dc3": true}, true })
+	f.budgets["program"] = 900
+	used := 0
+	spend := func(through ...string) {
+		for n := range 20 {
+			for _, dc := range through {
+				if f.reserve(dc, "program", fmt.Sprintf("%s%d-%d", dc, used, n), 100) {
+					used++
+				}
+			}
+		}
+	}
+	spend("dc1", "dc2")
+	if used != 6 {
+		t.Errorf("%d calls granted by holders alone, want 3 at each", used)
+	}
+	f.flip(func() { f.cut, f.storeCut = make(map[string]bool), false })
+	for range 3 {
+		f.join()
+	}
+	spend("dc1", "dc2", "dc3")
+	f.assertWithinBudgets(t)
+	if used != 9 {
+		t.Errorf("%d calls granted in all, want 9", used)
+	}
+}
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -19,6 +19,10 @@
 // claims the program there. A whole holder knows every program that all were
 // told of, so one must take part; and it knows all that it has claimed itself,
 // so nothing needs to be claimed while all are whole.
+//
+// A holder that reaches neither another one nor the platform gives a program
+// that it does not know its isolated share, an equal part of the budget. A home
+// leaves that share to each holder that did not answer.
 
 const (
 	// announceTimeout bounds how long another holder is waited for.
@@ -27,11 +31,18 @@
 	claimTimeout = time.Second
 	// settleLimit is the age from which answers do not count any more.
 	settleLimit = 2 * time.Second
+	// joinInterval is how often others are asked about programs that got their
+	// isolated share.
+	joinInterval = 500 * time.Millisecond
 )
 
 var (
 	errBusy    = errors.New("another holder announces the program at this moment")
 	errUnknown = errors.New("it is not known whether the program has a home")
+	// errUnclaimed means that the platform was not asked, and errIsolated that
+	// nobody could be.
+	errUnclaimed = errors.New("program is not claimed")
+	errIsolated  = errors.New("neither a holder nor the platform answers")
 )
 
 // open makes sure that a program has an account here, with the whole budget if
@@ -70,43 +81,84 @@
 
 // offer is what the other holders have said to an announcement.
 type offer struct {
-	// silent is set if one did not answer, and known if one knows another home.
-	silent bool
+	// silent counts those that did not answer; known is set if one knows another
+	// home.
+	silent int
 	known  bool
 	busy   bool
 	home   string
 	// whole is set if one that has accepted is whole, and blind if one is not.
 	whole bool
 	blind bool
+	// taken are the isolated shares that those that have accepted gave.
+	taken uint64
 }
 
 func (o *offer) add(p offer) {
-	o.silent = o.silent || p.silent
+	o.silent += p.silent
 	o.known = o.known || p.known
 	o.busy = o.busy || p.busy
 	o.whole = o.whole || p.whole
 	o.blind = o.blind || p.blind
+	o.taken += p.taken
 	if p.known {
 		o.home = p.home
 	}
 }
 
-// settle finds out whether this holder is the program's home.
+// verdict is what a holder has found out about a program's home.
+type verdict struct {
+	// home is the journal that has the budget; it is the holder's own if the
+	// holder is the home.
+	home string
+	// elsewhere are the tokens that others have, or may have: the isolated
+	// shares of those that answered and of those that did not.
+	elsewhere uint64
+}
+
+// settle opens a program's account once its home is known, or with the
+// isolated share if nobody can be asked.
 func (h *Holder) settle(ctx context.Context, program string, budget, call uint64) error {
+	v, err := h.findHome(ctx, program, budget)
+	switch {
+	case errors.Is(err, errIsolated):
+		return h.record(h.book.OpenIsolated(program, budget, h.isolatedShare(budget)))
+	case err != nil:
+		return err
+	case v.home != h.id:
+		return h.record(h.book.Open(program, budget, 0, v.home))
+	}
+	share := budget - min(budget, v.elsewhere)
+	if err := h.record(h.book.Open(program, budget, share, h.id)); err != nil {
+		return err
+	}
+	go h.grantParts(program, budget, call)
+	return nil
+}
+
+// isolatedShare is what each holder may give alone.
+func (h *Holder) isolatedShare(budget uint64) uint64 {
+	return budget / uint64(len(h.parts.DataCentres))
+}
+
+// findHome asks the other holders and the platform who the home of a program
+// is, which this holder becomes if nobody knows one.
+func (h *Holder) findHome(ctx context.Context, program string, budget uint64) (verdict, error) {
 	start := h.parts.Clock.Now()
 	others := h.others()
 	m := &vmpb.AccountAnnounce{Program: program, Budget: budget, Home: h.id}
 	var all offer
-	claimed := false
+	claimed := errUnclaimed
 	if len(others) > 0 && h.parts.DataCentres[0] != h.parts.DataCentre {
 		all = h.announce(ctx, others[0], m)
 		others = others[1:]
 	}
-	if all.silent {
-		if done, err := h.claim(ctx, program, budget); done || err != nil {
-			return err
+	if all.silent > 0 {
+		winner, err := h.claim(ctx, program)
+		if err == nil && winner != h.id {
+			return verdict{home: winner}, nil
 		}
-		claimed = true
+		claimed = err
 	}
 	if !all.known && !all.busy {
 		all.add(h.announceAll(ctx, others, m))
@@ -114,22 +166,67 @@
 	whole := h.Whole()
 	switch {
 	case all.known:
-		return h.record(h.book.Open(program, budget, 0, all.home))
+		return verdict{home: all.home}, nil
 	case all.busy:
-		return errBusy
+		return verdict{}, errBusy
 	case !whole && !all.whole || h.parts.Clock.Since(start) > settleLimit:
-		return errUnknown
+		return verdict{}, errUnknown
 	}
-	if !claimed && (all.silent || all.blind || !whole) {
-		if done, err := h.claim(ctx, program, budget); done || err != nil {
-			return err
+	if errors.Is(claimed, errUnclaimed) && (all.silent > 0 || all.blind || !whole) {
+		winner, err := h.claim(ctx, program)
+		if err == nil && winner != h.id {
+			return verdict{home: winner}, nil
 		}
+		claimed = err
 	}
-	if err := h.record(h.book.Open(program, budget, budget, h.id)); err != nil {
+	switch {
+	case claimed == nil, errors.Is(claimed, errUnclaimed):
+		return verdict{home: h.id, elsewhere: all.taken + uint64(all.silent)*h.isolatedShare(budget)}, nil
+	case whole && all.silent == len(h.parts.DataCentres)-1:
+		return verdict{}, errIsolated
+	default:
+		return verdict{}, claimed
+	}
+}
+
+// Join finds the homes of programs that got their isolated share, once others
+// can be asked again; it runs until ctx ends.
+func (h *Holder) Join(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.parts.Clock.After(joinInterval):
+		}
+		h.JoinOnce(ctx)
+	}
+}
+
+// JoinOnce is one round of Join; it ends at the first program whose home can't
+// be found yet.
+func (h *Holder) JoinOnce(ctx context.Context) {
+	h.mu.Lock()
+	isolated := h.book.Isolated()
+	h.mu.Unlock()
+	for program, budget := range isolated {
+		if err := h.join(ctx, program, budget); err != nil {
+			h.parts.Log.Event(events.AccountFailed).Str("program", program).Err(err).Emit()
+			return
+		}
+	}
+}
+
+func (h *Holder) join(ctx context.Context, program string, budget uint64) error {
+	v, err := h.findHome(ctx, program, budget)
+	if err != nil {
 		return err
 	}
-	go h.grantParts(program, budget, call)
-	return nil
+	tokens := uint64(0)
+	if v.home == h.id {
+		elsewhere := v.elsewhere + h.isolatedShare(budget)
+		tokens = budget - min(budget, elsewhere)
+	}
+	return h.record(h.book.Join(program, v.home, tokens))
 }
 
 // announceAll announces a program to several holders at once.
@@ -206,7 +303,7 @@
 
 func (h *Holder) announce(ctx context.Context, dataCentre string, m *vmpb.AccountAnnounce) offer {
 	if h.silent(dataCentre) {
-		return offer{silent: true}
+		return offer{silent: 1}
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
@@ -214,29 +311,35 @@
 	err := h.ask(ctx, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountAnnounce{AccountAnnounce: m}}, &reply)
 	switch {
 	case err != nil:
-		return offer{silent: true}
+		return offer{silent: 1}
 	case reply.GetBusy():
 		return offer{busy: true}
 	case !reply.GetAccepted():
 		return offer{known: true, home: reply.GetHome()}
 	default:
-		return offer{whole: reply.GetWhole(), blind: !reply.GetWhole()}
+		return offer{whole: reply.GetWhole(), blind: !reply.GetWhole(), taken: reply.GetTaken()}
 	}
 }
 
-// claim asks the platform whether this holder is the home; done reports that
-// it is not, and that the account was opened without a share.
-func (h *Holder) claim(ctx context.Context, program string, budget uint64) (done bool, err error) {
+// claim asks the platform who the home of a program is, this holder if nobody
+// was before. After a failure it does not ask for a moment.
+func (h *Holder) claim(ctx context.Context, program string) (winner string, err error) {
+	h.mu.Lock()
+	away := h.parts.Clock.Now().Before(h.away)
+	h.mu.Unlock()
+	if away {
+		return "", errUnknown
+	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	winner, err := h.parts.Claims.Claim(ctx, "", program, h.id)
+	winner, err = h.parts.Claims.Claim(ctx, "", program, h.id)
 	if err != nil {
-		return false, fmt.Errorf("%w: %w", errUnknown, err)
-	}
-	if winner == h.id {
-		return false, nil
+		h.mu.Lock()
+		h.away = h.parts.Clock.Now().Add(downPause)
+		h.mu.Unlock()
+		return "", fmt.Errorf("%w: %w", errUnknown, err)
 	}
-	return true, h.record(h.book.Open(program, budget, 0, winner))
+	return winner, nil
 }
 
 // Announced takes the announcement of another holder; what it accepts is on
@@ -250,8 +353,9 @@
 	home, known := h.book.Home(m.GetProgram())
 	whole := h.book.Whole()
 	if known {
+		taken := h.book.Taken(m.GetProgram())
 		h.mu.Unlock()
-		return &vmpb.AccountAnnounceReply{Accepted: home == m.GetHome(), Home: home, Whole: whole}, nil
+		return &vmpb.AccountAnnounceReply{Accepted: home == m.GetHome(), Home: home, Whole: whole, Taken: taken}, nil
 	}
 	number, err := h.append(h.book.Open(m.GetProgram(), m.GetBudget(), 0, m.GetHome()))
 	h.mu.Unlock()
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -226,16 +226,25 @@
 		calls := 0
 		for range rapid.IntRange(10, 40).Draw(rt, "steps") {
 			dc := rapid.SampledFrom(f.centres).Draw(rt, "dc")
-			switch rapid.IntRange(0, 11).Draw(rt, "step") {
+			switch rapid.IntRange(0, 17).Draw(rt, "step") {
 			case 0:
 				f.flip(func() { f.cut[dc] = !f.cut[dc] })
 			case 1:
 				f.flip(func() { f.lossy = !f.lossy })
-			case 2:
+			case 2, 12:
 				f.flip(func() { f.storeCut = !f.storeCut })
 			case 3:
 				f.stop(dc)
 				f.start(rt, dc, false)
+			case 13:
+				f.flip(func() {
+					for _, other := range f.centres {
+						f.cut[other] = !f.cut[dc] || other != dc
+					}
+				})
+			case 14:
+				f.flip(func() { f.cut, f.lossy, f.storeCut = make(map[string]bool), false, false })
+				f.join()
 			case 4:
 				// One disk at a time: the loss before this one was made up for.
 				f.heal(rt)
@@ -252,6 +261,21 @@
 	})
 }
 
+// join lets every holder ask about its isolated programs for a moment.
+func (f *fleet) join() {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, dc := range f.centres {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f.holders[dc].JoinOnce(ctx)
+		}()
+	}
+	wait.Wait()
+}
+
 func (f *fleet) flip(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
