--- a/internal/operator/cmds/cmds.go
+++ b/internal/operator/cmds/cmds.go
@@ -64,6 +64,7 @@
 			programsCommand(),
 			statusCommand(),
 			drainCommand(),
+			explainCommand(),
 			versionCommand(),
 		}, platform.Commands()...),
 	}
--- /dev/null
+++ b/internal/operator/machine/settings_test.go
@@ -0,0 +1,48 @@
+package machine_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/operator/machine"
+)
+
+const good = `
+[vm]
+name = "vm1"
+data_centre = "dc2"
+data_centres = ["dc2", "dc1"]
+[listen]
+peers = "127.0.0.1:1"
+[store]
+address = "127.0.0.1:2"
+`
+
+func assertProblem(t *testing.T, text, want string) {
+	t.Helper()
+	_, err := machine.Parse(text)
+	if err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("error %v, want one about %q", err, want)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	t.Run("defaults", func(t *testing.T) {
+		s, err := machine.Parse(good)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Grace() != 8*time.Second || s.LogSample() != 100 || s.DataCentres()[0] != "dc1" {
+			t.Errorf("grace %v, sample %d, data centres %v", s.Grace(), s.LogSample(), s.DataCentres())
+		}
+	})
+	t.Run("unknown key", func(t *testing.T) { assertProblem(t, good+"[log]\nsamples = 1\n", "log.samples: unknown key") })
+	t.Run("other type", func(t *testing.T) { assertProblem(t, good+"[log]\nsample = \"x\"\n", "sample") })
+	t.Run("address without a port", func(t *testing.T) { assertProblem(t, good+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
+	t.Run("everything wrong at once", func(t *testing.T) {
+		assertProblem(t, "", "store.address")
+		assertProblem(t, "", "vm.name")
+	})
+	t.Run("no TOML", func(t *testing.T) { assertProblem(t, "node_name: x", "settings") })
+}
--- /dev/null
+++ b/internal/vm/relay/relay_test.go
@@ -0,0 +1,96 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/vm/relay"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+var (
+	errCut = errors.New("cut off")
+	self   = hawthornrail.NewInstance("vm1", "dc1", 7)
+)
+
+// network answers for the holder, directly unless it is cut off, and through
+// the VMs that pass questions on.
+type network struct {
+	mu     sync.Mutex
+	cut    bool
+	silent bool
+	direct int
+	passed []*vmpb.Relay
+}
+
+func (n *network) Self() hawthornrail.Instance { return self }
+
+func (n *network) AskEncoded(ctx context.Context, address string, open *vmpb.Open) ([]byte, hawthornrail.Instance, error) {
+	n.mu.Lock()
+	cut, silent := n.cut, n.silent
+	if address == "holder" {
+		n.direct++
+	} else {
+		n.passed = append(n.passed, open.GetRelay())
+	}
+	n.mu.Unlock()
+	holder := hawthornrail.NewInstance("holder", "dc2", 1)
+	answer, err := proto.Marshal(&vmpb.AccountReserveReply{Granted: true, Left: 5})
+	switch {
+	case address == "holder" && silent:
+		<-ctx.Done()
+		return nil, holder, ctx.Err()
+	case address == "holder" && cut:
+		return nil, holder, errCut
+	case address == "holder":
+		return answer, holder, err
+	}
+	reply, err := proto.Marshal(&vmpb.RelayReply{Payload: answer, AnsweredBy: &vmpb.Instance{Vm: "holder", DataCentre: "dc2", Incarnation: 1}})
+	return reply, hawthornrail.NewInstance(address, "dc1", 1), err
+}
+
+func assertAnswered(t *testing.T, c *relay.Client) {
+	t.Helper()
+	var reply vmpb.AccountReserveReply
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountReserve{AccountReserve: &vmpb.AccountReserve{Program: "p"}}}
+	by, err := c.Ask(context.Background(), "holder", open, &reply)
+	if err != nil || by.VM() != "holder" || reply.GetLeft() != 5 {
+		t.Errorf("answer %v by %v, error %v", &reply, by, err)
+	}
+}
+
+func newClient(n *network) *relay.Client {
+	return relay.NewClient(n, func() []string { return []string{"vm2", "vm3", "vm4"} }, clock.Real())
+}
+
+// A VM that does not answer is asked through others, who say whom for.
+func TestRelay(t *testing.T) {
+	t.Run("direct answer needs no other VM", func(t *testing.T) {
+		n := &network{}
+		assertAnswered(t, newClient(n))
+		if len(n.passed) != 0 {
+			t.Errorf("%d VMs were asked", len(n.passed))
+		}
+	})
+	t.Run("connection fails", func(t *testing.T) {
+		n := &network{cut: true}
+		assertAnswered(t, newClient(n))
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if len(n.passed) == 0 || n.passed[0].GetFrom().GetVm() != "vm1" || n.passed[0].GetAddress() != "holder" {
+			t.Errorf("passed on %v", n.passed)
+		}
+	})
+	t.Run("connection is silent", func(t *testing.T) { assertAnswered(t, newClient(&network{silent: true})) })
+	t.Run("nobody passes it on", func(t *testing.T) {
+		c := relay.NewClient(&network{cut: true}, func() []string { return nil }, clock.Real())
+		if _, err := c.Ask(context.Background(), "holder", &vmpb.Open{}, &vmpb.AccountReserveReply{}); !errors.Is(err, errCut) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
