--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -18,24 +17,19 @@
 	askTimeout = 400 * time.Millisecond
 )
 
-// Asker asks another VM a question.
-type Asker interface {
-	Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error)
-}
-
 // Exchange asks other VMs for later revisions than the mirror holds, so that a
 // VM which the store turns away still hears of changes.
 type Exchange struct {
 	mirror *Mirror
 	kinds  []string
-	asker  Asker
+	asker  peer.Asker
 	peers  func() []string
 	clock  hawthornrail.Clock
 }
 
 // NewExchange returns an exchange of kinds with the VMs at the addresses that
 // peers returns.
-func NewExchange(m *Mirror, kinds []string, asker Asker, peers func() []string, clock hawthornrail.Clock) *Exchange {
+func NewExchange(m *Mirror, kinds []string, asker peer.Asker, peers func() []string, clock hawthornrail.Clock) *Exchange {
 	return &Exchange{mirror: m, kinds: kinds, asker: asker, peers: peers, clock: clock}
 }
 
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,11 +47,6 @@
 	idle map[string][]idleConn
 }
 
-type idleConn struct {
-	conn  *conn
-	until time.Time
-}
-
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -206,20 +199,6 @@
 	_ = e.conn.Close()
 }
 
-// keepAlive returns how long the endpoint keeps an idle connection at least.
-func keepAlive(h *fasthttp.ResponseHeader) time.Duration {
-	_, value, ok := strings.Cut(string(h.Peek("Keep-Alive")), "timeout=")
-	if !ok {
-		return idleTimeout
-	}
-	value, _, _ = strings.Cut(value, ",")
-	seconds, err := strconv.Atoi(strings.TrimSpace(value))
-	if err != nil || seconds < 0 {
-		return idleTimeout
-	}
-	return min(idleTimeout, time.Duration(seconds)*time.Second-keepAliveMargin)
-}
-
 func (t *Transport) connect(ctx context.Context, address string, fresh bool) (c *conn, reused bool, err error) {
 	if !fresh {
 		if c := t.take(address); c != nil {
@@ -236,49 +215,3 @@
 
 // Dialed returns the number of connections opened since the start.
 func (t *Transport) Dialed() int64 { return t.dialed.Load() }
-
-func (t *Transport) take(address string) *conn {
-	for {
-		idle, ok := t.pop(address)
-		if !ok {
-			return nil
-		}
-		if t.clock.Now().Before(idle.until) && !stale(idle.conn.Conn) {
-			return idle.conn
-		}
-		_ = idle.conn.Close()
-	}
-}
-
-func (t *Transport) pop(address string) (idleConn, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	conns := t.idle[address]
-	if len(conns) == 0 {
-		return idleConn{}, false
-	}
-	last := conns[len(conns)-1]
-	t.idle[address] = conns[:len(conns)-1]
-	return last, true
-}
-
-func (t *Transport) put(address string, c *conn, idle time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if idle <= 0 || len(t.idle[address]) >= maxIdleConns {
-		_ = c.Close()
-		return
-	}
-	t.idle[address] = append(t.idle[address], idleConn{conn: c, until: t.clock.Now().Add(idle)})
-}
-
-// Forget closes the idle connections to an address.
-func (t *Transport) Forget(address string) {
-	t.mu.Lock()
-	conns := t.idle[address]
-	delete(t.idle, address)
-	t.mu.Unlock()
-	for _, c := range conns {
-		_ = c.conn.Close()
-	}
-}
--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -7,15 +7,12 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-// Message is a message between VMs.
-type Message = proto.Message
-
 const (
 	// reserveTimeout bounds how long one holder is waited for; it covers what
 	// the holder may need from others and from the platform.
@@ -35,7 +32,7 @@
 	DataCentre  string
 	DataCentres []string
 	Config      hawthornrail.Configuration
-	Asker       Asker
+	Asker       peer.Asker
 	Clock       hawthornrail.Clock
 	Log         events.Logger
 }
--- /dev/null
+++ b/internal/program/account/grant.go
@@ -0,0 +1,77 @@
+package account
+
+import (
+	"context"
+
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+func (h *Holder) granted(program string, done chan struct{}) {
+	h.mu.Lock()
+	delete(h.granting, program)
+	h.mu.Unlock()
+	close(done)
+}
+
+// awaitGrants waits until no part of a program's budget is on its way from
+// here, so that the holders together know where all of it is.
+func (h *Holder) awaitGrants(ctx context.Context, program string) {
+	h.mu.Lock()
+	granting := h.granting[program]
+	h.mu.Unlock()
+	if granting == nil {
+		return
+	}
+	select {
+	case <-granting:
+	case <-ctx.Done():
+	}
+}
+
+// grantParts gives the other holders their parts of a budget; what does not
+// arrive is lost to the program.
+func (h *Holder) grantParts(program string, budget, call uint64) {
+	others := h.others()
+	for i, part := range Parts(budget, call, len(others)) {
+		if part > 0 && !h.silent(others[i]) {
+			h.grant(others[i], program, part)
+		}
+	}
+}
+
+func (h *Holder) grant(dataCentre, program string, part uint64) {
+	h.mu.Lock()
+	record, tokens := h.book.GivePart(program, part)
+	var number uint64
+	var err error
+	if record != nil {
+		number, err = h.append(record)
+	}
+	h.mu.Unlock()
+	if record == nil || err != nil || h.journal.Wait(number) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountGrant{AccountGrant: &vmpb.AccountGrant{Program: program, Tokens: tokens}}}
+	if err := h.ask(ctx, dataCentre, open, &vmpb.AccountGrantReply{}); err != nil {
+		h.parts.Log.Event(events.GrantLost).Str("program", program).Uint64("tokens", tokens).Err(err).Emit()
+	}
+}
+
+// Granted takes the part of a program's budget that its home gives.
+func (h *Holder) Granted(m *vmpb.AccountGrant) error {
+	h.mu.Lock()
+	record := h.book.Accept(m.GetProgram(), m.GetTokens())
+	var number uint64
+	var err error
+	if record != nil {
+		number, err = h.append(record)
+	}
+	h.mu.Unlock()
+	if record == nil || err != nil {
+		return err
+	}
+	return h.journal.Wait(number)
+}
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -23,11 +24,6 @@
 	tendInterval = 30 * time.Second
 )
 
-// Asker asks another VM a question.
-type Asker interface {
-	Ask(ctx context.Context, address string, open *vmpb.Open, reply Message) (hawthornrail.Instance, error)
-}
-
 // HolderParts are what a Holder works with.
 type HolderParts struct {
 	// DataCentre is the holder's own, and DataCentres are those of all holders.
@@ -39,7 +35,7 @@
 	Config     hawthornrail.Configuration
 	Claims     hawthornrail.Claims
 	Claimed    hawthornrail.ClaimList
-	Asker      Asker
+	Asker      peer.Asker
 	Clock      hawthornrail.Clock
 	Log        events.Logger
 }
@@ -232,7 +228,7 @@
 }
 
 // ask asks the holder of a data centre and remembers whether it answers.
-func (h *Holder) ask(ctx context.Context, dataCentre string, open *vmpb.Open, reply Message) error {
+func (h *Holder) ask(ctx context.Context, dataCentre string, open *vmpb.Open, reply proto.Message) error {
 	vm, ok := h.parts.Config.Snapshot().VM(dataCentre)
 	if !ok {
 		return fmt.Errorf("holder of %s: %w", dataCentre, errNoHolder)
--- a/internal/team/rate/remote.go
+++ b/internal/team/rate/remote.go
@@ -4,24 +4,18 @@
 	"context"
 	"fmt"
 
-	"google.golang.org/protobuf/proto"
-	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/team/share"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-// Asker asks another VM a question.
-type Asker interface {
-	Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error)
-}
-
 // Remote asks other VMs over the protocol between VMs.
 type Remote struct {
-	client Asker
+	client peer.Asker
 }
 
 // NewRemote returns a remote that asks through a client.
-func NewRemote(client Asker) *Remote { return &Remote{client: client} }
+func NewRemote(client peer.Asker) *Remote { return &Remote{client: client} }
 
 // Borrow sends an ask about a deployment to the holder at an address.
 func (r *Remote) Borrow(ctx context.Context, address, deployment string, a Ask) (Reply, error) {
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -36,6 +36,11 @@
 // ErrUnsent means that a request provably did not reach the other VM.
 var ErrUnsent = errors.New("request was not sent")
 
+// Asker asks the VM at an address a question, directly or through others.
+type Asker interface {
+	Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error)
+}
+
 // Client keeps one connection to each VM that it talks to.
 type Client struct {
 	identity identity
