--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -266,8 +266,13 @@
 }
 
 // Level returns the part of the team's burst that the holders are believed to
-// have, from 0 to 1; it is 1 without a rate.
+// have, from 0 to 1; it is 1 without a rate, and 0 while requests found no
+// token lately.
 func (a *Account) Level(now time.Time) float64 {
+	a.decay(now)
+	if a.refused >= 1 {
+		return 0
+	}
 	burst, tokens := 0.0, 0.0
 	for _, v := range a.change.Plan().Holders() {
 		burst += a.change.Plan().Part(v.Name()).Burst()
