Remove state that nothing reads from the follower and the transport

Found on reading the whole change again: the time at which the store was regained and whether a connection was kept were recorded and never used. No change of behaviour.

--- a/internal/config/mirror/follow.go
+++ b/internal/config/mirror/follow.go
@@ -30,10 +30,9 @@
 	clock  hawthornrail.Clock
 	log    events.Logger
 
-	mu       sync.Mutex
-	lost     map[string]bool
-	regained time.Time
-	contact  time.Time
+	mu      sync.Mutex
+	lost    map[string]bool
+	contact time.Time
 }
 
 // NewFollower returns a follower that has not called the store yet.
@@ -97,7 +96,6 @@
 	if err == nil || errors.Is(err, hawthornrail.ErrHistoryGone) {
 		f.contact = f.clock.Now()
 		if f.lost[kind] {
-			f.regained = f.contact
 			f.log.Event(events.PlatformBack).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
 		}
 		f.lost[kind] = false
@@ -115,10 +113,3 @@
 	defer f.mu.Unlock()
 	return f.contact
 }
-
-// Regained returns when the store last answered again after a failure.
-func (f *Follower) Regained() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.regained
-}
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -65,7 +65,6 @@
 	response  *fasthttp.Response
 	accept    Accept
 	stop      func() bool
-	reused    bool
 	finished  bool
 }
 
@@ -89,7 +88,7 @@
 }
 
 func (t *Transport) do(ctx context.Context, address string, request *fasthttp.Request, fresh bool, accept Accept) (*Exchange, error) {
-	c, reused, err := t.connect(ctx, address, fresh)
+	c, err := t.connect(ctx, address, fresh)
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
@@ -98,7 +97,7 @@
 		return nil, errors.Join(ErrUnsent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	e := &Exchange{transport: t, address: address, conn: c, stop: stop, accept: accept, reused: reused}
+	e := &Exchange{transport: t, address: address, conn: c, stop: stop, accept: accept}
 	if err := e.roundTrip(request); err != nil {
 		e.Close()
 		return nil, err
@@ -155,9 +154,6 @@
 // Header returns the header of the response.
 func (e *Exchange) Header() *fasthttp.ResponseHeader { return &e.response.Header }
 
-// Reused reports whether the request went over a kept connection.
-func (e *Exchange) Reused() bool { return e.reused }
-
 // Status returns the HTTP status.
 func (e *Exchange) Status() int { return e.response.StatusCode() }
 
@@ -199,18 +195,18 @@
 	_ = e.conn.Close()
 }
 
-func (t *Transport) connect(ctx context.Context, address string, fresh bool) (c *conn, reused bool, err error) {
+func (t *Transport) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := t.take(address); c != nil {
-			return c, true, nil
+			return c, nil
 		}
 	}
 	raw, err := t.dialer.Dial(ctx, address)
 	if err != nil {
-		return nil, false, fmt.Errorf("dial endpoint: %w", err)
+		return nil, fmt.Errorf("dial endpoint: %w", err)
 	}
 	t.dialed.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, false, nil
+	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
 }
 
 // Dialed returns the number of connections opened since the start.
