Make connections between VMs apart from the requests that wait for them

Cause: a connection was made under the link's lock and within the deadline of the first request that wanted it. A request with 100 ms left ended the connection for all others, which queued for the lock past their own deadlines; a VM that takes longer to accept was never reached.

--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -27,6 +27,8 @@
 	// that was paused or cut off.
 	pingInterval = 500 * time.Millisecond
 	pingTimeout  = time.Second
+	// connectTimeout bounds how long a connection may take, handshake included.
+	connectTimeout = 1500 * time.Millisecond
 	// redialDelay is the time after a failed connection in which no other one
 	// is tried, so that requests do not queue for it.
 	redialDelay = 200 * time.Millisecond
@@ -46,13 +48,20 @@
 	clock    hawthornrail.Clock
 	dialer   hawthornrail.Dialer
 
+	// ending is done once the client is closed.
+	ending context.Context
+	end    context.CancelFunc
+
 	mu    sync.Mutex
 	links map[string]*link
 }
 
 // link is the connection to one address.
 type link struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// dialing is closed when the connection that is being made stands or has
+	// failed; it is nil while none is made.
+	dialing chan struct{}
 	session *session
 	remote  hawthornrail.Instance
 	asker   *asker
@@ -67,10 +76,13 @@
 // NewClient returns a client that proves itself as self under secret.
 // mutual is nil where the settings switch TLS off.
 func NewClient(self hawthornrail.Instance, secret []byte, mutual *vmtls.Mutual, clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Client {
+	ending, end := context.WithCancel(context.Background())
 	return &Client{
 		identity: identity{self: self, secret: secret, mutual: mutual},
 		clock:    clock,
 		dialer:   dialer,
+		ending:   ending,
+		end:      end,
 		links:    make(map[string]*link),
 	}
 }
@@ -183,8 +195,9 @@
 	return a, remote, nil
 }
 
-// Close closes every connection.
+// Close closes every connection, also those that are being made.
 func (c *Client) Close() {
+	c.end()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range c.links {
@@ -207,22 +220,56 @@
 	return l
 }
 
+// connect returns the session to an address. A connection is made apart from
+// the requests that wait for it: one with little time left would otherwise end
+// it for all, and a slow VM would never be reached.
 func (c *Client) connect(ctx context.Context, l *link, address string) (*session, hawthornrail.Instance, error) {
+	for {
+		session, remote, dialing, err := c.dialed(l, address)
+		if dialing == nil {
+			return session, remote, err
+		}
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, hawthornrail.Instance{}, fmt.Errorf("connect to VM at %s: %w", address, ctx.Err())
+		}
+	}
+}
+
+// dialed returns the session of a link or why there is none; while a connection
+// is made, it returns what is closed at its end.
+func (c *Client) dialed(l *link, address string) (*session, hawthornrail.Instance, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.session != nil && !l.session.IsClosed() {
-		return l.session, l.remote, nil
-	}
-	if l.err != nil && c.clock.Since(l.failed) < redialDelay {
-		return nil, hawthornrail.Instance{}, l.err
+	switch {
+	case l.session != nil && !l.session.IsClosed():
+		return l.session, l.remote, nil, nil
+	case l.dialing != nil:
+		return nil, hawthornrail.Instance{}, l.dialing, nil
+	case l.err != nil && c.clock.Since(l.failed) < redialDelay:
+		return nil, hawthornrail.Instance{}, nil, l.err
 	}
+	l.dialing = make(chan struct{})
+	go c.establish(l, address)
+	return nil, hawthornrail.Instance{}, l.dialing, nil
+}
+
+func (c *Client) establish(l *link, address string) {
+	ctx, cancel := context.WithTimeout(c.ending, connectTimeout)
+	defer cancel()
 	session, remote, err := c.dial(ctx, address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session, l.remote, l.err = session, remote, err
 	if err != nil {
-		l.failed, l.err = c.clock.Now(), err
-		return nil, hawthornrail.Instance{}, err
+		l.failed = c.clock.Now()
 	}
-	l.session, l.remote, l.err = session, remote, nil
-	return session, remote, nil
+	if err == nil && c.ending.Err() != nil {
+		_ = session.Close()
+	}
+	close(l.dialing)
+	l.dialing = nil
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*session, hawthornrail.Instance, error) {
