--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -89,6 +89,7 @@
 	PeerLost     = register(5001, zerolog.WarnLevel, "VM does not answer", "none unless it lasts")
 	PeerBack     = register(5002, zerolog.InfoLevel, "VM answers again", "")
 	PeerRejected = register(5003, zerolog.WarnLevel, "connection without the fleet's secret rejected", "check who connects")
+	PeerUnproved = register(5004, zerolog.InfoLevel, "connection ended before its handshake", "")
 )
 
 // The events of endpoints.
--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -94,7 +94,11 @@
 func (s *Server) serveConn(conn net.Conn) {
 	conn, from, err := s.identity.secure(conn, false, s.clock.Now())
 	if err != nil {
-		s.log.Event(events.PeerRejected).Err(err).Str("address", conn.RemoteAddr().String()).Emit()
+		event := events.PeerUnproved
+		if errors.Is(err, ErrUnauthenticated) {
+			event = events.PeerRejected
+		}
+		s.log.Event(event).Err(err).Str("address", conn.RemoteAddr().String()).Emit()
 		_ = conn.Close()
 		return
 	}
