Give small rates fewer, deeper parts where others borrow from the holders

Cause: 53 of the 90 teams of the large site have 5 to 9 requests a second. Their burst lay in two to four buckets of two tokens each, at holders that no request arrives at; the calls of a program arrive at several of 83 VMs, each of which borrowed fractions and none of which had a whole token.

A holder that VMs without a part borrow from is now marked as one, so that the plan does not depend on which VMs are listed; fleets in which every VM holds a part keep theirs.

--- a/config.go
+++ b/config.go
@@ -217,6 +217,7 @@
 	address    string
 	leaving    bool
 	noRates    bool
+	forOthers  bool
 }
 
 // NewVM returns a VM with the address that other VMs reach it at.
@@ -233,6 +234,17 @@
 // HoldsRates reports whether the VM may hold parts of the teams' rates.
 func (v VM) HoldsRates() bool { return !v.noRates }
 
+// ForDataCentre returns a copy that holds its data centre's parts of the teams'
+// rates for VMs that have none.
+func (v VM) ForDataCentre() VM {
+	v.forOthers = true
+	return v
+}
+
+// HoldsForOthers reports whether requests arrive at VMs that borrow from this
+// one.
+func (v VM) HoldsForOthers() bool { return v.forOthers }
+
 // Name returns the name of the VM.
 func (v VM) Name() string { return v.name }
 
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -93,7 +93,7 @@
 	}
 	asked := f.clock.Now()
 	line := trail.From(ctx).Note(events.ForwardAdmitted).Str("team", d.Team()).Uint64("version", d.Version()).
-		Str("route", r.Route().Name()).Bool("first", r.First())
+		Int("rate", int(d.Rate())).Int("burst", int(d.Burst())).Str("route", r.Route().Name()).Bool("first", r.First())
 	retryAfter, ok := time.Duration(0), false
 	if r.First() {
 		level := f.admitter.Level(ctx, d, startLevel)
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -201,7 +201,7 @@
 	}
 	for _, dc := range n.settings.DataCentres() {
 		if !known[dc] {
-			vms = append(vms, hawthornrail.NewVM(dc, dc, "", false))
+			vms = append(vms, hawthornrail.NewVM(dc, dc, "", false).ForDataCentre())
 		}
 	}
 	return vms
--- a/internal/team/share/change_test.go
+++ b/internal/team/share/change_test.go
@@ -42,6 +42,15 @@
 			t.Errorf("%d holders, want 2", n)
 		}
 	})
+	t.Run("small rate that others borrow from has one holder", func(t *testing.T) {
+		var list []hawthornrail.VM
+		for _, v := range vms(5, 5) {
+			list = append(list, v.ForDataCentre())
+		}
+		if n := len(plan(10, 10, list).Holders()); n != 1 {
+			t.Errorf("%d holders, want 1", n)
+		}
+	})
 	t.Run("holders of a large fleet stand in different data centres", func(t *testing.T) {
 		seen := make(map[string]bool)
 		for _, v := range plan(80, 160, vms(340, 8)).Holders() {
--- a/internal/team/share/plan.go
+++ b/internal/team/share/plan.go
@@ -17,6 +17,10 @@
 	holdersPerTeam = 3
 	// minPartBurst keeps a holder's bucket deep enough for whole requests.
 	minPartBurst = 2
+	// minLentBurst is the same where requests arrive at VMs without a part: what
+	// is lent to one of them is missing to the others, and a group of calls
+	// arrives at several.
+	minLentBurst = 16
 )
 
 // Part is a rate in requests per second and a burst in requests.
@@ -94,18 +98,21 @@
 	scores := make([]uint64, len(vms))
 	taken := make([]bool, len(vms))
 	seed := hash(d.Name())
-	count := 0
+	count, least := 0, minPartBurst
 	for i, v := range vms {
 		scores[i] = mix(seed ^ hash(v.Name()))
 		taken[i] = v.Leaving() || !v.HoldsRates()
 		if !taken[i] {
 			count++
 		}
+		if v.HoldsForOthers() {
+			least = minLentBurst
+		}
 	}
 	if count > wholeFleetVMs {
 		count = holdersPerTeam
 	}
-	count = min(count, max(1, int(d.Burst()/minPartBurst)))
+	count = min(count, max(1, int(d.Burst())/least))
 	holders := make([]hawthornrail.VM, 0, count)
 	var centres []string
 	for len(holders) < count {
