Take a silent holder's place after 3 s, and learn lost accounts from all at once

Cause: a holder was replaced after six looks, each of which waits half a second and up to 400 ms for an answer: over 5 s instead of the 3 s of the design.

Now the limit is a time (TestSilence), and the others are asked at once.

--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -17,10 +17,7 @@
 const (
 	// claimInterval is how often a VM looks whether it is the holder.
 	claimInterval = 500 * time.Millisecond
-	// silentTries is how often a holder may fail to answer before another VM
-	// takes its place.
-	silentTries = 6
-	askTimeout  = 400 * time.Millisecond
+	askTimeout    = 400 * time.Millisecond
 )
 
 // errNoFolder means that the VM has no disk.
@@ -72,9 +69,9 @@
 func (p *process) claim(ctx context.Context) {
 	n := p.node
 	own := hawthornrail.NewHolder(n.Settings().DataCentre(), n.Settings().VM(), n.Settings().PeerAddress())
-	silent := 0
+	var listed silence
 	for ctx.Err() == nil {
-		if p.claimOnce(ctx, own, &silent) {
+		if p.claimOnce(ctx, own, &listed) {
 			n.Log().Event(events.HolderClaimed).Str("data_centre", own.DataCentre()).Str("address", own.Address()).Emit()
 			return
 		}
@@ -85,7 +82,7 @@
 	}
 }
 
-func (p *process) claimOnce(ctx context.Context, own hawthornrail.Holder, silent *int) bool {
+func (p *process) claimOnce(ctx context.Context, own hawthornrail.Holder, silence *silence) bool {
 	registry := p.node.Adapter().Registry
 	listed, revision, err := registry.Holder(ctx, own.DataCentre())
 	if err != nil {
@@ -96,11 +93,8 @@
 		return true
 	}
 	if revision != 0 && listed.VM() != own.VM() {
-		if p.answers(ctx, listed) {
-			*silent = 0
-			return false
-		}
-		if *silent++; *silent < silentTries {
+		looked := p.node.Clock().Now()
+		if !silence.over(p.answers(ctx, listed), looked, p.node.Clock().Now()) {
 			return false
 		}
 	}
--- a/internal/program/account/recover.go
+++ b/internal/program/account/recover.go
@@ -50,18 +50,8 @@
 }
 
 func (h *Holder) learn(ctx context.Context) error {
-	whole := false
-	var last error
-	for _, dc := range h.others() {
-		answered, err := h.learnFrom(ctx, dc)
-		if err != nil {
-			last = err
-			continue
-		}
-		whole = whole || answered
-	}
-	if !whole {
-		return fmt.Errorf("no whole holder answers: %w", last)
+	if err := h.learnFromOthers(ctx); err != nil {
+		return err
 	}
 	claims, err := h.parts.Claimed.Claimed(ctx)
 	if err != nil {
@@ -75,6 +65,36 @@
 	return h.record(originRecord(h.id, true))
 }
 
+// learnFromOthers asks all other holders at once, since some may be away, and
+// fails if none of them is whole.
+func (h *Holder) learnFromOthers(ctx context.Context) error {
+	type result struct {
+		whole bool
+		err   error
+	}
+	others := h.others()
+	results := make(chan result, len(others))
+	for _, dc := range others {
+		go func() {
+			whole, err := h.learnFrom(ctx, dc)
+			results <- result{whole, err}
+		}()
+	}
+	whole := false
+	var last error
+	for range others {
+		r := <-results
+		whole = whole || r.whole
+		if r.err != nil {
+			last = r.err
+		}
+	}
+	if !whole {
+		return fmt.Errorf("no whole holder answers: %w", last)
+	}
+	return nil
+}
+
 // learnFrom takes the programs that another holder knows and reports whether
 // it is whole.
 func (h *Holder) learnFrom(ctx context.Context, dataCentre string) (bool, error) {
