Ask other VMs for whole lists only while the store does not answer

Cause: a VM that starts holds nothing, so what it asked of other VMs was every list in full, at the moment at which all VMs start and the store sends each its lists anyway. A small entry VM has 112 MB.

--- a/internal/config/mirror/contact_test.go
+++ b/internal/config/mirror/contact_test.go
@@ -52,6 +52,19 @@
 		c.Heard("dc2", mirror.NewStanding(true, false, time.Second), back)
 		assertSettling(t, c, back, time.Second)
 	})
+	t.Run("followed VM of the same data centre regained the store", func(t *testing.T) {
+		c := fresh()
+		c.Followed("dc1", mirror.NewStanding(true, false, time.Second), back)
+		assertSettling(t, c, back, time.Second)
+	})
+	t.Run("store is not called any more after a loss", func(t *testing.T) {
+		c := fresh()
+		c.Failed(kind)
+		c.Rest(kind)
+		if c.Standing(back).Lost() {
+			t.Error("the store counts as lost")
+		}
+	})
 	t.Run("an outage after one of this VM alone", func(t *testing.T) {
 		c := fresh()
 		c.Failed(kind)
--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -72,10 +72,7 @@
 func (e *Exchange) ask(ctx context.Context, address string, wait time.Duration, heard func(string, Standing, time.Time)) (Standing, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+askTimeout)
 	defer cancel()
-	ask := &vmpb.ObjectsAsk{WaitMs: uint32(wait.Milliseconds())}
-	for _, kind := range e.kinds {
-		ask.Held = append(ask.Held, &vmpb.ObjectsHeld{Kind: kind, Revision: e.mirror.Revision(kind)})
-	}
+	ask := &vmpb.ObjectsAsk{WaitMs: uint32(wait.Milliseconds()), Held: e.held()}
 	var reply vmpb.ObjectsReply
 	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: ask}}
 	from, err := e.asker.Ask(ctx, address, open, &reply)
@@ -91,6 +88,20 @@
 	return standing, nil
 }
 
+// held returns what this VM holds. A kind that it holds nothing of comes whole,
+// and at a start for all VMs at once, so the store is to send it as long as it
+// answers.
+func (e *Exchange) held() []*vmpb.ObjectsHeld {
+	lost := e.contact.Standing(e.clock.Now()).Lost()
+	var list []*vmpb.ObjectsHeld
+	for _, kind := range e.kinds {
+		if revision := e.mirror.Revision(kind); revision > 0 || lost {
+			list = append(list, &vmpb.ObjectsHeld{Kind: kind, Revision: revision})
+		}
+	}
+	return list
+}
+
 func (e *Exchange) take(k *vmpb.ObjectsOfKind) {
 	list := make([]hawthornrail.Object, 0, len(k.GetObjects()))
 	for _, o := range k.GetObjects() {
