Keep small budgets whole at their home, and half of large ones

Cause: a program's budget was divided equally over up to five holders when it began. Most programs have budgets of two or three calls, so their second call already had to ask the other holders for what had just been given to them; what a slow holder gave away after its asker had stopped waiting was lost, and with a holder away a program could not be told whether its budget was spent.

--- a/internal/program/account/parts.go
+++ b/internal/program/account/parts.go
@@ -1,13 +1,23 @@
 package account
 
-// Parts returns what a home gives to each of the other holders so that every
-// share can hold a call of some tokens; those that it does not reach for get
-// nothing.
+// minPartCalls is the least number of calls that a part must hold: what a home
+// gives away and needs again has to be asked back, call by call.
+const minPartCalls = 2
+
+// Parts returns what a home gives to each of the other holders: half of the
+// budget in equal parts, so that a program can go on where its home can't be
+// reached, or nothing if the parts would hold too few calls.
 func Parts(budget, call uint64, others int) []uint64 {
 	parts := make([]uint64, others)
-	shares := min(uint64(others)+1, budget/max(1, call))
-	for i := 1; i < int(shares); i++ {
-		parts[i-1] = budget / shares
+	if others == 0 {
+		return parts
+	}
+	part := budget / 2 / uint64(others)
+	if part < minPartCalls*max(1, call) {
+		return parts
+	}
+	for i := range parts {
+		parts[i] = part
 	}
 	return parts
 }
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -35,6 +35,8 @@
 	store    map[string]string
 	storeCut bool
 	random   *rand.Rand
+	// transfers counts the asks for tokens of other holders.
+	transfers int
 
 	// used is what each program's calls may have generated.
 	used    map[string]map[string]uint64
@@ -118,6 +120,9 @@
 	lostBefore := f.cut[a.from] || f.cut[to] || h == nil || f.lossy && f.random.IntN(6) == 0
 	lostAfter := f.lossy && f.random.IntN(6) == 0
 	doubled := f.lossy && f.random.IntN(6) == 0
+	if open.GetAccountTransfer() != nil {
+		f.transfers++
+	}
 	f.mu.Unlock()
 	if lostBefore {
 		return hawthornrail.Instance{}, errCut
