--- a/internal/standin/capacity/page_test.go
+++ b/internal/standin/capacity/page_test.go
@@ -9,15 +9,15 @@
 	"hawthornrail.example/hawthornrail/internal/standin/capacity"
 )
 
-const folder = "../../../docs"
+const folder = "../../../docs/capacity"
 
 // The page gives the figures that follow from the committed measurements.
 func TestPageIsCurrent(t *testing.T) {
-	in, err := capacity.LoadInputs(folder + "/capacity/inputs.toml")
+	in, err := capacity.LoadInputs(folder + "/inputs.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := os.Open(folder + "/capacity/bench.txt")
+	f, err := os.Open(folder + "/bench.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	goldie.New(t, goldie.WithFixtureDir(folder), goldie.WithNameSuffix(".md")).Assert(t, "CAPACITY", []byte(page))
+	goldie.New(t, goldie.WithFixtureDir(folder), goldie.WithNameSuffix(".md")).Assert(t, "own_interface", []byte(page))
 }
 
 func assertAt(t *testing.T, m capacity.Measurements, size, want float64) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Writes docs/CAPACITY.md anew; with --measure it runs the benchmarks first.
+# Writes docs/capacity/own_interface.md anew; with --measure it runs the benchmarks first.
 set -eu
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = "--measure" ]; then
