Keep one question that probes a VM, and name followed VMs and holders for others plainly

The holder's process and the accounts each asked an empty question to learn whether a VM is there; both use peer.Probe now. Names only otherwise.

--- a/config.go
+++ b/config.go
@@ -234,9 +234,9 @@
 // HoldsRates reports whether the VM may hold parts of the teams' rates.
 func (v VM) HoldsRates() bool { return !v.noRates }
 
-// ForDataCentre returns a copy that holds its data centre's parts of the teams'
+// HoldingForOthers returns a copy that holds its data centre's parts of the teams'
 // rates for VMs that have none.
-func (v VM) ForDataCentre() VM {
+func (v VM) HoldingForOthers() VM {
 	v.forOthers = true
 	return v
 }
--- a/internal/config/mirror/duty.go
+++ b/internal/config/mirror/duty.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// Watched is how many VMs of its data centre a VM follows before it leaves
+	// FollowedVMs is how many VMs of its data centre a VM follows before it leaves
 	// the store to them: one may be frozen or cut off without being noticed.
-	Watched = 2
+	FollowedVMs = 2
 	// triedBefore bounds how many VMs before this one are tried for a place.
 	triedBefore = 6
 	// restTime is how long a VM that can't be followed is left alone.
@@ -29,7 +29,7 @@
 	known   bool
 	before  []string
 	resting map[string]time.Time
-	places  [Watched]place
+	places  [FollowedVMs]place
 	changed chan struct{}
 }
 
--- a/internal/config/mirror/duty_test.go
+++ b/internal/config/mirror/duty_test.go
@@ -37,7 +37,7 @@
 	const step = 100 * time.Millisecond
 	for end := c.now.Add(length); c.now.Before(end); c.now = c.now.Add(step) {
 		for i, d := range c.duties {
-			for place := range mirror.Watched {
+			for place := range mirror.FollowedVMs {
 				if !c.down[c.names[i]] {
 					c.try(d, place)
 				}
@@ -127,7 +127,7 @@
 		c.asks = 0
 		c.run(seconds * time.Second)
 		// Here each step is an ask; a real one waits for a change meanwhile.
-		if most := size * seconds * 10 * mirror.Watched; c.asks > most {
+		if most := size * seconds * 10 * mirror.FollowedVMs; c.asks > most {
 			t.Errorf("%d VMs asked %d times, want at most %d", size, c.asks, most)
 		}
 	}
--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -11,7 +11,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	"hawthornrail.example/hawthornrail/internal/program/account"
-	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 )
 
 const (
@@ -110,7 +110,5 @@
 func (p *process) answers(ctx context.Context, h hawthornrail.Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: &vmpb.ObjectsAsk{}}}
-	_, err := p.node.Direct().Ask(ctx, h.Address(), open, &vmpb.ObjectsReply{})
-	return err == nil
+	return peer.Probe(ctx, p.node.Direct(), h.Address()) == nil
 }
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -201,7 +201,7 @@
 	}
 	for _, dc := range n.settings.DataCentres() {
 		if !known[dc] {
-			vms = append(vms, hawthornrail.NewVM(dc, dc, "", false).ForDataCentre())
+			vms = append(vms, hawthornrail.NewVM(dc, dc, "", false).HoldingForOthers())
 		}
 	}
 	return vms
@@ -304,7 +304,7 @@
 		n.Loop(func(ctx context.Context) { n.follower.Follow(ctx, kind) })
 	}
 	n.Loop(n.exchange.Run)
-	for place := range mirror.Watched {
+	for place := range mirror.FollowedVMs {
 		n.Loop(func(ctx context.Context) { n.subscribe.Run(ctx, place) })
 	}
 	n.Loop(n.rates.Run)
--- a/internal/program/account/holders.go
+++ b/internal/program/account/holders.go
@@ -87,16 +87,10 @@
 	}
 }
 
-// probe asks a VM for something that it always knows.
 func (h *holders) probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: &vmpb.ObjectsAsk{}}}
-	_, err := h.asker.Ask(ctx, address, open, &vmpb.ObjectsReply{})
-	if err != nil {
-		return fmt.Errorf("probe VM at %s: %w", address, err)
-	}
-	return nil
+	return peer.Probe(ctx, h.asker, address)
 }
 
 func (h *holders) answered(dataCentre, address string, asked time.Time) {
--- a/internal/team/rate/small_test.go
+++ b/internal/team/rate/small_test.go
@@ -13,7 +13,7 @@
 func lendingFleet(seed uint64, rps float64, holders, entries int) *fleet {
 	var list []hawthornrail.VM
 	for _, v := range someVMs(holders, holders) {
-		list = append(list, v.ForDataCentre())
+		list = append(list, v.HoldingForOthers())
 	}
 	for i := range entries {
 		list = append(list, hawthornrail.NewVM(fmt.Sprintf("entry%d", i), fmt.Sprintf("dc%d", i%holders), "", false).WithoutRates())
--- a/internal/team/share/change_test.go
+++ b/internal/team/share/change_test.go
@@ -45,7 +45,7 @@
 	t.Run("small rate that others borrow from has one holder", func(t *testing.T) {
 		var list []hawthornrail.VM
 		for _, v := range vms(5, 5) {
-			list = append(list, v.ForDataCentre())
+			list = append(list, v.HoldingForOthers())
 		}
 		if n := len(plan(10, 10, list).Holders()); n != 1 {
 			t.Errorf("%d holders, want 1", n)
