Settle nothing at a holder that is not known

Cause, found on reading the change again: since holders look up their address by themselves, a call was noted as asked at a holder before its address was known. Nothing was sent there, but its settlement was tried for 2.4 s and then logged as lost (event 3205).

No test of its own.

--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -109,6 +109,10 @@
 }
 
 func (c *Client) ask(ctx context.Context, dataCentre string, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
+	// A holder that is not known is not asked, so it has nothing to settle.
+	if _, err := c.holders.address(dataCentre); err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	c.calls[m.GetCall()] = append(c.calls[m.GetCall()], dataCentre)
 	c.mu.Unlock()
