Log and count the work of a process: questions by kind, waits, processor time

Event 1009 and the metric work_took_us now tell how many questions of which kind a process gets, how many came through another VM, how long they take, how long it waits for its disk and for the platform, and how much processor time it uses.

--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -18,6 +18,7 @@
 
 	SettingsReloaded = register(1007, zerolog.InfoLevel, "settings read again", "")
 	ReloadFailed     = register(1008, zerolog.ErrorLevel, "changed settings can't be read; the former stay in force", "correct the settings file")
+	WorkDone         = register(1009, zerolog.InfoLevel, "work of the last seconds", "")
 )
 
 // The events of requests.
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -20,6 +20,7 @@
 	"hawthornrail.example/hawthornrail/internal/config/mirror"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/sink"
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/team/rate"
@@ -75,6 +76,7 @@
 	out      *sink.Sink
 	log      events.Logger
 	registry gometrics.Registry
+	work     *metrics.Work
 
 	mirror    *mirror.Mirror
 	contact   *mirror.Contact
@@ -105,6 +107,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes())))
 	n := &Node{settings: s, adapter: a, clock: clock.Real(), registry: gometrics.NewRegistry(), kinds: kinds, failed: make(chan error, 4), seed: s.Seeds()}
 	n.background, n.cancel = context.WithCancel(context.Background())
+	n.work = metrics.NewWork(n.registry)
 	n.out = sink.New(os.Stdout, n.clock, sink.DefaultLimits())
 	n.log = events.NewLogger(n.out, zerolog.InfoLevel).With("vm", s.VM())
 	self := hawthornrail.NewInstance(name, s.DataCentre(), uint64(n.clock.Now().UnixMilli()))
@@ -259,6 +262,9 @@
 // others.
 func (n *Node) Client() *relay.Client { return n.relay }
 
+// Work returns the counters of the process's work.
+func (n *Node) Work() *metrics.Work { return n.work }
+
 // Rates returns the teams' rates.
 func (n *Node) Rates() *rate.Fleet { return n.rates }
 
@@ -294,11 +300,11 @@
 		extra(ctx, open, s)
 	}
 	n.Go(func(context.Context) error {
-		return n.server.Serve(func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
+		return n.server.Serve(n.counted(func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
 			if !n.relay.Receive(ctx, open, s, handler) {
 				handler(ctx, open, s)
 			}
-		})
+		}))
 	})
 	for _, kind := range n.kinds {
 		n.Loop(func(ctx context.Context) { n.follower.Follow(ctx, kind) })
@@ -309,6 +315,7 @@
 	}
 	n.Loop(n.rates.Run)
 	n.Loop(n.reload)
+	n.Loop(n.tellWork)
 	return n.serveMetrics()
 }
 
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -9,6 +9,7 @@
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -20,6 +21,9 @@
 	retention = 10 * time.Minute
 	// tendInterval is how often old programs are looked for.
 	tendInterval = 30 * time.Second
+	// taskDisk and taskClaim name the waits that are counted.
+	taskDisk  = "wait_for_disk"
+	taskClaim = "wait_for_claim"
 )
 
 // HolderParts are what a Holder works with.
@@ -36,6 +40,8 @@
 	Asker      peer.Asker
 	Clock      hawthornrail.Clock
 	Log        events.Logger
+	// Work counts the waits for the disk and for the platform.
+	Work *metrics.Work
 }
 
 // Holder answers for the share of programs' budgets that one data centre has.
@@ -96,6 +102,13 @@
 	if err != nil {
 		return err
 	}
+	return h.awaitDisk(number)
+}
+
+// awaitDisk returns once a record is on the disk.
+func (h *Holder) awaitDisk(number uint64) error {
+	start := h.parts.Clock.Now()
+	defer func() { h.parts.Work.Took(taskDisk, h.parts.Clock.Since(start)) }()
 	return h.journal.Wait(number)
 }
 
--- a/internal/program/account/home.go
+++ b/internal/program/account/home.go
@@ -147,7 +147,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	start := h.parts.Clock.Now()
 	winner, err = h.parts.Claims.Claim(ctx, "", program, h.id)
+	h.parts.Work.Took(taskClaim, h.parts.Clock.Since(start))
 	if err != nil {
 		h.mu.Lock()
 		h.away = h.parts.Clock.Now().Add(awayPause)
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -12,10 +12,12 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 	"pgregory.net/rapid"
@@ -59,6 +61,7 @@
 	h, err := account.OpenHolder(account.HolderParts{
 		DataCentre: dc, DataCentres: f.centres, FirstStart: first, Folder: filepath.Join(f.folder, dc),
 		Config: f, Claims: f, Claimed: f, Asker: f.from(dc), Clock: clock.Real(), Log: events.Discard(),
+		Work: metrics.NewWork(gometrics.NewRegistry()),
 	})
 	if err != nil {
 		t.Fatal(err)
