Bound the copies of questions that are passed on through other VMs

A holder that took longer than 50 ms got each question three times: directly and through two other VMs.

A VM that says it has no answer is there: the same is not asked through others, and it does not count as silent.

--- a/internal/program/account/holders.go
+++ b/internal/program/account/holders.go
@@ -67,6 +67,11 @@
 		h.answered(dataCentre, address, asked)
 		return nil
 	}
+	if errors.Is(err, peer.ErrDeclined) {
+		// It is there, it only can't decide.
+		h.answered(dataCentre, address, asked)
+		return fmt.Errorf("holder of %s: %w", dataCentre, err)
+	}
 	// An asker that leaves says nothing about the holder.
 	if ctx.Err() == nil {
 		h.missed(dataCentre, address, err)
--- a/internal/vm/peer/exchange.go
+++ b/internal/vm/peer/exchange.go
@@ -17,6 +17,10 @@
 // the connection was lost before it came.
 var ErrNoAnswer = errors.New("no answer")
 
+// ErrDeclined means that the other VM is there and says that it has no answer
+// to a question.
+var ErrDeclined = fmt.Errorf("%w: declined", ErrNoAnswer)
+
 // asker sends questions over one stream and matches the replies by their
 // number, so that a question costs a message each way and no stream of its
 // own.
@@ -120,9 +124,12 @@
 	}
 	select {
 	case reply, ok := <-waiting:
-		if !ok || !reply.GetAnswered() {
+		if !ok {
 			return nil, ErrNoAnswer
 		}
+		if !reply.GetAnswered() {
+			return nil, ErrDeclined
+		}
 		return reply.GetPayload(), nil
 	case <-ctx.Done():
 		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, ctx.Err())
--- a/internal/vm/relay/relay.go
+++ b/internal/vm/relay/relay.go
@@ -16,13 +16,12 @@
 )
 
 const (
-	// directHeadStart is how long a VM may take to answer directly before
-	// others are asked to pass the question on.
+	// directHeadStart is how long an answer is waited for before another VM is
+	// asked to pass the question on.
 	directHeadStart = 50 * time.Millisecond
-	// indirectTime is how long a VM that answered only through others is asked
-	// through them at once.
-	indirectTime = 2 * time.Second
-	// relays is the number of VMs that pass a question on at once.
+	// directTimeout bounds how long a direct answer is waited for.
+	directTimeout = 2 * time.Second
+	// relays is the most VMs that one question is passed on through.
 	relays = 2
 	// passTimeout bounds how long a question that is passed on may take.
 	passTimeout = 2 * time.Second
@@ -43,14 +42,14 @@
 	peers  func() []string
 	clock  hawthornrail.Clock
 
-	mu       sync.Mutex
-	indirect map[string]time.Time
+	mu    sync.Mutex
+	paths map[string]*path
 }
 
 // NewClient returns a client over direct connections; peers returns the
 // addresses of VMs that pass questions on.
 func NewClient(direct Direct, peers func() []string, clock hawthornrail.Clock) *Client {
-	return &Client{direct: direct, peers: peers, clock: clock, indirect: make(map[string]time.Time)}
+	return &Client{direct: direct, peers: peers, clock: clock, paths: make(map[string]*path)}
 }
 
 // answer is what came of one way to ask.
@@ -58,7 +57,7 @@
 	payload []byte
 	by      hawthornrail.Instance
 	err     error
-	relayed bool
+	direct  bool
 }
 
 // Ask returns the first answer that comes in, directly or through others.
@@ -66,29 +65,33 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, relays+1)
-	go func() {
-		payload, by, err := c.direct.AskEncoded(ctx, address, proto.CloneOf(open))
-		answers <- answer{payload: payload, by: by, err: err}
-	}()
-	start := c.clock.After(directHeadStart)
-	if c.isIndirect(address) {
-		start = c.clock.After(0)
+	asked := c.clock.Now()
+	go func() { answers <- c.directly(ctx, address, proto.CloneOf(open)) }()
+	wait := c.clock.After(c.headStart(address))
+	pending, passed := 1, 0
+	// pass asks one more VM to pass the question on, if that is due.
+	pass := func() {
+		if passed == relays || !c.mayPass(address, asked) || !c.pass(ctx, address, open, answers) {
+			return
+		}
+		passed++
+		pending++
 	}
-	pending := 1
-	// pass asks others once: after the head start, or when the direct way fails.
-	pass := sync.OnceFunc(func() { pending += c.pass(ctx, address, open, answers) })
 	var last error
 	for {
 		select {
-		case <-start:
+		case <-wait:
 			pass()
+			wait = c.clock.After(directHeadStart)
 		case a := <-answers:
 			if a.err == nil {
-				c.learn(address, a.relayed)
 				return a.by, decode(a.payload, reply)
 			}
 			last = a.err
 			pending--
+			if a.direct && errors.Is(a.err, peer.ErrDeclined) {
+				return a.by, a.err
+			}
 			pass()
 			if pending == 0 {
 				return hawthornrail.Instance{}, last
@@ -99,43 +102,71 @@
 	}
 }
 
-func decode(payload []byte, reply proto.Message) error {
-	if err := proto.Unmarshal(payload, reply); err != nil {
-		return fmt.Errorf("decode answer: %w", err)
+// directly asks without others in between. It waits longer than the asker does:
+// a late answer tells that the path is there.
+func (c *Client) directly(ctx context.Context, address string, open *vmpb.Open) answer {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
+	defer cancel()
+	payload, by, err := c.direct.AskEncoded(ctx, address, open)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil, errors.Is(err, peer.ErrDeclined):
+		c.path(address).answered(c.clock.Now())
+	case errors.Is(err, peer.ErrUnsent):
+		c.path(address).broken()
 	}
-	return nil
+	return answer{payload: payload, by: by, err: err, direct: true}
 }
 
-func (c *Client) isIndirect(address string) bool {
+// headStart is how long a VM may take to answer directly before others are
+// asked to pass the question on.
+func (c *Client) headStart(address string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.Now().Before(c.indirect[address])
+	if c.path(address).lost {
+		return 0
+	}
+	return directHeadStart
 }
 
-func (c *Client) learn(address string, relayed bool) {
+func (c *Client) mayPass(address string, asked time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if relayed {
-		c.indirect[address] = c.clock.Now().Add(indirectTime)
-		return
+	return c.path(address).mayPass(asked, c.clock.Now())
+}
+
+// path needs the lock.
+func (c *Client) path(address string) *path {
+	p, ok := c.paths[address]
+	if !ok {
+		p = newPath()
+		c.paths[address] = p
 	}
-	delete(c.indirect, address)
+	return p
 }
 
-// pass asks some VMs to pass the question on and returns how many.
-func (c *Client) pass(ctx context.Context, address string, open *vmpb.Open, answers chan<- answer) int {
+func decode(payload []byte, reply proto.Message) error {
+	if err := proto.Unmarshal(payload, reply); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+// pass asks a VM to pass the question on and reports whether there is one.
+func (c *Client) pass(ctx context.Context, address string, open *vmpb.Open, answers chan<- answer) bool {
 	var list []string
 	for _, p := range c.peers() {
 		if p != address {
 			list = append(list, p)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	list = list[:min(relays, len(list))]
-	for _, p := range list {
-		go func() { answers <- c.through(ctx, p, address, open) }()
+	if len(list) == 0 {
+		return false
 	}
-	return len(list)
+	relay := list[rand.IntN(len(list))]
+	go func() { answers <- c.through(ctx, relay, address, open) }()
+	return true
 }
 
 func (c *Client) through(ctx context.Context, relay, address string, open *vmpb.Open) answer {
@@ -153,7 +184,7 @@
 	if reply.GetAnsweredBy() == nil {
 		return answer{err: errNoRelay}
 	}
-	return answer{payload: reply.GetPayload(), by: convert.InstanceFromWire(reply.GetAnsweredBy()), relayed: true}
+	return answer{payload: reply.GetPayload(), by: convert.InstanceFromWire(reply.GetAnsweredBy())}
 }
 
 // Receive passes a question on to where it belongs, or hands one that was
--- a/internal/vm/relay/relay_test.go
+++ b/internal/vm/relay/relay_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/vm/relay"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -24,15 +26,18 @@
 	mu     sync.Mutex
 	cut    bool
 	silent bool
-	direct int
-	passed []*vmpb.Relay
+	// late is how long the holder takes to answer directly.
+	late     time.Duration
+	declined bool
+	direct   int
+	passed   []*vmpb.Relay
 }
 
 func (n *network) Self() hawthornrail.Instance { return self }
 
 func (n *network) AskEncoded(ctx context.Context, address string, open *vmpb.Open) ([]byte, hawthornrail.Instance, error) {
 	n.mu.Lock()
-	cut, silent := n.cut, n.silent
+	cut, silent, late, declined := n.cut, n.silent, n.late, n.declined
 	if address == "holder" {
 		n.direct++
 	} else {
@@ -47,7 +52,10 @@
 		return nil, holder, ctx.Err()
 	case address == "holder" && cut:
 		return nil, holder, errCut
+	case address == "holder" && declined:
+		return nil, holder, peer.ErrDeclined
 	case address == "holder":
+		time.Sleep(late)
 		return answer, holder, err
 	}
 	reply, err := proto.Marshal(&vmpb.RelayReply{Payload: answer, AnsweredBy: &vmpb.Instance{Vm: "holder", DataCentre: "dc2", Incarnation: 1}})
@@ -94,3 +102,69 @@
 		}
 	})
 }
+
+// passedOn returns how many questions were passed on so far.
+func (n *network) passedOn() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.passed)
+}
+
+// Guards against the overload of incident SHORT: a holder that answers late got
+// each question three times, which made it later still.
+func TestSlowVMGetsFewCopies(t *testing.T) {
+	const asks, mostCopies = 100, 15
+	n := &network{late: 80 * time.Millisecond}
+	c := newClient(n)
+	var wait sync.WaitGroup
+	for range asks {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			assertAnswered(t, c)
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	wait.Wait()
+	if got := n.passedOn(); got > mostCopies {
+		t.Errorf("%d of %d questions were passed on, want at most %d", got, asks, mostCopies)
+	}
+}
+
+// A VM that says it has no answer is not asked the same through others.
+func TestDeclinedIsNotPassedOn(t *testing.T) {
+	n := &network{declined: true}
+	_, err := newClient(n).Ask(context.Background(), "holder", &vmpb.Open{}, &vmpb.AccountReserveReply{})
+	if !errors.Is(err, peer.ErrDeclined) {
+		t.Errorf("error %v", err)
+	}
+	if got := n.passedOn(); got != 0 {
+		t.Errorf("%d VMs were asked", got)
+	}
+}
+
+// A path that is lost costs its questions little, also many at once.
+func TestLostPath(t *testing.T) {
+	const asks, limit = 50, 500 * time.Millisecond
+	c := newClient(&network{silent: true})
+	start := time.Now()
+	var wait sync.WaitGroup
+	for range asks {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			assertAnswered(t, c)
+		}()
+	}
+	wait.Wait()
+	if took := time.Since(start); took > limit {
+		t.Errorf("%d questions took %s, want at most %s", asks, took, limit)
+	}
+	t.Run("and once it is known", func(t *testing.T) {
+		start := time.Now()
+		assertAnswered(t, c)
+		if took := time.Since(start); took > limit/10 {
+			t.Errorf("a question took %s", took)
+		}
+	})
+}
