Send nothing new to an endpoint that says that it is leaving

New on the platform: all answers of a leaving endpoint say so in a header. A VM that has passed one on went on to send requests there while the store listed the endpoint as ready. Event 2112 tells of it.

--- a/forward.go
+++ b/forward.go
@@ -283,6 +283,8 @@
 	NotRun bool
 	// Elsewhere says that another instance has the endpoint's address.
 	Elsewhere bool
+	// Leaving says that the endpoint is leaving and takes no new requests.
+	Leaving bool
 	// Load says that Running, Waiting and Slots are told.
 	Load    bool
 	Running int
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -200,6 +200,9 @@
 	if reading.Load {
 		d.parts.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()))
 	}
+	if reading.Leaving && d.parts.Pool.Leaves(a.endpoint) {
+		d.note(events.EndpointLeaves).Str("endpoint", a.endpoint.Name()).Emit()
+	}
 	if !reading.NotRun && !reading.Elsewhere {
 		return a, nil
 	}
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -111,6 +111,13 @@
 	p.each(e, func(t *endpoint.Table, now time.Time) { t.Report(e.Name(), r, now) })
 }
 
+// Leaves takes an endpoint's word that it is leaving: it gets no new request,
+// whatever the configuration says; first is false if that was known.
+func (p *Pool) Leaves(e hawthornrail.Endpoint) (first bool) {
+	p.each(e, func(t *endpoint.Table, _ time.Time) { first = t.Leaves(e.Name()) || first })
+	return first
+}
+
 // Silent takes that an endpoint did not answer for its load.
 func (p *Pool) Silent(e hawthornrail.Endpoint) {
 	p.each(e, func(t *endpoint.Table, now time.Time) { t.Silent(e.Name(), now) })
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -41,6 +41,7 @@
 	ForwardFailed   = register(2109, zerolog.WarnLevel, "request failed and may have run", "look at the endpoint's state")
 	ForwardCut      = register(2110, zerolog.WarnLevel, "answer cut before its end", "look at the endpoint's log")
 	CallerGone      = register(2111, zerolog.InfoLevel, "caller left before the answer's end", "")
+	EndpointLeaves  = register(2112, zerolog.InfoLevel, "endpoint says that it is leaving; no new request goes there", "")
 )
 
 // The events of programs.
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -83,6 +83,8 @@
 	random     *rand.Rand
 	sharers    int
 	states     map[string]*state
+	listed     []hawthornrail.Endpoint
+	departed   *departures
 	local      []*state
 	remote     []*state
 	hints      map[string]hint
@@ -108,7 +110,7 @@
 func NewTable(params Params, dataCentre string, random *rand.Rand) *Table {
 	return &Table{
 		params: params, dataCentre: dataCentre, random: random, sharers: 1,
-		states: make(map[string]*state), hints: make(map[string]hint),
+		states: make(map[string]*state), departed: newDepartures(), hints: make(map[string]hint),
 	}
 }
 
@@ -119,9 +121,13 @@
 // Set replaces the endpoints; what is known of those that stay is kept.
 func (t *Table) Set(endpoints []hawthornrail.Endpoint) {
 	old := t.states
+	t.listed = endpoints
 	t.states = make(map[string]*state, len(endpoints))
 	t.local, t.remote, t.unknown = nil, nil, 0
 	for _, e := range endpoints {
+		if t.departed.has(e.Name()) {
+			e = e.WithLeaving(true)
+		}
 		s, ok := old[e.Name()]
 		if !ok {
 			s = &state{}
@@ -144,6 +150,16 @@
 	t.recount()
 }
 
+// Leaves takes an endpoint's word that it is leaving, which holds for as long as
+// it has its name; first is false if that was known.
+func (t *Table) Leaves(name string) (first bool) {
+	if !t.departed.add(name) {
+		return false
+	}
+	t.Set(t.listed)
+	return true
+}
+
 // recount sums the reports of all endpoints anew.
 func (t *Table) recount() {
 	t.sums = sums{}
--- a/internal/policy/endpoint/table_test.go
+++ b/internal/policy/endpoint/table_test.go
@@ -195,3 +195,55 @@
 		t.Errorf("got %s, want none", e.Name())
 	}
 }
+
+// Guards against requests to an endpoint that has said in an answer that it is
+// leaving, while the list of endpoints is behind.
+func TestLeavingByItsOwnWord(t *testing.T) {
+	assertNeverChosen := func(t *testing.T, table *endpoint.Table, name string) {
+		t.Helper()
+		for range 50 {
+			if got := assertChoice(t, table, query("p", 100), start); got == name {
+				t.Fatalf("%s is chosen", name)
+			}
+		}
+	}
+	fresh := func() *endpoint.Table {
+		table := newTable(engines(3))
+		table.Cached("p", "e1", 100, start)
+		table.Leaves("e1")
+		return table
+	}
+	t.Run("at once, also where a prompt is cached", func(t *testing.T) { assertNeverChosen(t, fresh(), "e1") })
+	t.Run("though the list names it as ready", func(t *testing.T) {
+		table := fresh()
+		table.Set(engines(3))
+		assertNeverChosen(t, table, "e1")
+	})
+	t.Run("though its entry was gone and is back", func(t *testing.T) {
+		table := fresh()
+		table.Set(engines(1))
+		table.Set(engines(3))
+		assertNeverChosen(t, table, "e1")
+	})
+	t.Run("also where no other is left", func(t *testing.T) {
+		table := endpoint.NewTable(endpoint.ForwardParams(), "dc1", rand.New(rand.NewPCG(1, 1)))
+		table.Set(engines(1))
+		table.Leaves("e0")
+		if e, ok := table.Choose(query("p", 100), start); ok {
+			t.Errorf("%s is chosen", e.Name())
+		}
+	})
+	t.Run("another life has another name", func(t *testing.T) {
+		table := fresh()
+		table.Set(append(engines(1), hawthornrail.NewEndpoint("e1@2", hawthornrail.EngineEndpoint, "dc1", "", []string{"m"}).WithSlots(slots)))
+		table.Leaves("e0")
+		if got := assertChoice(t, table, query("p", 100), start); got != "e1@2" {
+			t.Errorf("%s is chosen", got)
+		}
+	})
+	t.Run("told once", func(t *testing.T) {
+		if fresh().Leaves("e1") {
+			t.Error("it was known already")
+		}
+	})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -50,6 +50,8 @@
 	runs   []Run
 	left   []string
 	dials  int
+	// leaving is the header field that says so in all answers, if it leaves.
+	leaving string
 }
 
 // Start returns a worker with an id that streams a number of events with a
@@ -73,6 +75,19 @@
 	w.faults = append(w.faults, faults...)
 }
 
+// Leave makes the worker say in all its answers that it is leaving.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = "Server-Leaving: 1\r\n"
+}
+
+func (w *Worker) leavingHeader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // Runs returns the requests that were run.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -137,12 +152,12 @@
 func (w *Worker) answer(c net.Conn, r *http.Request) bool {
 	id := r.Header.Get("X-Attempt-Id")
 	if expected := r.Header.Get("X-Expect-Instance"); expected != w.id {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.leavingHeader(), w.id)
 		return true
 	}
 	fault := w.fault()
 	if fault == Refuse {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", w.leavingHeader(), id)
 		return true
 	}
 	w.mu.Lock()
@@ -159,7 +174,7 @@
 		return w.stream(c, r, fault)
 	}
 	body := "answer to " + id
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\nContent-Length: %d\r\n\r\n%s", id, w.id, len(body), body)
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\nContent-Length: %d\r\n\r\n%s", w.leavingHeader(), id, w.id, len(body), body)
 	_, _ = c.Write([]byte(answer))
 	if fault == AnswerTwice {
 		_, _ = c.Write([]byte(answer))
@@ -173,7 +188,7 @@
 	if err != nil {
 		first = 0
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, w.id)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", w.leavingHeader(), id, w.id)
 	for n := first + 1; n <= w.events; n++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
 		if fault == CutStream && n == first+2 {
