Tell slow paths from lost ones, and ask a VM first that has passed questions on

A VM that seldom asks a holder took it for lost after 200 ms, also where its answers take longer, and copied each question again. In a cut the VM that passes a question on was drawn anew each time, mostly from the wrong side.

A path now counts as lost once nothing was heard, over all its questions, for twice as long as its answers take (200 ms to 1 s); a VM that has passed a question on comes first until it fails.

--- a/internal/vm/relay/relay.go
+++ b/internal/vm/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,17 +66,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, relays+1)
-	asked := c.clock.Now()
-	go func() { answers <- c.directly(ctx, address, proto.CloneOf(open)) }()
-	wait := c.clock.After(c.headStart(address))
-	pending, passed := 1, 0
+	wait := c.clock.After(c.begin(address))
+	direct := proto.CloneOf(open)
+	go func() { answers <- c.directly(ctx, address, direct) }()
+	pending := 1
+	var tried []string
 	// pass asks one more VM to pass the question on, if that is due.
 	pass := func() {
-		if passed == relays || !c.mayPass(address, asked) || !c.pass(ctx, address, open, answers) {
+		if len(tried) == relays || !c.mayPass(address) {
 			return
 		}
-		passed++
-		pending++
+		if via := c.pass(ctx, address, open, tried, answers); via != "" {
+			tried = append(tried, via)
+			pending++
+		}
 	}
 	var last error
 	for {
@@ -107,33 +111,36 @@
 func (c *Client) directly(ctx context.Context, address string, open *vmpb.Open) answer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 	defer cancel()
+	asked := c.clock.Now()
 	payload, by, err := c.direct.AskEncoded(ctx, address, open)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case err == nil, errors.Is(err, peer.ErrDeclined):
-		c.path(address).answered(c.clock.Now())
+		c.path(address).answered(asked, c.clock.Now())
 	case errors.Is(err, peer.ErrUnsent):
 		c.path(address).broken()
 	}
 	return answer{payload: payload, by: by, err: err, direct: true}
 }
 
-// headStart is how long a VM may take to answer directly before others are
-// asked to pass the question on.
-func (c *Client) headStart(address string) time.Duration {
+// begin records that a VM is asked and returns how long it may take to answer
+// directly before others are asked to pass the question on.
+func (c *Client) begin(address string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.path(address).lost {
+	p := c.path(address)
+	p.asked(c.clock.Now())
+	if p.lost {
 		return 0
 	}
 	return directHeadStart
 }
 
-func (c *Client) mayPass(address string, asked time.Time) bool {
+func (c *Client) mayPass(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.path(address).mayPass(asked, c.clock.Now())
+	return c.path(address).mayPass(c.clock.Now())
 }
 
 // path needs the lock.
@@ -153,20 +160,44 @@
 	return nil
 }
 
-// pass asks a VM to pass the question on and reports whether there is one.
-func (c *Client) pass(ctx context.Context, address string, open *vmpb.Open, answers chan<- answer) bool {
+// pass asks a VM that was not tried to pass the question on and returns it, or
+// "" if there is none.
+func (c *Client) pass(ctx context.Context, address string, open *vmpb.Open, tried []string, answers chan<- answer) string {
+	via := c.next(address, tried)
+	if via == "" {
+		return ""
+	}
+	go func() {
+		a := c.through(ctx, via, address, open)
+		// An asker that has its answer says nothing about the others.
+		if a.err == nil || ctx.Err() == nil {
+			c.mu.Lock()
+			c.path(address).passed(via, a.err == nil)
+			c.mu.Unlock()
+		}
+		answers <- a
+	}()
+	return via
+}
+
+// next draws a VM to pass a question on; one that has just done so comes first.
+func (c *Client) next(address string, tried []string) string {
 	var list []string
 	for _, p := range c.peers() {
-		if p != address {
+		if p != address && !slices.Contains(tried, p) {
 			list = append(list, p)
 		}
 	}
+	c.mu.Lock()
+	via := c.path(address).via
+	c.mu.Unlock()
+	if slices.Contains(list, via) {
+		return via
+	}
 	if len(list) == 0 {
-		return false
+		return ""
 	}
-	relay := list[rand.IntN(len(list))]
-	go func() { answers <- c.through(ctx, relay, address, open) }()
-	return true
+	return list[rand.IntN(len(list))]
 }
 
 func (c *Client) through(ctx context.Context, relay, address string, open *vmpb.Open) answer {
--- a/internal/vm/relay/relay_test.go
+++ b/internal/vm/relay/relay_test.go
@@ -31,6 +31,8 @@
 	declined bool
 	direct   int
 	passed   []*vmpb.Relay
+	// through is the only VM that reaches the holder, if set.
+	through string
 }
 
 func (n *network) Self() hawthornrail.Instance { return self }
@@ -58,6 +60,10 @@
 		time.Sleep(late)
 		return answer, holder, err
 	}
+	if n.through != "" && address != n.through {
+		<-ctx.Done()
+		return nil, holder, ctx.Err()
+	}
 	reply, err := proto.Marshal(&vmpb.RelayReply{Payload: answer, AnsweredBy: &vmpb.Instance{Vm: "holder", DataCentre: "dc2", Incarnation: 1}})
 	return reply, hawthornrail.NewInstance(address, "dc1", 1), err
 }
@@ -168,3 +174,31 @@
 		}
 	})
 }
+
+// In a cut most VMs may be on the same side: one that reached the other side is
+// asked first next time.
+func TestSamePathThroughOthers(t *testing.T) {
+	const asks, limit = 20, 200 * time.Millisecond
+	n := &network{silent: true, through: "vm4"}
+	c := newClient(n)
+	found := false
+	for tries := 0; tries < 50 && !found; tries++ {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		_, err := c.Ask(ctx, "holder", &vmpb.Open{}, &vmpb.AccountReserveReply{})
+		cancel()
+		found = err == nil
+	}
+	if !found {
+		t.Fatal("no question reaches the holder")
+	}
+	before, start := n.passedOn(), time.Now()
+	for range asks {
+		assertAnswered(t, c)
+	}
+	if got := n.passedOn() - before; got != asks {
+		t.Errorf("%d questions were passed on %d times", asks, got)
+	}
+	if took := time.Since(start); took > limit {
+		t.Errorf("%d questions took %s", asks, took)
+	}
+}
