Wait for a time or the end of a context in one place

The idiom stood in eighteen loops. Mirror.Changed built the list of all changes only to see whether it is empty, once a waiting question and change. No change of behaviour.

--- a/internal/config/controller/controller.go
+++ b/internal/config/controller/controller.go
@@ -10,6 +10,7 @@
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/config/state"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/platform/objects"
@@ -166,10 +167,7 @@
 }
 
 func (c *Controller) pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-c.clock.After(wait):
-	}
+	clock.Wait(ctx, c.clock, wait)
 }
 
 func (c *Controller) follow(ctx context.Context) error {
--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -51,10 +52,8 @@
 // Run asks one VM after the other until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, e.clock, askInterval/2+rand.N(askInterval)) {
 			return
-		case <-e.clock.After(askInterval/2 + rand.N(askInterval)):
 		}
 		peers := e.peers()
 		if len(peers) == 0 {
--- a/internal/config/mirror/follow.go
+++ b/internal/config/mirror/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
@@ -63,10 +64,7 @@
 			pause = backoff/2 + rand.N(backoff)
 			backoff = min(2*backoff, maxBackoff)
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.clock.After(pause):
-		}
+		clock.Wait(ctx, f.clock, pause)
 	}
 }
 
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -209,9 +209,24 @@
 // Changed reports whether an object of a kind has changed after a revision held
 // elsewhere.
 func (m *Mirror) Changed(kind string, revision uint64) bool {
-	changes, known := m.Since(kind, revision)
-	if known {
-		return len(changes.Set())+len(changes.Removed()) > 0
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.kinds[kind]
+	if !ok {
+		return false
+	}
+	if revision == 0 || revision < c.since {
+		return c.revision > revision
+	}
+	return after(c.stamped, revision) || after(c.removed, revision)
+}
+
+// after reports whether one of the revisions is later than another.
+func after(revisions map[string]uint64, revision uint64) bool {
+	for _, r := range revisions {
+		if r > revision {
+			return true
+		}
 	}
-	return m.Revision(kind) > revision
+	return false
 }
--- a/internal/config/mirror/subscribe.go
+++ b/internal/config/mirror/subscribe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 )
 
 const (
@@ -51,8 +52,5 @@
 }
 
 func (s *Subscriber) pause(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-s.clock.After(idlePause):
-	}
+	clock.Wait(ctx, s.clock, idlePause)
 }
--- a/internal/config/relay/relay.go
+++ b/internal/config/relay/relay.go
@@ -11,6 +11,7 @@
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/config/controller"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -102,10 +103,7 @@
 				r.mu.Unlock()
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-r.clock.After(retryWait/2 + time.Duration(rand.Int64N(int64(retryWait)))):
-		}
+		clock.Wait(ctx, r.clock, retryWait/2+time.Duration(rand.Int64N(int64(retryWait))))
 	}
 }
 
--- a/internal/endpoint/load/poller.go
+++ b/internal/endpoint/load/poller.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
 )
 
@@ -51,10 +52,7 @@
 		if e, ok := p.next(); ok {
 			p.poll(ctx, e)
 		}
-		select {
-		case <-ctx.Done():
-		case <-p.clock.After(pollInterval/2 + rand.N(pollInterval)):
-		}
+		clock.Wait(ctx, p.clock, pollInterval/2+rand.N(pollInterval))
 	}
 }
 
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -383,10 +383,7 @@
 			return
 		}
 		n.log.Event(events.RegisterFailed).Err(err).Emit()
-		select {
-		case <-ctx.Done():
-		case <-n.clock.After(registerPause):
-		}
+		clock.Wait(ctx, n.clock, registerPause)
 	}
 }
 
--- a/internal/operator/node/work.go
+++ b/internal/operator/node/work.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -46,10 +47,8 @@
 func (n *Node) tellWork(ctx context.Context) {
 	before := processorTime()
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, n.clock, workInterval) {
 			return
-		case <-n.clock.After(workInterval):
 		}
 		used := processorTime()
 		n.logWork(used-before, n.work.Latest())
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -242,12 +243,10 @@
 // Run forgets old programs and keeps the journal small until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, h.parts.Clock, tendInterval) {
 			return
-		case <-h.parts.Clock.After(tendInterval):
-			h.tend()
 		}
+		h.tend()
 	}
 }
 
--- a/internal/program/account/join.go
+++ b/internal/program/account/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
@@ -16,10 +17,8 @@
 // can be asked again; it runs until ctx ends.
 func (h *Holder) Join(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, h.parts.Clock, joinInterval/2+rand.N(joinInterval)) {
 			return
-		case <-h.parts.Clock.After(joinInterval/2 + rand.N(joinInterval)):
 		}
 		h.JoinOnce(ctx)
 	}
--- a/internal/program/account/recover.go
+++ b/internal/program/account/recover.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -36,10 +37,7 @@
 			return
 		}
 		h.parts.Log.Event(events.RecoverFailed).Err(err).Emit()
-		select {
-		case <-ctx.Done():
-		case <-h.parts.Clock.After(recoverPause):
-		}
+		clock.Wait(ctx, h.parts.Clock, recoverPause)
 	}
 }
 
--- a/internal/program/home/budget.go
+++ b/internal/program/home/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 )
@@ -73,12 +74,10 @@
 // RunSweeper ends programs whose wall time is over until ctx ends.
 func (h *Home) RunSweeper(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, h.parts.Clock, sweepInterval) {
 			return
-		case <-h.parts.Clock.After(sweepInterval):
-			h.Sweep(ctx)
 		}
+		h.Sweep(ctx)
 	}
 }
 
--- a/internal/program/home/forget.go
+++ b/internal/program/home/forget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 )
 
@@ -13,12 +14,10 @@
 // RunForgetter forgets ended programs until ctx ends.
 func (h *Home) RunForgetter(ctx context.Context, releases hawthornrail.MemoryReleases) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, h.parts.Clock, forgetInterval) {
 			return
-		case <-h.parts.Clock.After(forgetInterval):
-			h.Forget(releases)
 		}
+		h.Forget(releases)
 	}
 }
 
--- a/internal/program/memory/controller.go
+++ b/internal/program/memory/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
@@ -56,10 +57,8 @@
 func (c *Controller) Run(ctx context.Context) {
 	swept := c.clock.Now()
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, c.clock, roundInterval) {
 			return
-		case <-c.clock.After(roundInterval):
 		}
 		c.Release(ctx)
 		if c.clock.Since(swept) >= sweepInterval {
--- a/internal/program/replica/forget.go
+++ b/internal/program/replica/forget.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/program/ledger"
 )
 
@@ -17,12 +18,10 @@
 // RunForgetter forgets the copies of ended trees until ctx ends.
 func (s *Store) RunForgetter(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		if !clock.Wait(ctx, s.clock, forgetInterval) {
 			return
-		case <-s.clock.After(forgetInterval):
-			s.Forget()
 		}
+		s.Forget()
 	}
 }
 
--- a/internal/team/rate/fleet.go
+++ b/internal/team/rate/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/team/share"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -330,10 +331,7 @@
 	for ctx.Err() == nil {
 		f.follow()
 		f.tick()
-		select {
-		case <-ctx.Done():
-		case <-f.clock.After(tickInterval):
-		}
+		clock.Wait(ctx, f.clock, tickInterval)
 	}
 }
 
--- a/internal/vm/fleet/holdings.go
+++ b/internal/vm/fleet/holdings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/platform/client"
 	"hawthornrail.example/hawthornrail/internal/program/home"
@@ -91,10 +92,7 @@
 }
 
 func (o *Holdings) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-o.parts.Clock.After(d):
-	}
+	clock.Wait(ctx, o.parts.Clock, d)
 }
 
 // ended reports whether a later run of the instance's VM was heard of.
--- a/internal/vm/members/prober.go
+++ b/internal/vm/members/prober.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -46,10 +47,7 @@
 		if m, ok := p.next(); ok {
 			p.probe(ctx, m)
 		}
-		select {
-		case <-ctx.Done():
-		case <-p.clock.After(probePeriod):
-		}
+		clock.Wait(ctx, p.clock, probePeriod)
 	}
 }
 
