Do not take a VM in between that got no answer for the VM that is asked

Found while reading the change again: a VM that could not pass a question on says that it has no answer, and since the bound on copies that counted as an answer of the holder behind it. A holder that was cut off would not have been suspected, so that each program waits for it.

Test: TestVMInBetweenDeclines, which failed before (error "no answer: declined").

--- a/internal/vm/relay/relay.go
+++ b/internal/vm/relay/relay.go
@@ -28,7 +28,7 @@
 	passTimeout = 2 * time.Second
 )
 
-var errNoRelay = errors.New("no VM to pass the question on")
+var errNotPassed = errors.New("the VM in between got no answer")
 
 // Direct is the connection to VMs without others in between.
 type Direct interface {
@@ -205,6 +205,10 @@
 		Address: address, From: convert.InstanceToWire(c.direct.Self()), Question: open,
 	}}}
 	payload, _, err := c.direct.AskEncoded(ctx, relay, question)
+	if errors.Is(err, peer.ErrDeclined) {
+		// It is the VM in between that says so, since it got no answer.
+		err = errNotPassed
+	}
 	if err != nil {
 		return answer{err: err}
 	}
@@ -213,7 +217,7 @@
 		return answer{err: err}
 	}
 	if reply.GetAnsweredBy() == nil {
-		return answer{err: errNoRelay}
+		return answer{err: errNotPassed}
 	}
 	return answer{payload: reply.GetPayload(), by: convert.InstanceFromWire(reply.GetAnsweredBy())}
 }
--- a/internal/vm/relay/relay_test.go
+++ b/internal/vm/relay/relay_test.go
@@ -31,6 +31,8 @@
 	declined bool
 	direct   int
 	passed   []*vmpb.Relay
+	// refused says that no VM in between gets an answer.
+	refused bool
 	// through is the only VM that reaches the holder, if set.
 	through string
 }
@@ -60,6 +62,9 @@
 		time.Sleep(late)
 		return answer, holder, err
 	}
+	if n.refused {
+		return nil, holder, peer.ErrDeclined
+	}
 	if n.through != "" && address != n.through {
 		<-ctx.Done()
 		return nil, holder, ctx.Err()
@@ -149,6 +154,15 @@
 	}
 }
 
+// A VM in between that got no answer does not speak for the VM that is asked.
+func TestVMInBetweenDeclines(t *testing.T) {
+	c := newClient(&network{cut: true, refused: true})
+	_, err := c.Ask(context.Background(), "holder", &vmpb.Open{}, &vmpb.AccountReserveReply{})
+	if err == nil || errors.Is(err, peer.ErrDeclined) {
+		t.Errorf("error %v", err)
+	}
+}
+
 // A path that is lost costs its questions little, also many at once.
 func TestLostPath(t *testing.T) {
 	const asks, limit = 50, 500 * time.Millisecond
