--- a/internal/vm/relay/relay.go
+++ b/internal/vm/relay/relay.go
@@ -61,7 +61,8 @@
 	direct  bool
 }
 
-// Ask returns the first answer that comes in, directly or through others.
+// Ask returns the first answer that comes in, directly or through others; an
+// error that wraps peer.ErrDeclined is the asked VM's own.
 func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
