--- a/internal/config/mirror/subscribe.go
+++ b/internal/config/mirror/subscribe.go
@@ -35,7 +35,7 @@
 	for ctx.Err() == nil {
 		address, followed, ok := s.duty.Take(place, s.clock.Now())
 		if !ok {
-			s.pause(ctx)
+			clock.Wait(ctx, s.clock, idlePause)
 			continue
 		}
 		wait := time.Duration(0)
@@ -50,7 +50,3 @@
 		s.duty.Followed(place, address)
 	}
 }
-
-func (s *Subscriber) pause(ctx context.Context) {
-	clock.Wait(ctx, s.clock, idlePause)
-}
--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/operator/node"
@@ -75,10 +76,7 @@
 			n.Log().Event(events.HolderClaimed).Str("data_centre", own.DataCentre()).Str("address", own.Address()).Emit()
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-n.Clock().After(claimInterval):
-		}
+		clock.Wait(ctx, n.Clock(), claimInterval)
 	}
 }
 
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -153,12 +153,11 @@
 // expire drops endpoints that have lapsed and do not come back in time.
 func (n *Node) expire(ctx context.Context) {
 	wait := n.contact.Settling(n.clock.Now())
-	select {
-	case <-ctx.Done():
-	case <-n.clock.After(wait + expireSlack):
-		left := n.catalogue.Expire()
-		n.log.Event(events.EndpointsExpired).Int("lapsed", left).Emit()
+	if !clock.Wait(ctx, n.clock, wait+expireSlack) {
+		return
 	}
+	left := n.catalogue.Expire()
+	n.log.Event(events.EndpointsExpired).Int("lapsed", left).Emit()
 }
 
 func (n *Node) configChanged(objects []hawthornrail.Object) {
--- a/internal/program/account/holders.go
+++ b/internal/program/account/holders.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/vm/detector"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -82,12 +83,7 @@
 // giveUpIfGone ends a question to a holder that also leaves a probe without an
 // answer.
 func (h *holders) giveUpIfGone(asking context.Context, giveUp context.CancelFunc, address string) {
-	select {
-	case <-asking.Done():
-		return
-	case <-h.clock.After(quietTime):
-	}
-	if h.probe(asking, address) != nil {
+	if clock.Wait(asking, h.clock, quietTime) && h.probe(asking, address) != nil {
 		giveUp()
 	}
 }
--- a/internal/team/rate/leave.go
+++ b/internal/team/rate/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/team/share"
 )
 
@@ -17,9 +18,7 @@
 // used and tells the other VMs that they need not reserve its parts.
 func (f *Fleet) Leave(ctx context.Context) {
 	f.left.Store(true)
-	select {
-	case <-f.clock.After(share.GrantHold):
-	case <-ctx.Done():
+	if !clock.Wait(ctx, f.clock, share.GrantHold) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
