--- a/internal/observe/metrics/work.go
+++ b/internal/observe/metrics/work.go
@@ -9,20 +9,21 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-const (
-	nameWork = "work.took_us"
-	// maxTasks bounds the kinds of task that are counted apart.
-	maxTasks = 64
-)
+const nameWork = "work.took_us"
 
 // Work counts what a process does for other VMs and what it waits for, by kind
 // of task.
 type Work struct {
 	registry metrics.Registry
-	tasks    *bounded
 
-	mu     sync.Mutex
-	latest map[string]*Tally
+	mu    sync.Mutex
+	tasks map[string]*task
+}
+
+// task is one kind of task, all in all and since the last look.
+type task struct {
+	histogram metrics.Histogram
+	latest    Tally
 }
 
 // Tally is how often a kind of task was done since the last look.
@@ -47,34 +48,38 @@
 
 // NewWork registers the counters of a process's work.
 func NewWork(registry metrics.Registry) *Work {
-	return &Work{registry: registry, tasks: newBounded(maxTasks), latest: make(map[string]*Tally)}
+	return &Work{registry: registry, tasks: make(map[string]*task)}
 }
 
-// Took counts a task that has ended and how long it took.
-func (w *Work) Took(task string, took time.Duration) {
-	task = w.tasks.value(task)
-	w.registry.GetOrRegister(Labelled(nameWork, "task", task), newHistogram).(metrics.Histogram).Update(took.Microseconds())
+// Took counts a task that has ended and how long it took; the kinds of task are
+// few and fixed.
+func (w *Work) Took(kind string, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t, ok := w.latest[task]
+	t, ok := w.tasks[kind]
 	if !ok {
-		t = &Tally{task: task}
-		w.latest[task] = t
+		name := Labelled(nameWork, "task", kind)
+		t = &task{histogram: w.registry.GetOrRegister(name, newHistogram).(metrics.Histogram)}
+		w.tasks[kind] = t
 	}
-	t.count++
-	t.total += took
-	t.longest = max(t.longest, took)
+	t.histogram.Update(took.Microseconds())
+	t.latest.task = kind
+	t.latest.count++
+	t.latest.total += took
+	t.latest.longest = max(t.latest.longest, took)
 }
 
 // Latest returns the tallies since its last call, in the order of their tasks.
 func (w *Work) Latest() []Tally {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list := make([]Tally, 0, len(w.latest))
-	for _, t := range w.latest {
-		list = append(list, *t)
+	var list []Tally
+	for _, t := range w.tasks {
+		if t.latest.count > 0 {
+			list = append(list, t.latest)
+		}
+		t.latest = Tally{}
 	}
-	clear(w.latest)
 	slices.SortFunc(list, func(a, b Tally) int { return cmp.Compare(a.task, b.task) })
 	return list
 }
