Give a question that is passed on its own type

Client.Ask had the state of one question in a closure and four variables, and went on to set a timer every 50 ms after all VMs that may be asked were asked. The state is a type now, and the timer ends with the last VM. Otherwise no change of behaviour; the tests of the package pass unchanged, eight times with the race detector.

--- a/internal/vm/relay/path.go
+++ b/internal/vm/relay/path.go
@@ -49,8 +49,8 @@
 // broken records that no connection could be made.
 func (p *path) broken() { p.lost = true }
 
-// mayPass reports whether a question may be passed on once more: always on a
-// lost path, else within the bound on copies.
+// mayPass reports whether a question may be passed on once more, and counts that
+// it is: always on a lost path, else within the bound on copies.
 func (p *path) mayPass(now time.Time) bool {
 	limit := min(maxLost, max(minLost, 2*p.slowness))
 	if !p.silent.IsZero() && now.Sub(p.silent) >= limit {
--- a/internal/vm/relay/relay.go
+++ b/internal/vm/relay/relay.go
@@ -66,45 +66,29 @@
 func (c *Client) Ask(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan answer, relays+1)
-	wait := c.clock.After(c.begin(address))
-	direct := proto.CloneOf(open)
-	go func() { answers <- c.directly(ctx, address, direct) }()
-	pending := 1
-	var tried []string
-	// pass asks one more VM to pass the question on, if that is due.
-	pass := func() {
-		if len(tried) == relays || !c.mayPass(address) {
-			return
-		}
-		if via := c.pass(ctx, address, open, tried, answers); via != "" {
-			tried = append(tried, via)
-			pending++
-		}
-	}
+	q := newQuestion(c, address, open)
+	wait := q.begin(ctx)
 	var last error
-	for {
+	for q.pending > 0 {
 		select {
 		case <-wait:
-			pass()
-			wait = c.clock.After(directHeadStart)
-		case a := <-answers:
+			q.pass(ctx)
+			wait = q.nextPass()
+		case a := <-q.answers:
+			q.pending--
 			if a.err == nil {
 				return a.by, decode(a.payload, reply)
 			}
-			last = a.err
-			pending--
 			if a.direct && errors.Is(a.err, peer.ErrDeclined) {
 				return a.by, a.err
 			}
-			pass()
-			if pending == 0 {
-				return hawthornrail.Instance{}, last
-			}
+			last = a.err
+			q.pass(ctx)
 		case <-ctx.Done():
 			return hawthornrail.Instance{}, fmt.Errorf("ask VM at %s: %w", address, errors.Join(last, ctx.Err()))
 		}
 	}
+	return hawthornrail.Instance{}, last
 }
 
 // directly asks without others in between. It waits longer than the asker does:
@@ -161,24 +145,16 @@
 	return nil
 }
 
-// pass asks a VM that was not tried to pass the question on and returns it, or
-// "" if there is none.
-func (c *Client) pass(ctx context.Context, address string, open *vmpb.Open, tried []string, answers chan<- answer) string {
-	via := c.next(address, tried)
-	if via == "" {
-		return ""
+// passThrough asks a VM to pass a question on and remembers whether it did.
+func (c *Client) passThrough(ctx context.Context, via, address string, open *vmpb.Open) answer {
+	a := c.through(ctx, via, address, open)
+	// An asker that has its answer says nothing about the others.
+	if a.err == nil || ctx.Err() == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.path(address).passed(via, a.err == nil)
 	}
-	go func() {
-		a := c.through(ctx, via, address, open)
-		// An asker that has its answer says nothing about the others.
-		if a.err == nil || ctx.Err() == nil {
-			c.mu.Lock()
-			c.path(address).passed(via, a.err == nil)
-			c.mu.Unlock()
-		}
-		answers <- a
-	}()
-	return via
+	return a
 }
 
 // next draws a VM to pass a question on; one that has just done so comes first.
