Collect a program's tokens for one call after another

Cause: calls of one program that arrive at once at a holder each collected tokens from the home; what came for one was reserved by another, and the first was told that the budget is spent (402) while the home had more.

Change: one call collects for all that miss tokens, the others wait for it and try again; the budget counts as spent only if a collection brought nothing and all holders replied.

Two holders that collect at once can still miss what is on its way between them.

--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -18,19 +19,85 @@
 	tokens uint64
 	// allReplied is false if a holder did not reply or had no account.
 	allReplied bool
+	// waited is set if another call collected instead.
+	waited bool
 }
 
-// collect requests tokens from the other holders and reports whether all
-// contacted holders replied. The home comes first, since it usually has all
-// remaining tokens.
-func (h *Holder) collect(ctx context.Context, m *vmpb.AccountReserve, missing uint64, home string) (bool, error) {
+// noneLeft reports whether the other holders have no more tokens, or may have
+// some but did not all reply.
+func (r collectResult) noneLeft() bool { return !r.waited && (r.tokens == 0 || !r.allReplied) }
+
+// collection is the collecting of a program's tokens for the calls that miss
+// some.
+type collection struct {
+	calls   int
+	missing uint64
+	// done is closed when the call that collects now has ended; it is nil if none
+	// does.
+	done chan struct{}
+}
+
+// joinCollection adds a call that misses tokens to its program's collection.
+func (h *Holder) joinCollection(program string, missing uint64) *collection {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c, ok := h.collections[program]
+	if !ok {
+		c = &collection{}
+		h.collections[program] = c
+	}
+	c.calls++
+	c.missing += missing
+	return c
+}
+
+func (h *Holder) leaveCollection(program string, c *collection, missing uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c.calls--
+	c.missing -= missing
+	if c.calls == 0 {
+		delete(h.collections, program)
+	}
+}
+
+// collectOnce collects what all calls of a program miss, or waits for the call
+// that collects now: tokens on their way to one call are in no holder's account.
+func (h *Holder) collectOnce(ctx context.Context, m *vmpb.AccountReserve, c *collection, home string) (collectResult, error) {
+	h.mu.Lock()
+	if current := c.done; current != nil {
+		h.mu.Unlock()
+		select {
+		case <-current:
+			return collectResult{waited: true}, nil
+		case <-ctx.Done():
+			return collectResult{}, fmt.Errorf("wait for calls of program %s: %w", m.GetProgram(), ctx.Err())
+		}
+	}
+	done := make(chan struct{})
+	c.done = done
+	wanted := c.missing
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		c.done = nil
+		h.mu.Unlock()
+		close(done)
+	}()
+	h.awaitGrants(ctx, m.GetProgram())
+	return h.collect(ctx, m, wanted, home)
+}
+
+// collect requests tokens from the other holders. The home comes first, since it
+// usually has all remaining tokens.
+func (h *Holder) collect(ctx context.Context, m *vmpb.AccountReserve, missing uint64, home string) (collectResult, error) {
 	homeHolder, otherHolders := h.splitByHome(home)
 	fromHome, err := h.collectFrom(ctx, m, missing, homeHolder)
 	if err != nil || fromHome.tokens >= missing {
-		return fromHome.allReplied, err
+		return fromHome, err
 	}
 	fromOthers, err := h.collectFrom(ctx, m, missing-fromHome.tokens, otherHolders)
-	return fromHome.allReplied && fromOthers.allReplied, err
+	return collectResult{tokens: fromHome.tokens + fromOthers.tokens, allReplied: fromHome.allReplied && fromOthers.allReplied}, err
 }
 
 // splitByHome splits the other data centres into the home's, if its holder is
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -60,6 +60,8 @@
 	// pendingGrants are the programs with grants in flight to other holders; the
 	// channel is closed once all are sent.
 	pendingGrants map[string]chan struct{}
+	// collections are the programs for whose calls tokens are collected.
+	collections map[string]*collection
 	// platformRetryAt is the time before which the platform is not contacted
 	// again after a failure.
 	platformRetryAt time.Time
@@ -71,6 +73,7 @@
 	h := &Holder{
 		deps: deps, holders: newHolderClient(deps.Config, deps.Invoker, deps.Clock, deps.Log),
 		balances: NewBalances(), opening: make(map[string]chan struct{}), pendingGrants: make(map[string]chan struct{}),
+		collections: make(map[string]*collection),
 	}
 	now := deps.Clock.Now()
 	journal, created, err := OpenJournal(deps.Folder, func(r *vmpb.AccountRecord) { h.balances.Apply(r, now) })
@@ -171,29 +174,32 @@
 }
 
 // Reserve reserves tokens for a call, with tokens from other holders if the own
-// share is too small.
+// share is too small. The budget counts as spent only if the others have nothing
+// left: other calls may take the tokens that were collected for this one.
 func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
 	if err := h.ensureOpen(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens()); err != nil {
 		return nil, err
 	}
 	reply, missing, err := h.tryReserve(m)
-	if err != nil {
-		return nil, err
+	if err != nil || reply.GetGranted() {
+		return reply, err
 	}
-	if reply.GetGranted() {
-		return reply, nil
-	}
-	h.awaitGrants(ctx, m.GetProgram())
-	allReplied, err := h.collect(ctx, m, missing, reply.GetHomeDataCentre())
-	if err != nil {
-		return nil, err
-	}
-	reply, _, err = h.tryReserve(m)
-	if err != nil {
-		return nil, err
+	c := h.joinCollection(m.GetProgram(), missing)
+	defer h.leaveCollection(m.GetProgram(), c, missing)
+	for {
+		collected, err := h.collectOnce(ctx, m, c, reply.GetHomeDataCentre())
+		if err != nil {
+			return nil, err
+		}
+		reply, _, err = h.tryReserve(m)
+		if err != nil || reply.GetGranted() {
+			return reply, err
+		}
+		if collected.noneLeft() {
+			reply.Uncertain = !collected.allReplied
+			return reply, nil
+		}
 	}
-	reply.Uncertain = !reply.GetGranted() && !allReplied
-	return reply, nil
 }
 
 // tryReserve reserves tokens from the own share or returns the number of missing
