Prefer endpoints to which a connection is kept

Change: an endpoint to which this VM has no idle connection costs 4 ms more in the choice. The number of kept connections is the largest number of its own requests in flight there since the last failure. A busy endpoint is left in spite of it (TestKeptConnectionsArePreferred, which fails before with 48 of 50 endpoints used).

--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -62,6 +62,7 @@
 
 func (t *Table) recordSent(s *endpointState, q hawthornrail.PickQuery) {
 	s.inFlight++
+	s.connections = max(s.connections, s.inFlight)
 	t.inFlight++
 	s.probing = s.failures > 0
 	if h, ok := t.hints[q.Program()]; ok && h.endpoint == s.endpoint.Name() {
@@ -153,6 +154,9 @@
 	if s.endpoint.DataCentre() != t.dataCentre {
 		cost += t.params.RemoteCost.Seconds()
 	}
+	if s.inFlight >= s.connections {
+		cost += t.params.ConnectCost.Seconds()
+	}
 	return cost
 }
 
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -29,8 +29,11 @@
 	// inFlightAtReport its value at the time of the report.
 	inFlight         int
 	inFlightAtReport int
-	report           Report
-	reportedAt       time.Time
+	// connections is the largest number of this VM's requests in flight, for which
+	// connections are kept; it starts anew after a failure.
+	connections int
+	report      Report
+	reportedAt  time.Time
 	// tokensSinceReport are the prompt tokens that programs without a hint for
 	// the endpoint are assumed to have added since the report, from all VMs.
 	tokensSinceReport int
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -20,6 +20,9 @@
 	BatchCost float64
 	// RemoteCost is the additional cost of an endpoint in another data centre.
 	RemoteCost time.Duration
+	// ConnectCost is the additional cost of an endpoint to which this VM has no idle
+	// connection: a round trip, and work for the endpoint.
+	ConnectCost time.Duration
 	// ReportHalfLife is the age at which a load report has half its weight.
 	ReportHalfLife time.Duration
 	// HintHalfLife is the age at which a hint on cached tokens has half its
@@ -59,7 +62,7 @@
 func ForwardParams() Params {
 	return Params{
 		PrefillPerSecond: 112_000, PrefillFactor: 2, BatchCost: 0.25,
-		RemoteCost: 12 * time.Millisecond, ReportHalfLife: 500 * time.Millisecond, HintHalfLife: time.Minute,
+		RemoteCost: 12 * time.Millisecond, ConnectCost: 4 * time.Millisecond, ReportHalfLife: 500 * time.Millisecond, HintHalfLife: time.Minute,
 		SampleSize: 32, NearEqual: 2 * time.Millisecond, CacheShare: 0.9, IdleShare: 0.5,
 		FirstBackoff: 200 * time.Millisecond, LastBackoff: 2 * time.Second, RetryFailedEarly: true,
 	}
@@ -337,6 +340,7 @@
 func (t *Table) recordFailure(s *endpointState, now time.Time) {
 	t.addToSums(s, -1)
 	s.probing = false
+	s.connections = 0
 	backoff := t.params.FirstBackoff << min(s.failures, 5)
 	s.failures++
 	backoff = min(backoff, t.params.LastBackoff)
--- a/internal/policy/endpoint/table_test.go
+++ b/internal/policy/endpoint/table_test.go
@@ -247,3 +247,43 @@
 		}
 	})
 }
+
+// Covers one of many VMs that sends a service a request now and then. Guards
+// against a connection to each of the service's endpoints, where those to a few
+// are enough, and against kept connections that keep requests at a busy endpoint.
+func TestKeptConnectionsArePreferred(t *testing.T) {
+	const endpoints, requests, took = 50, 200, 50 * time.Millisecond
+	var list []hawthornrail.Endpoint
+	for i := range endpoints {
+		e := hawthornrail.NewEndpoint(fmt.Sprintf("e%d", i), hawthornrail.ServiceEndpoint, "dc1", "", []string{"m"})
+		list = append(list, e.WithSlots(slots))
+	}
+	table := endpoint.NewTable(endpoint.ForwardParams(), "dc1", rand.New(rand.NewPCG(1, 1)))
+	table.Set(list)
+	q := hawthornrail.NewPickQuery(hawthornrail.ServiceEndpoint, "m", "", 0)
+	used := make(map[string]int)
+	now := start
+	for range requests {
+		name := assertChoice(t, table, q, now)
+		used[name]++
+		now = now.Add(took)
+		table.Done(name, endpoint.Served, took, now)
+	}
+	t.Run("few endpoints are used", func(t *testing.T) {
+		if len(used) > endpoints/5 {
+			t.Errorf("%d of %d endpoints were used for one request at a time", len(used), endpoints)
+		}
+	})
+	t.Run("a busy endpoint is left", func(t *testing.T) {
+		for _, e := range list {
+			load := 0
+			if used[e.Name()] > 0 {
+				load = slots
+			}
+			table.Report(e.Name(), endpoint.NewReport(load, load, 0, 0), now)
+		}
+		if name := assertChoice(t, table, q, now); used[name] > 0 {
+			t.Errorf("busy endpoint %s is chosen for its connection", name)
+		}
+	})
+}
