--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -23,9 +23,9 @@
 	waited bool
 }
 
-// noneLeft reports whether the other holders have no more tokens, or may have
-// some but did not all reply.
-func (r collectResult) noneLeft() bool { return !r.waited && (r.tokens == 0 || !r.allReplied) }
+// isLast reports whether to collect no more: nothing came, or a holder did not
+// reply.
+func (r collectResult) isLast() bool { return !r.waited && (r.tokens == 0 || !r.allReplied) }
 
 // collection is the collecting of a program's tokens for the calls that miss
 // some.
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -195,7 +195,7 @@
 		if err != nil || reply.GetGranted() {
 			return reply, err
 		}
-		if collected.noneLeft() {
+		if collected.isLast() {
 			reply.Uncertain = !collected.allReplied
 			return reply, nil
 		}
