Mark no grants as in flight where a budget has none

Cause: a home marked each new budget as having grants in flight until a goroutine had run, also where the budget is too small for grants. A holder that requested its tokens in that time was told that they are not known, asked the third holder too and refused the call. Known red: TestTokensAreAskedOfTheHomeFirst, 11 of 1,800 runs with the race detector beside load.

Change: the mark is set only if there are grants to send.

--- a/internal/program/account/grant.go
+++ b/internal/program/account/grant.go
@@ -2,11 +2,30 @@
 
 import (
 	"context"
+	"slices"
 
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
+// startGrants sends the grants of a budget in the background. A budget without
+// grants is not marked as having any in flight, because other holders could not
+// request its tokens meanwhile.
+func (h *Holder) startGrants(program string, budget, callTokens uint64) {
+	sizes := GrantSizes(budget, callTokens, len(h.otherDataCentres()))
+	if !slices.ContainsFunc(sizes, func(tokens uint64) bool { return tokens > 0 }) {
+		return
+	}
+	done := make(chan struct{})
+	h.mu.Lock()
+	h.pendingGrants[program] = done
+	h.mu.Unlock()
+	go func() {
+		defer h.finishGrants(program, done)
+		h.sendGrants(program, sizes)
+	}()
+}
+
 // finishGrants marks the grants of a program as sent and wakes the calls that
 // wait in awaitGrants.
 func (h *Holder) finishGrants(program string, done chan struct{}) {
@@ -34,9 +53,9 @@
 
 // sendGrants sends the other holders their grants of a budget. A grant that does
 // not arrive is lost to the program.
-func (h *Holder) sendGrants(program string, budget, callTokens uint64) {
+func (h *Holder) sendGrants(program string, sizes []uint64) {
 	others := h.otherDataCentres()
-	for i, tokens := range GrantSizes(budget, callTokens, len(others)) {
+	for i, tokens := range sizes {
 		if tokens > 0 && !h.holders.unresponsive(others[i]) {
 			h.sendGrant(others[i], program, tokens)
 		}
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -100,13 +100,6 @@
 	if err := h.commit(h.balances.Open(program, budget, share, h.id)); err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	h.mu.Lock()
-	h.pendingGrants[program] = done
-	h.mu.Unlock()
-	go func() {
-		defer h.finishGrants(program, done)
-		h.sendGrants(program, budget, callTokens)
-	}()
+	h.startGrants(program, budget, callTokens)
 	return nil
 }
