Compute what a waiting request needs only for one that waits

Cause: read again, the change of the rates did work on the path of every admitted request that only a waiting one needs (earliest token, next promised one), wrote the pending request of a promise twice, and asked in four places whether the VM holds a share. Change: tryAdmit returns early on success; newRequest takes the pending request whole; hasShare serves all four places. Result: no behaviour meant to change.

--- a/internal/team/rate/account.go
+++ b/internal/team/rate/account.go
@@ -293,6 +293,6 @@
 // Idle reports whether the account can be removed without losing state.
 func (a *Account) Idle(now time.Time) bool {
 	a.decay(now)
-	return a.transition.Complete() && a.transition.Plan().Share(a.self.VM()) == share.Share{} &&
+	return a.transition.Complete() && !a.hasShare() &&
 		a.demand < 0.01 && a.borrower.Idle(now) && len(a.bucket.grants) == 0
 }
--- a/internal/team/rate/borrower.go
+++ b/internal/team/rate/borrower.go
@@ -194,12 +194,12 @@
 
 // Request returns a request for an amount, sent to a holder now.
 func (b *Borrower) Request(holder string, amount float64, now time.Time) BorrowRequest {
-	return b.newRequest(holder, amount, share.GrantTTL, now)
+	return b.newRequest(pendingRequest{holder: holder, amount: amount, sentAt: now, ttl: share.GrantTTL})
 }
 
 // RequestImmediate is Request for tokens that a caller's request waits for.
 func (b *Borrower) RequestImmediate(holder string, amount float64, now time.Time) BorrowRequest {
-	request := b.newRequest(holder, amount, share.ImmediateGrantTTL, now)
+	request := b.newRequest(pendingRequest{holder: holder, amount: amount, sentAt: now, ttl: share.ImmediateGrantTTL})
 	request.immediate = true
 	return request
 }
@@ -207,25 +207,24 @@
 // RequestPromise returns a request for an amount that the holder may have only
 // after a delay.
 func (b *Borrower) RequestPromise(holder string, amount float64, maxDelay time.Duration, now time.Time) BorrowRequest {
-	request := b.newRequest(holder, amount, share.GrantTTL, now)
+	request := b.newRequest(pendingRequest{holder: holder, amount: amount, sentAt: now, ttl: share.GrantTTL, promise: true})
 	request.maxDelay = maxDelay
-	p := b.pending[request.number]
-	p.promise = true
-	b.pending[request.number] = p
 	return request
 }
 
-func (b *Borrower) newRequest(holder string, amount float64, ttl time.Duration, now time.Time) BorrowRequest {
+// newRequest returns the next request, with the settlements for its holder. One
+// for no tokens is not pending.
+func (b *Borrower) newRequest(p pendingRequest) BorrowRequest {
 	b.lastNumber++
-	if amount > 0 {
+	if p.amount > 0 {
 		if b.pending == nil {
 			b.pending = make(map[uint64]pendingRequest)
 		}
-		b.pending[b.lastNumber] = pendingRequest{holder: holder, amount: amount, sentAt: now, ttl: ttl}
+		b.pending[b.lastNumber] = p
 	}
-	settlements := b.settlements[holder]
-	delete(b.settlements, holder)
-	return BorrowRequest{holder: holder, number: b.lastNumber, amount: amount, settlements: settlements}
+	settlements := b.settlements[p.holder]
+	delete(b.settlements, p.holder)
+	return BorrowRequest{holder: p.holder, number: b.lastNumber, amount: p.amount, settlements: settlements}
 }
 
 // Requested returns the requested tokens that may still be granted soon or
--- a/internal/team/rate/borrowing.go
+++ b/internal/team/rate/borrowing.go
@@ -109,7 +109,7 @@
 // share of its own waits for that to refill.
 func (a *Account) requestPromises(tokens int, latest, now time.Time) []BorrowRequest {
 	maxDelay := min(maxPromiseDelay, latest.Sub(now))
-	if maxDelay <= 0 || (a.transition.Plan().Share(a.self.VM()) != share.Share{}) {
+	if maxDelay <= 0 || a.hasShare() {
 		return nil
 	}
 	holder, ok := a.earliestLender(now)
@@ -153,7 +153,7 @@
 func (a *Account) EarliestToken(waiting int, now time.Time) time.Time {
 	pending, _ := a.borrower.Requested("", now)
 	promised, _ := a.borrower.Promised(now)
-	if pending+promised >= float64(waiting) || (a.transition.Plan().Share(a.self.VM()) != share.Share{}) {
+	if pending+promised >= float64(waiting) || a.hasShare() {
 		return time.Time{}
 	}
 	var earliest time.Time
@@ -169,7 +169,12 @@
 // hasLittleTraffic reports whether this VM has no share and hardly any demand,
 // like most VMs for most teams in a large fleet; it then sends fewer messages.
 func (a *Account) hasLittleTraffic() bool {
-	return a.demand < prefetchDemand && a.transition.Plan().Share(a.self.VM()) == share.Share{}
+	return a.demand < prefetchDemand && !a.hasShare()
+}
+
+// hasShare reports whether this VM holds a share of the team's rate.
+func (a *Account) hasShare() bool {
+	return a.transition.Plan().Share(a.self.VM()) != share.Share{}
 }
 
 // rebalance borrows from the fullest holder before the own bucket is low,
--- a/internal/team/rate/limiter.go
+++ b/internal/team/rate/limiter.go
@@ -208,28 +208,31 @@
 // until latest.
 func (l *Limiter) tryAdmit(deployment string, counted bool, latest time.Time) admission {
 	a := admission{pause: retryInterval}
-	ok := false
 	var requests []BorrowRequest
 	l.withAccount(deployment, func(e *entry, now time.Time) {
 		if counted {
-			ok = e.account.Retry(now)
+			a.ok = e.account.Retry(now)
 		} else {
-			ok = e.account.Admit(now)
+			a.ok = e.account.Admit(now)
 		}
 		// If the process was suspended here, the token that it took may have
 		// expired.
-		for ok && l.clock.Since(now) > maxAdmitTime {
+		for a.ok && l.clock.Since(now) > maxAdmitTime {
 			now = l.clock.Now()
-			ok = e.account.Retry(now)
+			a.ok = e.account.Retry(now)
 		}
-		if !ok && !counted {
+		if a.ok {
+			requests = e.account.BorrowRequests(e.waiting, e.latest, now)
+			return
+		}
+		if !counted {
 			e.waiting++
 		}
-		if !ok && latest.After(e.latest) {
+		if latest.After(e.latest) {
 			e.latest = latest
 		}
 		requests = e.account.BorrowRequests(e.waiting, e.latest, now)
-		a.ok, a.changed, a.earliest = ok, e.changed, e.account.EarliestToken(e.waiting, now)
+		a.changed, a.earliest = e.changed, e.account.EarliestToken(e.waiting, now)
 		if promised := e.account.NextPromised(now); !promised.IsZero() {
 			a.pause = min(retryInterval, promised.Sub(now))
 		}
