Log where a configuration came from and whom a VM follows

A new version (4002) now names its source and the age of what the VM knew before. Events 4012 to 4015 say when a VM starts or stops watching the platform, and when it follows another VM or gives it up, with the reason.

--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -83,7 +83,7 @@
 	status.watching = reply.GetWatching()
 	report(from.DataCentre(), status, e.clock.Now())
 	for _, k := range reply.GetKinds() {
-		e.apply(k)
+		e.apply(address, k)
 	}
 	return status, nil
 }
@@ -102,12 +102,12 @@
 	return list
 }
 
-func (e *Exchange) apply(k *vmpb.ObjectsOfKind) {
+func (e *Exchange) apply(source string, k *vmpb.ObjectsOfKind) {
 	list := make([]hawthornrail.Object, 0, len(k.GetObjects()))
 	for _, o := range k.GetObjects() {
 		list = append(list, hawthornrail.NewObject(o.GetName(), o.GetValue()))
 	}
-	changes := hawthornrail.NewObjectChanges(k.GetRevision(), list, k.GetRemoved())
+	changes := hawthornrail.NewObjectChanges(k.GetRevision(), list, k.GetRemoved()).WithSource(source)
 	if k.GetSince() == 0 {
 		e.mirror.Replace(k.GetKind(), changes)
 		return
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -21,6 +21,8 @@
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
+	// storeSource is the source of changes that were read from the store.
+	storeSource = "store"
 )
 
 // Follower keeps a mirror up to date with a store.
@@ -76,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	f.mirror.Replace(kind, objects)
+	f.mirror.Replace(kind, objects.WithSource(storeSource))
 	return nil
 }
 
@@ -84,18 +86,21 @@
 
 // awaitWatchRole returns once this VM has to watch the store.
 func (f *Follower) awaitWatchRole(ctx context.Context, kind string) {
-	for {
-		watching, changed := f.watchRole.Watching()
-		if watching {
-			return
-		}
-		f.storeHealth.StopTracking(kind)
+	watching, changed := f.watchRole.Watching()
+	if watching {
+		return
+	}
+	f.storeHealth.StopTracking(kind)
+	f.log.Event(events.WatchStopped).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
+	for !watching {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return
 		}
+		watching, changed = f.watchRole.Watching()
 	}
+	f.log.Event(events.WatchStarted).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
 }
 
 func (f *Follower) watch(ctx context.Context, kind string) error {
@@ -105,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	if !f.mirror.ApplyChanges(kind, since, changes) {
+	if !f.mirror.ApplyChanges(kind, since, changes.WithSource(storeSource)) {
 		return hawthornrail.ErrHistoryCompacted
 	}
 	return nil
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -19,11 +19,15 @@
 	collections map[string]*collection
 	// onChange is called with the lock held: in the order of the changes, one
 	// call at a time.
-	onChange func(kind string, objects []hawthornrail.Object)
+	onChange ChangeFunc
 	// nextChange is closed when an object changes.
 	nextChange chan struct{}
 }
 
+// ChangeFunc receives all objects of a kind after a change, and where the change
+// was read from.
+type ChangeFunc func(kind, source string, objects []hawthornrail.Object)
+
 // collection holds the objects of one kind.
 type collection struct {
 	revision uint64
@@ -45,7 +49,7 @@
 
 // New returns an empty mirror. It calls onChange with all objects of a kind
 // whenever one of them changes.
-func New(onChange func(kind string, objects []hawthornrail.Object)) *Mirror {
+func New(onChange ChangeFunc) *Mirror {
 	return &Mirror{collections: make(map[string]*collection), onChange: onChange, nextChange: make(chan struct{})}
 }
 
@@ -84,7 +88,7 @@
 	// unknown.
 	c.revision, c.historyStart = list.Revision(), list.Revision()
 	if c.replace(list.Set()) || !held {
-		m.notifyLocked(kind, c)
+		m.notifyLocked(kind, list.Source(), c)
 	}
 	return true
 }
@@ -132,7 +136,7 @@
 		c.remove(name)
 	}
 	if len(changes.Set())+len(changes.Removed()) > 0 {
-		m.notifyLocked(kind, c)
+		m.notifyLocked(kind, changes.Source(), c)
 	}
 	return true
 }
@@ -161,8 +165,8 @@
 
 // notifyLocked calls onChange and wakes those who wait for a change; m.mu must
 // be held.
-func (m *Mirror) notifyLocked(kind string, c *collection) {
-	m.onChange(kind, c.sorted())
+func (m *Mirror) notifyLocked(kind, source string, c *collection) {
+	m.onChange(kind, source, c.sorted())
 	close(m.nextChange)
 	m.nextChange = make(chan struct{})
 }
--- a/internal/config/mirror/subscriber.go
+++ b/internal/config/mirror/subscriber.go
@@ -6,6 +6,7 @@
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
 const (
@@ -24,12 +25,13 @@
 	exchange    *Exchange
 	storeHealth *StoreHealth
 	clock       hawthornrail.Clock
+	log         events.Logger
 }
 
 // NewSubscriber returns a subscriber that sends its requests through an
 // exchange.
-func NewSubscriber(d *WatchRole, e *Exchange, c *StoreHealth, clock hawthornrail.Clock) *Subscriber {
-	return &Subscriber{watchRole: d, exchange: e, storeHealth: c, clock: clock}
+func NewSubscriber(d *WatchRole, e *Exchange, c *StoreHealth, clock hawthornrail.Clock, log events.Logger) *Subscriber {
+	return &Subscriber{watchRole: d, exchange: e, storeHealth: c, clock: clock, log: log}
 }
 
 // Run keeps one slot of the watch role filled until ctx ends.
@@ -47,8 +49,14 @@
 		status, err := s.exchange.request(ctx, address, wait, s.storeHealth.SourceReported)
 		if err != nil || !status.watching || status.Lost() {
 			s.watchRole.Failed(slot, address, s.clock.Now())
+			if followed {
+				s.log.Event(events.SourceLost).Str("source", address).Bool("watching", status.watching).Bool("lost", status.Lost()).Err(err).Emit()
+			}
 			continue
 		}
 		s.watchRole.Followed(slot, address)
+		if !followed {
+			s.log.Event(events.SourceFollowed).Str("source", address).Emit()
+		}
 	}
 }
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -84,6 +84,10 @@
 	RegisterFailed   = register(4009, zerolog.WarnLevel, "VM could not be registered in the platform; will retry", "")
 	HolderClaimed    = register(4010, zerolog.InfoLevel, "VM claimed the role of holder of its data centre", "")
 	EndpointsExpired = register(4011, zerolog.InfoLevel, "endpoint entries that expired during an outage were not renewed", "")
+	WatchStarted     = register(4012, zerolog.InfoLevel, "VM starts to watch the platform itself", "")
+	WatchStopped     = register(4013, zerolog.InfoLevel, "VM stops watching the platform and follows other VMs", "")
+	SourceFollowed   = register(4014, zerolog.InfoLevel, "VM follows another VM's watch of the platform", "")
+	SourceLost       = register(4015, zerolog.InfoLevel, "followed VM does not respond or does not watch the platform", "")
 )
 
 // The events between VMs.
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -126,7 +126,7 @@
 	n.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
 		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Invoker: n.client, Clock: n.clock,
 	})
-	n.subscriber = mirror.NewSubscriber(n.watchRole, n.exchange, n.storeHealth, n.clock)
+	n.subscriber = mirror.NewSubscriber(n.watchRole, n.exchange, n.storeHealth, n.clock, n.log.Layer("config"))
 	table := members.NewTable(hawthornrail.NewMember(self, s.PeerAddress(), false, time.Time{}))
 	n.relay = relay.NewClient(n.client, n.peers, n.clock)
 	n.rates = rate.NewLimiter(self, n.catalogue, table, rate.NewClient(n.relay), n.clock)
@@ -134,10 +134,10 @@
 }
 
 // applyObjects applies changed objects of the platform.
-func (n *Node) applyObjects(kind string, objects []hawthornrail.Object) {
+func (n *Node) applyObjects(kind, source string, objects []hawthornrail.Object) {
 	switch kind {
 	case n.adapter.Kinds.Config:
-		n.applyConfig(objects)
+		n.applyConfig(source, objects)
 	case n.adapter.Kinds.Endpoints:
 		endpoints, problems := n.adapter.Decoder.Endpoints(objects)
 		n.logMalformed(problems)
@@ -166,7 +166,7 @@
 	n.log.Event(events.EndpointsExpired).Int("lapsed", remaining).Emit()
 }
 
-func (n *Node) applyConfig(objects []hawthornrail.Object) {
+func (n *Node) applyConfig(source string, objects []hawthornrail.Object) {
 	config, ok, err := n.adapter.Decoder.Config(objects)
 	if err != nil {
 		// The previous configuration stays in force.
@@ -175,7 +175,8 @@
 	}
 	if ok && n.catalogue.Accept(config) {
 		n.log.Event(events.ConfigChanged).Uint64("version", config.Version()).
-			Int("routes", len(config.Routes())).Int("teams", len(config.Deployments())).Emit()
+			Int("routes", len(config.Routes())).Int("teams", len(config.Deployments())).
+			Str("source", source).Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
 	}
 }
 
--- a/objects.go
+++ b/objects.go
@@ -30,6 +30,7 @@
 	revision uint64
 	set      []Object
 	removed  []string
+	source   string
 }
 
 // NewObjectChanges returns the changes up to a revision: the objects that were
@@ -38,6 +39,16 @@
 	return ObjectChanges{revision: revision, set: set, removed: removed}
 }
 
+// WithSource returns a copy that names where the changes were read from.
+func (c ObjectChanges) WithSource(source string) ObjectChanges {
+	c.source = source
+	return c
+}
+
+// Source returns where the changes were read from: the store or the address of a
+// VM.
+func (c ObjectChanges) Source() string { return c.source }
+
 // Revision returns the revision after the changes.
 func (c ObjectChanges) Revision() uint64 { return c.revision }
 
