--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -122,12 +122,18 @@
 	if request == nil {
 		return false
 	}
-	e.awaitChange(ctx, request)
 	// A VM that misses the reply sends its request again.
-	_ = s.Send(e.reply(request))
+	_ = s.Send(e.serve(ctx, request))
 	return true
 }
 
+// serve returns the reply to a request once there is a change or its wait is
+// over.
+func (e *Exchange) serve(ctx context.Context, request *vmpb.ObjectsAsk) *vmpb.ObjectsReply {
+	e.awaitChange(ctx, request)
+	return e.reply(request)
+}
+
 // awaitChange returns once there is a change for the requesting VM or its wait
 // is over.
 func (e *Exchange) awaitChange(ctx context.Context, request *vmpb.ObjectsAsk) {
--- /dev/null
+++ b/internal/config/mirror/fleet_test.go
@@ -0,0 +1,241 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/config/mirror"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// listTimeout and watchMargin are the timeouts of the store's client.
+	listTimeout = 1500 * time.Millisecond
+	watchMargin = 1500 * time.Millisecond
+	// hop is the time that a message takes in one direction.
+	hop = 2 * time.Millisecond
+)
+
+var errNoResponse = errors.New("no response")
+
+// simStore is a store with one object.
+type simStore struct {
+	mu       sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	calls    int
+}
+
+func newSimStore() *simStore { return &simStore{revision: 1, changed: make(chan struct{})} }
+
+// change makes a change and returns its revision.
+func (s *simStore) change() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *simStore) state() (uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.changed
+}
+
+func (s *simStore) countCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
+func objectAt(revision uint64) hawthornrail.ObjectChanges {
+	object := hawthornrail.NewObject("object", []byte(strconv.FormatUint(revision, 10)))
+	return hawthornrail.NewObjectChanges(revision, []hawthornrail.Object{object}, nil)
+}
+
+// simVM is a VM whose processes run in a simulated fleet; it implements the
+// interfaces to the store and to the other VMs.
+type simVM struct {
+	fleet       *simFleet
+	address     string
+	mirror      *mirror.Mirror
+	storeHealth *mirror.StoreHealth
+	watchRole   *mirror.WatchRole
+	exchange    *mirror.Exchange
+
+	mu sync.Mutex
+	// dark is set if no message reaches or leaves the VM, and storeSilent if
+	// the store does not respond to it.
+	dark        bool
+	storeSilent bool
+}
+
+// simFleet is a fleet of VMs in two data centres, without a network.
+type simFleet struct {
+	store   *simStore
+	vms     map[string]*simVM
+	running sync.WaitGroup
+}
+
+// newSimFleet starts VMs with the given addresses; the first letter of an
+// address is its data centre.
+func newSimFleet(ctx context.Context, addresses []string) *simFleet {
+	f := &simFleet{store: newSimStore(), vms: make(map[string]*simVM)}
+	for _, address := range addresses {
+		f.vms[address] = &simVM{fleet: f, address: address, mirror: mirror.New(func(string, string, []hawthornrail.Object) {})}
+	}
+	for _, address := range addresses {
+		f.vms[address].start(ctx, addresses)
+	}
+	return f
+}
+
+func (v *simVM) start(ctx context.Context, addresses []string) {
+	dataCentre := v.address[:1]
+	v.storeHealth = mirror.NewStoreHealth(dataCentre)
+	v.watchRole = mirror.NewWatchRole()
+	var peers, predecessors []string
+	for _, address := range addresses {
+		if address != v.address {
+			peers = append(peers, address)
+		}
+		if address[:1] == dataCentre && address < v.address {
+			predecessors = append(predecessors, address)
+		}
+	}
+	log := events.NewLogger(io.Discard, zerolog.Disabled)
+	v.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
+		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, Kinds: []string{kind},
+		Peers: func() []string { return peers }, Invoker: v, Clock: clock.Real(),
+	})
+	v.watchRole.SetPredecessors(predecessors, time.Now())
+	follower := mirror.NewFollower(v.mirror, v.storeHealth, v.watchRole, v, clock.Real(), log)
+	subscriber := mirror.NewSubscriber(v.watchRole, v.exchange, v.storeHealth, clock.Real(), log)
+	v.fleet.running.Go(func() { follower.Follow(ctx, kind) })
+	v.fleet.running.Go(func() { v.exchange.Run(ctx) })
+	for slot := range mirror.FollowedVMs {
+		v.fleet.running.Go(func() { subscriber.Run(ctx, slot) })
+	}
+}
+
+func (v *simVM) fail(dark, storeSilent bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.dark, v.storeSilent = dark, storeSilent
+}
+
+func (v *simVM) isDark() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dark
+}
+
+func (v *simVM) storeResponds() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.dark && !v.storeSilent
+}
+
+// List returns the object, or fails after its timeout if the store is silent.
+func (v *simVM) List(ctx context.Context, _ string) (hawthornrail.ObjectChanges, error) {
+	v.fleet.store.countCall()
+	time.Sleep(2 * hop)
+	if !v.storeResponds() {
+		return hawthornrail.ObjectChanges{}, waitOut(ctx, listTimeout)
+	}
+	revision, _ := v.fleet.store.state()
+	return objectAt(revision), nil
+}
+
+// ListCached is like List.
+func (v *simVM) ListCached(ctx context.Context, kind string) (hawthornrail.ObjectChanges, error) {
+	return v.List(ctx, kind)
+}
+
+// Watch waits for a change. If the store falls silent meanwhile, nothing shows
+// it before the timeout.
+func (v *simVM) Watch(ctx context.Context, _ string, since uint64, timeout time.Duration) (hawthornrail.ObjectChanges, error) {
+	v.fleet.store.countCall()
+	start := time.Now()
+	deadline := time.After(timeout)
+	for {
+		revision, changed := v.fleet.store.state()
+		if revision <= since {
+			select {
+			case <-changed:
+				continue
+			case <-deadline:
+			case <-ctx.Done():
+				return hawthornrail.ObjectChanges{}, ctx.Err()
+			}
+		}
+		time.Sleep(2 * hop)
+		if !v.storeResponds() {
+			return hawthornrail.ObjectChanges{}, waitOut(ctx, timeout+watchMargin-time.Since(start))
+		}
+		if revision <= since {
+			return hawthornrail.NewObjectChanges(revision, nil, nil), nil
+		}
+		return objectAt(revision), nil
+	}
+}
+
+// waitOut returns an error after a timeout.
+func waitOut(ctx context.Context, timeout time.Duration) error {
+	clock.Wait(ctx, clock.Real(), timeout)
+	return errNoResponse
+}
+
+// Invoke sends a request to another VM.
+func (v *simVM) Invoke(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
+	to := v.fleet.vms[address]
+	time.Sleep(hop)
+	if v.isDark() || to.isDark() {
+		<-ctx.Done()
+		return hawthornrail.Instance{}, errNoResponse
+	}
+	response := mirror.Serve(to.exchange, ctx, open.GetObjectsAsk())
+	time.Sleep(hop)
+	if ctx.Err() != nil || v.isDark() || to.isDark() {
+		<-ctx.Done()
+		return hawthornrail.Instance{}, errNoResponse
+	}
+	proto.Merge(reply, response)
+	return hawthornrail.NewInstance(address, address[:1], 1), nil
+}
+
+// awaitRevision waits until the VM holds a revision, limit at most, and returns
+// how long that took.
+func (v *simVM) awaitRevision(revision uint64, limit time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	start := time.Now()
+	for v.mirror.Revision(kind) < revision && time.Since(start) < limit {
+		time.Sleep(step)
+	}
+	return time.Since(start)
+}
+
+// simulate runs a fleet in simulated time.
+func simulate(t *testing.T, addresses []string, run func(fleet *simFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := newSimFleet(ctx, addresses)
+		defer fleet.running.Wait()
+		defer cancel()
+		run(fleet)
+	})
+}
