Rely on followed VMs only while the store has confirmed them recently

Cause: a VM that follows others took each of their responses for news from the store. A followed VM that was dark was given up after 2.4 s to 6 s, one that had silently lost the store after 2.3 s to 11.5 s; only requests to random VMs every half second hid it, unless many of those were dark too, each of which blocked the next request for 0.4 s.

Change: the configuration is watched for 0.75 s a call, so that each response confirms that a watching VM is up to date. Watching VMs pass each confirmation on, with its age counted from the request, since a reply may be held up. A VM without a confirmation of its sources for 1.4 s watches the store itself. A VM that may have missed changes asks the others in turn every 0.2 s, without waiting for replies.

Liveness of a peer is no evidence that its data are fresh.

--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -15,6 +18,8 @@
 const (
 	// requestInterval is the mean time between two requests to other VMs.
 	requestInterval = 500 * time.Millisecond
+	// outdatedRequestInterval is the same while this VM may have missed changes.
+	outdatedRequestInterval = 200 * time.Millisecond
 	// requestTimeout bounds one request, beyond the delay that it allows.
 	requestTimeout = 400 * time.Millisecond
 )
@@ -50,44 +55,98 @@
 	return &Exchange{mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, kinds: p.Kinds, client: p.Invoker, peers: p.Peers, clock: p.Clock}
 }
 
-// Run sends requests to randomly chosen VMs until ctx ends.
+// Run sends requests to all VMs in turn until ctx ends. It does not wait for
+// replies, so that a VM that does not reply delays no request to another one.
 func (e *Exchange) Run(ctx context.Context) {
-	for {
-		if !clock.Wait(ctx, e.clock, requestInterval/2+rand.N(requestInterval)) {
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	for previous := e.randomPeer(); ; {
+		interval := e.interval()
+		if !clock.Wait(ctx, e.clock, interval/2+rand.N(interval)) {
 			return
 		}
-		peers := e.peers()
-		if len(peers) == 0 {
+		address, ok := e.peerAfter(previous)
+		if !ok {
 			e.storeHealth.NoPeers()
 			continue
 		}
-		// A VM that does not reply is tried again when it is chosen again.
-		_, _ = e.request(ctx, peers[rand.IntN(len(peers))], 0, e.storeHealth.PeerReported)
+		previous = address
+		pending.Go(func() {
+			// A VM that does not reply is tried again at its next turn.
+			_, _ = e.request(ctx, address, 0, e.storeHealth.PeerReported)
+		})
+	}
+}
+
+// interval is the mean time between two requests.
+func (e *Exchange) interval() time.Duration {
+	if e.storeHealth.Outdated(e.clock.Now()) {
+		return outdatedRequestInterval
 	}
+	return requestInterval
+}
+
+// randomPeer returns the address of another VM, or an empty one if none is known.
+func (e *Exchange) randomPeer() string {
+	peers := e.peers()
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[rand.IntN(len(peers))]
+}
+
+// peerAfter returns the next address in the order of all other VMs; ok is false
+// if there are none.
+func (e *Exchange) peerAfter(previous string) (address string, ok bool) {
+	peers := slices.Sorted(slices.Values(e.peers()))
+	if len(peers) == 0 {
+		return "", false
+	}
+	i, found := slices.BinarySearch(peers, previous)
+	if found {
+		i++
+	}
+	return peers[i%len(peers)], true
 }
 
 // request applies the later revisions that a VM holds. Before that it passes
 // the VM's status of the store to report. The VM may delay its reply for wait
-// until there is a change.
+// until there is a change. The status that is returned has no confirmation if
+// this VM does not hold all that the VM holds.
 func (e *Exchange) request(ctx context.Context, address string, wait time.Duration, report func(string, StoreStatus, time.Time)) (StoreStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
 	request := &vmpb.ObjectsAsk{WaitMs: uint32(wait.Milliseconds()), Held: e.heldRevisions()}
 	var reply vmpb.ObjectsReply
 	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: request}}
+	sent := e.clock.Now()
 	from, err := e.client.Invoke(ctx, address, open, &reply)
 	if err != nil {
 		return StoreStatus{}, fmt.Errorf("request changes: %w", err)
 	}
 	status := NewStoreStatus(reply.GetInContact(), reply.GetLost(), time.Duration(reply.GetSettlingMs())*time.Millisecond)
 	status.watching = reply.GetWatching()
+	// The time counts from the request, since the reply may have been held up on
+	// its way.
+	status.confirmed = sent.Add(time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
 	report(from.DataCentre(), status, e.clock.Now())
-	for _, k := range reply.GetKinds() {
-		e.apply(address, k)
+	if !e.applyAll(address, reply.GetKinds()) {
+		status.confirmed = time.Time{}
 	}
 	return status, nil
 }
 
+// applyAll applies a reply and reports whether this VM then holds all that the
+// reply contains.
+func (e *Exchange) applyAll(source string, kinds []*vmpb.ObjectsOfKind) bool {
+	complete := true
+	for _, k := range kinds {
+		e.apply(source, k)
+		complete = complete && e.mirror.Revision(k.GetKind()) >= k.GetRevision()
+	}
+	return complete
+}
+
 // heldRevisions returns the revisions that this VM holds. A kind that it holds
 // nothing of would be sent in full, and at a start of the fleet to all VMs at
 // once; it is requested only while the store does not respond.
@@ -130,17 +189,19 @@
 // serve returns the reply to a request once there is a change or its wait is
 // over.
 func (e *Exchange) serve(ctx context.Context, request *vmpb.ObjectsAsk) *vmpb.ObjectsReply {
+	arrived := e.clock.Now()
 	e.awaitChange(ctx, request)
-	return e.reply(request)
+	return e.reply(request, arrived)
 }
 
-// awaitChange returns once there is a change for the requesting VM or its wait
-// is over.
+// awaitChange returns once there is a change for the requesting VM, the store
+// confirms that there is none, or the wait is over.
 func (e *Exchange) awaitChange(ctx context.Context, request *vmpb.ObjectsAsk) {
 	if request.GetWaitMs() == 0 {
 		return
 	}
 	timeout := e.clock.After(min(time.Duration(request.GetWaitMs())*time.Millisecond, longPollWait))
+	_, nextConfirmation := e.storeHealth.LastConfirmation()
 	for {
 		nextChange := e.mirror.NextChange()
 		if e.hasChanges(request) {
@@ -148,6 +209,8 @@
 		}
 		select {
 		case <-nextChange:
+		case <-nextConfirmation:
+			return
 		case <-timeout:
 			return
 		case <-ctx.Done():
@@ -165,11 +228,13 @@
 	return false
 }
 
-func (e *Exchange) reply(request *vmpb.ObjectsAsk) *vmpb.ObjectsReply {
+func (e *Exchange) reply(request *vmpb.ObjectsAsk, arrived time.Time) *vmpb.ObjectsReply {
 	status := e.storeHealth.Status(e.clock.Now())
 	watching, _ := e.watchRole.Watching()
+	confirmed, _ := e.storeHealth.LastConfirmation()
 	reply := &vmpb.ObjectsReply{
 		InContact: status.InContact(), Lost: status.Lost(), SettlingMs: uint32(status.Settling().Milliseconds()), Watching: watching,
+		ConfirmedMs: int32(max(math.MinInt32, confirmed.Sub(arrived).Milliseconds())),
 	}
 	for _, held := range request.GetHeld() {
 		if changes := e.changesFor(held); changes != nil {
--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -61,6 +61,12 @@
 	s.calls++
 }
 
+func (s *simStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func objectAt(revision uint64) hawthornrail.ObjectChanges {
 	object := hawthornrail.NewObject("object", []byte(strconv.FormatUint(revision, 10)))
 	return hawthornrail.NewObjectChanges(revision, []hawthornrail.Object{object}, nil)
@@ -122,10 +128,14 @@
 		Peers: func() []string { return peers }, Invoker: v, Clock: clock.Real(),
 	})
 	v.watchRole.SetPredecessors(predecessors, time.Now())
-	follower := mirror.NewFollower(v.mirror, v.storeHealth, v.watchRole, v, clock.Real(), log)
+	follower := mirror.NewFollower(mirror.FollowerDependencies{
+		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, HeartbeatKind: kind,
+		Source: v, Clock: clock.Real(), Log: log,
+	})
 	subscriber := mirror.NewSubscriber(v.watchRole, v.exchange, v.storeHealth, clock.Real(), log)
 	v.fleet.running.Go(func() { follower.Follow(ctx, kind) })
 	v.fleet.running.Go(func() { v.exchange.Run(ctx) })
+	v.fleet.running.Go(func() { subscriber.ExpireSources(ctx) })
 	for slot := range mirror.FollowedVMs {
 		v.fleet.running.Go(func() { subscriber.Run(ctx, slot) })
 	}
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -15,6 +15,9 @@
 	// watchTimeout is how long a watch waits for a change. Dead connections are
 	// detected earlier, by their keep-alive probes.
 	watchTimeout = 10 * time.Second
+	// heartbeatWatchTimeout is the same for the heartbeat kind, whose responses
+	// confirm that this VM still receives all changes.
+	heartbeatWatchTimeout = 750 * time.Millisecond
 	// watchInterval is the pause between two watches; changes in quick
 	// succession are then fetched with one call.
 	watchInterval = 150 * time.Millisecond
@@ -30,15 +33,33 @@
 	mirror      *Mirror
 	storeHealth *StoreHealth
 	watchRole   *WatchRole
-	source      hawthornrail.ObjectSource
-	clock       hawthornrail.Clock
-	log         events.Logger
+	// heartbeatKind is the kind that is watched with short waits.
+	heartbeatKind string
+	source        hawthornrail.ObjectSource
+	clock         hawthornrail.Clock
+	log           events.Logger
+}
+
+// FollowerDependencies are the dependencies of a Follower.
+type FollowerDependencies struct {
+	Mirror      *Mirror
+	StoreHealth *StoreHealth
+	WatchRole   *WatchRole
+	// HeartbeatKind is the kind whose watches are kept short, because their
+	// responses confirm that the VM is up to date.
+	HeartbeatKind string
+	Source        hawthornrail.ObjectSource
+	Clock         hawthornrail.Clock
+	Log           events.Logger
 }
 
 // NewFollower returns a follower that has not called the store yet; it records
 // in storeHealth how the store responds.
-func NewFollower(m *Mirror, storeHealth *StoreHealth, watchRole *WatchRole, source hawthornrail.ObjectSource, clock hawthornrail.Clock, log events.Logger) *Follower {
-	return &Follower{mirror: m, storeHealth: storeHealth, watchRole: watchRole, source: source, clock: clock, log: log}
+func NewFollower(p FollowerDependencies) *Follower {
+	return &Follower{
+		mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, heartbeatKind: p.HeartbeatKind,
+		source: p.Source, clock: p.Clock, log: p.Log,
+	}
 }
 
 // Follow keeps one kind up to date until ctx ends: it lists the kind once, and
@@ -105,7 +126,7 @@
 
 func (f *Follower) watch(ctx context.Context, kind string) error {
 	since := f.mirror.Revision(kind)
-	changes, err := f.source.Watch(ctx, kind, since, watchTimeout)
+	changes, err := f.source.Watch(ctx, kind, since, f.watchTimeout(kind))
 	f.recordResult(kind, err)
 	if err != nil {
 		return err
@@ -113,9 +134,19 @@
 	if !f.mirror.ApplyChanges(kind, since, changes.WithSource(storeSource)) {
 		return hawthornrail.ErrHistoryCompacted
 	}
+	if kind == f.heartbeatKind {
+		f.storeHealth.Confirmed(f.clock.Now())
+	}
 	return nil
 }
 
+func (f *Follower) watchTimeout(kind string) time.Duration {
+	if kind == f.heartbeatKind {
+		return heartbeatWatchTimeout
+	}
+	return watchTimeout
+}
+
 // recordResult records whether the store responded, and logs when it is lost
 // and regained.
 func (f *Follower) recordResult(kind string, err error) {
--- a/internal/config/mirror/late_change_test.go
+++ b/internal/config/mirror/late_change_test.go
@@ -80,3 +80,20 @@
 		t.Errorf("the change takes %v, want %v at most: "+format, append([]any{took, inForceTimeout}, args...)...)
 	}
 }
+
+// Guards against VMs that all watch the store at rest because the confirmations
+// of the VMs that they follow expire too early.
+func TestFollowingVMsDoNotCallTheStore(t *testing.T) {
+	const seconds = 60
+	var calls int
+	simulate(t, []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}, func(fleet *simFleet) {
+		time.Sleep(10 * time.Second)
+		before := fleet.store.callCount()
+		time.Sleep(seconds * time.Second)
+		calls = fleet.store.callCount() - before
+	})
+	// Two VMs watch, a little more than once a second.
+	if limit := 2 * seconds * 5 / 4; calls > limit {
+		t.Errorf("%d calls in %d s, want %d at most", calls, seconds, limit)
+	}
+}
--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -12,6 +12,11 @@
 	// contactTimeout is how long after a response the store counts as
 	// reachable.
 	contactTimeout = time.Second
+	// maxConfirmationAge is the age of the last confirmation of the store above
+	// which a VM must not rely on its sources. It exceeds the time between two
+	// confirmations of a watching VM, and leaves time to ask the store before a
+	// change has to be in force.
+	maxConfirmationAge = 1400 * time.Millisecond
 )
 
 // StoreStatus is a VM's view of the store. Between two responses the store may
@@ -22,6 +27,8 @@
 	settling  time.Duration
 	// watching is set if the VM watches the store itself.
 	watching bool
+	// confirmed is when the store last confirmed that the VM is up to date.
+	confirmed time.Time
 }
 
 // NewStoreStatus returns a status: whether the store has responded recently,
@@ -38,6 +45,11 @@
 // Lost reports whether the store does not respond for some kind.
 func (s StoreStatus) Lost() bool { return s.lost }
 
+// upToDate reports whether the VM can be relied on as a source.
+func (s StoreStatus) upToDate(now time.Time) bool {
+	return s.watching && !s.lost && remainingAt(s.confirmed, now) > 0
+}
+
 // Settling returns how much longer missing objects may be registered again.
 func (s StoreStatus) Settling() time.Duration { return s.settling }
 
@@ -48,10 +60,13 @@
 
 	mu        sync.Mutex
 	responded time.Time
-	// relayed is when a VM that watches the store last reported that it
-	// responds.
-	relayed time.Time
-	lost    map[string]bool
+	// confirmed is when the store last confirmed that this VM is up to date, and
+	// relayed is the same for the VMs that this VM follows.
+	confirmed time.Time
+	relayed   time.Time
+	// nextConfirmation is closed at the next confirmation by the store.
+	nextConfirmation chan struct{}
+	lost             map[string]bool
 	// reachableElsewhere is set if another VM reached the store during the
 	// loss, and unreachableElsewhere if the store is known not to respond to
 	// others either.
@@ -63,7 +78,7 @@
 // NewStoreHealth returns the store health of a VM of a data centre that has not
 // called the store yet.
 func NewStoreHealth(dataCentre string) *StoreHealth {
-	return &StoreHealth{dataCentre: dataCentre, lost: make(map[string]bool)}
+	return &StoreHealth{dataCentre: dataCentre, nextConfirmation: make(chan struct{}), lost: make(map[string]bool)}
 }
 
 // Responded records that the store responded for a kind, and reports whether it
@@ -80,6 +95,52 @@
 	return regained
 }
 
+// Confirmed records that the store confirmed that this VM is up to date.
+func (h *StoreHealth) Confirmed(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirmed = now
+	close(h.nextConfirmation)
+	h.nextConfirmation = make(chan struct{})
+}
+
+// LastConfirmation returns when the store last confirmed that this VM is up to
+// date, and a channel that is closed when it does so again.
+func (h *StoreHealth) LastConfirmation() (time.Time, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmed, h.nextConfirmation
+}
+
+// Relayed records when the store confirmed that a followed VM is up to date, all
+// of whose objects this VM holds.
+func (h *StoreHealth) Relayed(confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.relayed = later(h.relayed, confirmed)
+}
+
+// SourcesExpireIn returns how much longer this VM may rely on the VMs that it
+// follows. It is 0 if none of them has been up to date recently.
+func (h *StoreHealth) SourcesExpireIn(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return remainingAt(h.relayed, now)
+}
+
+// Outdated reports whether this VM may have missed changes: neither the store nor
+// a followed VM has confirmed recently that it is up to date.
+func (h *StoreHealth) Outdated(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return remainingAt(later(h.confirmed, h.relayed), now) == 0
+}
+
+// remainingAt returns how much longer a confirmation is recent.
+func remainingAt(confirmed, now time.Time) time.Duration {
+	return max(0, maxConfirmationAge-now.Sub(confirmed))
+}
+
 // Failed records that the store did not respond for a kind, and reports whether
 // it was not lost before.
 func (h *StoreHealth) Failed(kind string) bool {
@@ -113,9 +174,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.settledAt = later(h.settledAt, now.Add(min(s.settling, settlingPeriod)))
-	if s.watching && !s.lost {
-		h.relayed = now
-	}
 }
 
 // StopTracking records that the store is no longer called for a kind.
@@ -156,10 +214,9 @@
 	return max(0, h.settledAt.Sub(now))
 }
 
-// LastResponse returns when the store last responded to this VM or to one that it
-// follows.
-func (h *StoreHealth) LastResponse() time.Time {
+// LastConfirmed returns when this VM was last known to be up to date.
+func (h *StoreHealth) LastConfirmed() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return later(h.responded, h.relayed)
+	return later(h.confirmed, h.relayed)
 }
--- a/internal/config/mirror/subscriber.go
+++ b/internal/config/mirror/subscriber.go
@@ -16,6 +16,9 @@
 	// candidateRetryInterval is the pause before a slot that found no VM to
 	// follow tries again.
 	candidateRetryInterval = 400 * time.Millisecond
+	// expiryCheckInterval is the shortest pause between two checks whether the
+	// sources have expired.
+	expiryCheckInterval = 100 * time.Millisecond
 )
 
 // Subscriber follows VMs of its data centre that watch the store, which keeps
@@ -47,16 +50,30 @@
 			wait = longPollWait
 		}
 		status, err := s.exchange.request(ctx, address, wait, s.storeHealth.SourceReported)
-		if err != nil || !status.watching || status.Lost() {
+		if err != nil || !status.upToDate(s.clock.Now()) {
 			s.watchRole.Failed(slot, address, s.clock.Now())
 			if followed {
-				s.log.Event(events.SourceLost).Str("source", address).Bool("watching", status.watching).Bool("lost", status.Lost()).Err(err).Emit()
+				s.log.Event(events.SourceLost).Str("source", address).Bool("watching", status.watching).Bool("lost", status.Lost()).
+					Int("confirmed_ms_ago", int(s.clock.Since(status.confirmed).Milliseconds())).Err(err).Emit()
 			}
 			continue
 		}
+		s.storeHealth.Relayed(status.confirmed)
 		s.watchRole.Followed(slot, address)
 		if !followed {
 			s.log.Event(events.SourceFollowed).Str("source", address).Emit()
 		}
 	}
 }
+
+// ExpireSources lets this VM watch the store itself while no VM that it could
+// follow is up to date, until ctx ends.
+func (s *Subscriber) ExpireSources(ctx context.Context) {
+	for {
+		expireIn := s.storeHealth.SourcesExpireIn(s.clock.Now())
+		s.watchRole.SetSourcesExpired(expireIn == 0)
+		if !clock.Wait(ctx, s.clock, max(expireIn, expiryCheckInterval)) {
+			return
+		}
+	}
+}
--- a/internal/config/mirror/watch_role.go
+++ b/internal/config/mirror/watch_role.go
@@ -27,7 +27,7 @@
 // WatchRole decides whether this VM watches the store. All VMs of a data centre are
 // in an order that each of them computes alike, and the first ones watch the
 // store. Any other VM follows two watching VMs before it, and watches the store
-// itself while it finds fewer.
+// itself while it finds fewer, or while they are not up to date.
 type WatchRole struct {
 	mu sync.Mutex
 	// membersKnown is set once the VMs of the data centre are known.
@@ -35,7 +35,9 @@
 	predecessors []string
 	retryAfter   map[string]time.Time
 	slots        [FollowedVMs]slot
-	changed      chan struct{}
+	// sourcesExpired is set while no VM can be relied on as a source.
+	sourcesExpired bool
+	changed        chan struct{}
 }
 
 // slot holds one followed VM.
@@ -131,6 +133,14 @@
 	s.address, s.followed = "", false
 }
 
+// SetSourcesExpired sets whether no VM can be relied on as a source; this VM then
+// watches the store itself at once.
+func (r *WatchRole) SetSourcesExpired(expired bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updateLocked(func() { r.sourcesExpired = expired })
+}
+
 // Watching reports whether this VM watches the store, and returns a channel
 // that is closed when that changes.
 func (r *WatchRole) Watching() (bool, <-chan struct{}) {
@@ -140,7 +150,7 @@
 }
 
 func (r *WatchRole) watching() bool {
-	return r.membersKnown && slices.ContainsFunc(r.slots[:], func(s slot) bool { return s.unfilled })
+	return r.sourcesExpired || r.membersKnown && slices.ContainsFunc(r.slots[:], func(s slot) bool { return s.unfilled })
 }
 
 // updateLocked makes a change and closes changed if that starts or ends the
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -121,8 +121,11 @@
 	n.mirror = mirror.New(n.applyObjects)
 	n.storeHealth = mirror.NewStoreHealth(s.DataCentre())
 	n.watchRole = mirror.NewWatchRole()
-	n.follower = mirror.NewFollower(n.mirror, n.storeHealth, n.watchRole, a.Source, n.clock, n.log.Layer("config"))
-	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastResponse)
+	n.follower = mirror.NewFollower(mirror.FollowerDependencies{
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config,
+		Source: a.Source, Clock: n.clock, Log: n.log.Layer("config"),
+	})
+	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
 	n.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
 		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Invoker: n.client, Clock: n.clock,
 	})
@@ -318,6 +321,7 @@
 		n.Loop(func(ctx context.Context) { n.follower.Follow(ctx, kind) })
 	}
 	n.Loop(n.exchange.Run)
+	n.Loop(n.subscriber.ExpireSources)
 	for slot := range mirror.FollowedVMs {
 		n.Loop(func(ctx context.Context) { n.subscriber.Run(ctx, slot) })
 	}
