Read the rate limit that an endpoint names, and log it

The header is decoded, kept with the endpoint's state and logged (2113) when a limit starts or ends. Nothing acts on it yet.

--- a/forward.go
+++ b/forward.go
@@ -293,6 +293,9 @@
 	WrongInstance bool
 	// Draining reports that the endpoint is draining and accepts no new requests.
 	Draining bool
+	// RateLimit is the number of requests a second that the endpoint accepts from
+	// all VMs together, or 0 if it names no limit.
+	RateLimit float64
 	// Load reports that Running, Waiting and Slots are set.
 	Load    bool
 	Running int
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -206,6 +206,9 @@
 	if reading.Draining && d.deps.Pool.MarkDraining(a.endpoint) {
 		d.logEvent(events.EndpointDraining).Str("endpoint", a.endpoint.Name()).Emit()
 	}
+	if d.deps.Pool.SetRateLimit(a.endpoint, reading.RateLimit) {
+		d.deps.Log.Event(events.EndpointLimited).Str("endpoint", a.endpoint.Name()).Str("request", d.request.ID()).Float("per_second", reading.RateLimit).Emit()
+	}
 	if !reading.NotRun && !reading.WrongInstance {
 		return a, nil
 	}
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -33,6 +33,8 @@
 	Codec     hawthornrail.EndpointCodec
 	Clock     hawthornrail.Clock
 	Forwards  *metrics.Forwards
+	// Log is the log of the process, for what it learns of endpoints.
+	Log events.Logger
 }
 
 // Forwarder sends requests to the endpoints of their route; it implements
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -120,6 +120,13 @@
 	return first
 }
 
+// SetRateLimit records how many requests a second an endpoint accepts from all
+// VMs together, or 0 for no limit; it reports whether a limit starts or ends.
+func (p *Pool) SetRateLimit(e hawthornrail.Endpoint, perSecond float64) (changed bool) {
+	p.forEachTable(e, func(t *endpoint.Table, now time.Time) { changed = t.SetRateLimit(e.Name(), perSecond, now) || changed })
+	return changed
+}
+
 // MarkUnresponsive records that an endpoint did not respond to a poll of its
 // load.
 func (p *Pool) MarkUnresponsive(e hawthornrail.Endpoint) {
--- a/internal/observe/events/events.go
+++ b/internal/observe/events/events.go
@@ -90,6 +90,12 @@
 	return l
 }
 
+// Float adds a floating-point field.
+func (l *Line) Float(field string, value float64) *Line {
+	l.event.Float64(field, value)
+	return l
+}
+
 // Bool adds a boolean field.
 func (l *Line) Bool(field string, value bool) *Line {
 	l.event.Bool(field, value)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -97,6 +97,7 @@
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", t.Dialed)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: p, Transport: t, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: m,
+		Log: n.Log().Layer("endpoint"),
 	})
 }
 
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -44,6 +44,9 @@
 	// unresponsive is set if the endpoint did not reply to a load request.
 	unresponsive bool
 	serviceTime  average
+	// rateLimit is the number of requests a second that the endpoint accepts from
+	// all VMs together, or 0 for no limit.
+	rateLimit float64
 }
 
 // average is an exponentially weighted moving average.
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -169,6 +169,18 @@
 	return true
 }
 
+// SetRateLimit records how many requests a second an endpoint accepts from all
+// VMs together, or 0 for no limit; it reports whether a limit starts or ends.
+func (t *Table) SetRateLimit(name string, perSecond float64, _ time.Time) (changed bool) {
+	s, ok := t.states[name]
+	if !ok {
+		return false
+	}
+	changed = (s.rateLimit > 0) != (perSecond > 0)
+	s.rateLimit = perSecond
+	return changed
+}
+
 // recount recomputes the sums over all endpoints.
 func (t *Table) recount() {
 	t.sums = sums{}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -51,9 +51,9 @@
 	runs         []Run
 	disconnected []string
 	dials        int
-	// drainingField is the header field that marks all responses of a draining
-	// worker; it is empty otherwise.
-	drainingField string
+	// fields are the header fields in all responses of a worker that is draining
+	// or names a rate limit.
+	fields string
 }
 
 // Start returns a worker with an instance id. Its streams consist of the given
@@ -81,13 +81,23 @@
 func (w *Worker) Leave() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.drainingField = "Server-Leaving: 1\r\n"
+	w.fields = "Server-Leaving: 1\r\n"
 }
 
-func (w *Worker) drainingHeader() string {
+// Limit names a rate limit in all further responses, or none if it is empty.
+func (w *Worker) Limit(perSecond string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.drainingField
+	w.fields = ""
+	if perSecond != "" {
+		w.fields = "Server-Limit: " + perSecond + "\r\n"
+	}
+}
+
+func (w *Worker) commonHeader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fields
 }
 
 // Runs returns the requests that the worker has started to run.
@@ -154,12 +164,12 @@
 func (w *Worker) respond(c net.Conn, r *http.Request) bool {
 	id := r.Header.Get("X-Attempt-Id")
 	if expected := r.Header.Get("X-Expect-Instance"); expected != w.id {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.drainingHeader(), w.id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.commonHeader(), w.id)
 		return true
 	}
 	fault := w.nextFault()
 	if fault == Refuse {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", w.drainingHeader(), id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", w.commonHeader(), id)
 		return true
 	}
 	w.mu.Lock()
@@ -176,7 +186,7 @@
 		return w.stream(c, r, fault)
 	}
 	body := "answer to " + id
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\nContent-Length: %d\r\n\r\n%s", w.drainingHeader(), id, w.id, len(body), body)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\nContent-Length: %d\r\n\r\n%s", w.commonHeader(), id, w.id, len(body), body)
 	_, _ = c.Write([]byte(response))
 	if fault == AnswerTwice {
 		_, _ = c.Write([]byte(response))
@@ -190,7 +200,7 @@
 	if err != nil {
 		lastEvent = 0
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", w.drainingHeader(), id, w.id)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", w.commonHeader(), id, w.id)
 	for n := lastEvent + 1; n <= w.events; n++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
 		if fault == CutStream && n == lastEvent+2 {
