End a request at once if no endpoint is left for its retry

Callers of a route with two attempts waited until their deadline for the failure of a request whose only endpoint had broken off, and the VM used its processor all the while.

Cause: a request that may have run and may be repeated was retried whatever the error, and a choice without a candidate counts no send that would end the loop. Change: without an endpoint there is no retry. TestNoEndpointLeftForRetry took 2.0 s before, the caller's whole deadline, and passes now (bound 0.5 s).

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -70,10 +70,10 @@
 	if ctx.Err() != nil || d.sends >= maxSends || d.timeLeft() < minTimeLeft {
 		return false
 	}
-	if len(d.possibleRuns) == 0 {
-		return hawthornrail.AsFailure(err).Code() != hawthornrail.CodeNoEndpoint
+	if hawthornrail.AsFailure(err).Code() == hawthornrail.CodeNoEndpoint {
+		return false
 	}
-	return d.request.Route().Repeatable()
+	return len(d.possibleRuns) == 0 || d.request.Route().Repeatable()
 }
 
 // withEarlierRuns returns err as a failure; its verdict is "may have run" if an
