Keep to the rate limit that an endpoint names, as a fleet

Change: VMs send to such an endpoint in time slots, which follow from the list of entry VMs and the time of day, without messages; a time slot lasts a second, so that unused ones of many VMs do not add up. A retry that must go to the same endpoint uses a time slot in advance. A request for which no endpoint is left is refused at once with the time until the next time slot. The load of such an endpoint is estimated by its limit, since it seldom reports.

--- a/interfaces.go
+++ b/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -208,6 +209,9 @@
 // Excluded returns the excluded endpoints.
 func (q PickQuery) Excluded() []string { return q.excluded }
 
+// Excludes reports whether an endpoint is excluded.
+func (q PickQuery) Excludes(name string) bool { return slices.Contains(q.excluded, name) }
+
 // Usage is the token usage of a call at its endpoint.
 type Usage struct {
 	promptTokens     uint64
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +10,12 @@
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
 )
 
-const noEndpointRetryAfter = time.Second
+const (
+	noEndpointRetryAfter = time.Second
+	// minTimeSlotRetryAfter is the shortest retry delay of a request whose
+	// endpoints have exhausted their rate limits.
+	minTimeSlotRetryAfter = 50 * time.Millisecond
+)
 
 // Pool picks endpoints by the load and the failures that this VM has recorded
 // for them; it implements hawthornrail.Picker and hawthornrail.Capacity.
@@ -17,6 +23,7 @@
 	config     hawthornrail.Configuration
 	clock      hawthornrail.Clock
 	dataCentre string
+	vm         string
 	params     endpoint.Params
 
 	mu       sync.Mutex
@@ -38,9 +45,9 @@
 
 // New returns a pool over the configuration's endpoints for a VM in a data
 // centre.
-func New(config hawthornrail.Configuration, clock hawthornrail.Clock, dataCentre string, params endpoint.Params) *Pool {
+func New(config hawthornrail.Configuration, clock hawthornrail.Clock, dataCentre, vm string, params endpoint.Params) *Pool {
 	return &Pool{
-		config: config, clock: clock, dataCentre: dataCentre, params: params,
+		config: config, clock: clock, dataCentre: dataCentre, vm: vm, params: params,
 		groups: make(map[groupKey]*group),
 	}
 }
@@ -50,17 +57,30 @@
 	if g := p.group(groupKey{q.Kind(), q.Target()}); g != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if e, ok := g.table.Choose(q, p.clock.Now()); ok {
+		now := p.clock.Now()
+		if e, ok := g.table.Choose(q, now); ok {
 			return e, nil
 		}
+		if wait, ok := g.table.NextTimeSlot(q, now); ok {
+			f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "all endpoints that serve %s have exhausted their rate limits", q.Target())
+			return hawthornrail.Endpoint{}, f.WithRetryAfter(timeSlotRetryAfter(wait))
+		}
 	}
 	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no endpoint serves %s", q.Target())
 	return hawthornrail.Endpoint{}, f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
 }
 
+// timeSlotRetryAfter returns the retry delay for a request that has to wait for a
+// time slot of this VM. It is bounded, since another VM may have one sooner; a
+// random part spreads the callers.
+func timeSlotRetryAfter(wait time.Duration) time.Duration {
+	wait = min(max(wait, minTimeSlotRetryAfter), noEndpointRetryAfter)
+	return wait + rand.N(wait)
+}
+
 // RecordSent counts a request as sent to an endpoint that was chosen without Pick.
 func (p *Pool) RecordSent(e hawthornrail.Endpoint, q hawthornrail.PickQuery) hawthornrail.Endpoint {
-	p.forEachTable(e, func(t *endpoint.Table, _ time.Time) { t.RecordSent(e.Name(), q) })
+	p.forEachTable(e, func(t *endpoint.Table, now time.Time) { t.RecordSent(e.Name(), q, now) })
 	return e
 }
 
@@ -185,5 +205,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.SetSenders(len(snapshot.VMs()))
+	g.table.SetTimeSlots(p.timeSlots(snapshot.VMs()))
 	g.table.Set(endpoints)
 }
+
+// timeSlots returns this VM's position among the VMs that send to endpoints: where
+// some VMs hold rates for the others, only the others do.
+func (p *Pool) timeSlots(vms []hawthornrail.VM) endpoint.TimeSlots {
+	names := []string{p.vm}
+	onlyOthers := slices.ContainsFunc(vms, func(v hawthornrail.VM) bool { return !v.HoldsRates() })
+	for _, v := range vms {
+		if !onlyOthers || !v.HoldsRates() {
+			names = append(names, v.Name())
+		}
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return endpoint.NewTimeSlots(slices.Index(names, p.vm), len(names))
+}
--- a/internal/endpoint/pool/pool_test.go
+++ b/internal/endpoint/pool/pool_test.go
@@ -23,7 +23,7 @@
 func newPool() (*pool.Pool, *fixedConfig) {
 	config := &fixedConfig{}
 	config.set(engine("e1"), engine("e2"))
-	return pool.New(config, clockwork.NewFakeClock(), "dc1", endpoint.DefaultParams()), config
+	return pool.New(config, clockwork.NewFakeClock(), "dc1", "vm1", endpoint.DefaultParams()), config
 }
 
 func engine(name string) hawthornrail.Endpoint {
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -71,7 +71,7 @@
 		},
 		func() *endpointhttp.Transport { return endpointhttp.New(n.Clock(), n.Adapter().Dialer) },
 		func() *pool.Pool {
-			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), policy.ForwardParams())
+			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
 		},
 		newAccounts,
 		newForwarder,
--- a/internal/operator/serve/container.go
+++ b/internal/operator/serve/container.go
@@ -125,7 +125,7 @@
 }
 
 func newPool(c hawthornrail.Configuration, k hawthornrail.Clock, s settings.Settings) *pool.Pool {
-	return pool.New(c, k, s.DataCentre(), policy.DefaultParams())
+	return pool.New(c, k, s.DataCentre(), s.VM(), policy.DefaultParams())
 }
 
 func newPoller(c hawthornrail.Configuration, t *http.Transport, p *pool.Pool, k hawthornrail.Clock) *load.Poller {
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"slices"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -20,29 +19,29 @@
 	var buffer [2 * 32]candidate
 	candidates := t.candidates(buffer[:0], q, now)
 	if len(candidates) == 0 {
-		s := t.earliestRetry(q)
+		s := t.earliestRetry(q, now)
 		if s == nil {
 			return hawthornrail.Endpoint{}, false
 		}
-		t.recordSent(s, q)
+		t.recordSent(s, q, now)
 		return s.endpoint, true
 	}
 	s := t.pickNearBest(candidates)
-	t.recordSent(s, q)
+	t.recordSent(s, q, now)
 	return s.endpoint, true
 }
 
 // earliestRetry returns the failed endpoint with the earliest retry time if
 // Params.RetryFailedEarly is set: when all endpoints have failed, an early retry
 // is better than a refusal.
-func (t *Table) earliestRetry(q hawthornrail.PickQuery) *endpointState {
+func (t *Table) earliestRetry(q hawthornrail.PickQuery, now time.Time) *endpointState {
 	if !t.params.RetryFailedEarly {
 		return nil
 	}
 	var best *endpointState
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if slices.Contains(q.Excluded(), s.endpoint.Name()) || s.unresponsive {
+			if q.Excludes(s.endpoint.Name()) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
 				continue
 			}
 			if best == nil || s.retryAt.Before(best.retryAt) {
@@ -54,13 +53,14 @@
 }
 
 // RecordSent counts a request as sent to an endpoint that was not chosen by Choose.
-func (t *Table) RecordSent(name string, q hawthornrail.PickQuery) {
+func (t *Table) RecordSent(name string, q hawthornrail.PickQuery, now time.Time) {
 	if s, ok := t.states[name]; ok {
-		t.recordSent(s, q)
+		t.recordSent(s, q, now)
 	}
 }
 
-func (t *Table) recordSent(s *endpointState, q hawthornrail.PickQuery) {
+func (t *Table) recordSent(s *endpointState, q hawthornrail.PickQuery, now time.Time) {
+	s.limit.use(t.timeSlots, now)
 	s.inFlight++
 	s.connections = max(s.connections, s.inFlight)
 	t.inFlight++
@@ -76,7 +76,7 @@
 
 func (t *Table) candidates(list []candidate, q hawthornrail.PickQuery, now time.Time) []candidate {
 	if h, ok := t.hints[q.Program()]; ok {
-		if s, ok := t.states[h.endpoint]; ok && eligible(s, q, now) {
+		if s, ok := t.states[h.endpoint]; ok && t.eligible(s, q, now) {
 			list = append(list, candidate{state: s, cost: t.cost(s, q, now)})
 		}
 	}
@@ -85,8 +85,8 @@
 }
 
 // eligible reports whether an endpoint may be chosen for a query.
-func eligible(s *endpointState, q hawthornrail.PickQuery, now time.Time) bool {
-	return !s.unavailable(now) && !slices.Contains(q.Excluded(), s.endpoint.Name())
+func (t *Table) eligible(s *endpointState, q hawthornrail.PickQuery, now time.Time) bool {
+	return !s.unavailable(now) && !q.Excludes(s.endpoint.Name()) && !s.limit.exhausted(t.timeSlots, now)
 }
 
 // appendSample appends eligible endpoints from a random sample, or from all if
@@ -98,7 +98,7 @@
 		if n > t.params.SampleSize {
 			i = t.random.IntN(n)
 		}
-		if s := states[i]; eligible(s, q, now) {
+		if s := states[i]; t.eligible(s, q, now) {
 			list = append(list, candidate{state: s, cost: t.cost(s, q, now)})
 		}
 	}
@@ -107,7 +107,7 @@
 	}
 	start := t.random.IntN(n)
 	for i := range n {
-		if s := states[(start+i)%n]; eligible(s, q, now) {
+		if s := states[(start+i)%n]; t.eligible(s, q, now) {
 			return append(list, candidate{state: s, cost: t.cost(s, q, now)})
 		}
 	}
@@ -179,6 +179,10 @@
 	}
 	c := s.confidence(now, t.params.ReportHalfLife)
 	mean := float64(t.otherRequests) / float64(t.reporting)
+	if s.limit.perSecond > 0 {
+		// Others send no more than the limit either.
+		mean = min(mean, s.limit.perSecond*t.expectedServiceTime(s))
+	}
 	return float64(s.inFlight) + c*float64(s.otherRequests()) + (1-c)*mean
 }
 
--- /dev/null
+++ b/internal/policy/endpoint/limit.go
@@ -0,0 +1,71 @@
+package endpoint
+
+import "time"
+
+const (
+	// timeSlotLifetime is how long after its time a time slot may still be used. It
+	// bounds how many unused time slots of all VMs can be used at once.
+	timeSlotLifetime = time.Second
+	// minPeriod bounds the time between two time slots of a VM from below.
+	minPeriod = time.Microsecond
+)
+
+// TimeSlots is the position of a VM among the VMs that send to the same endpoints,
+// in the order in which they get time slots.
+type TimeSlots struct {
+	index int
+	count int
+}
+
+// NewTimeSlots returns the position of the VM at an index, from 0, among count VMs.
+func NewTimeSlots(index, count int) TimeSlots { return TimeSlots{index: index, count: max(1, count)} }
+
+// rateLimit is the rate that an endpoint accepts from all VMs together. The VMs
+// divide it without messages: each one sends in its own time slots, which follow
+// from its position and the time of day, so that the time slots of all VMs are
+// spaced evenly.
+type rateLimit struct {
+	// perSecond is 0 if there is no limit.
+	perSecond float64
+	// lastTimeSlot is the last time slot that was used.
+	lastTimeSlot time.Time
+}
+
+// set sets the rate, or removes the limit if it is 0, and reports whether a limit
+// starts or ends.
+func (l *rateLimit) set(perSecond float64, now time.Time) (changed bool) {
+	changed = (l.perSecond > 0) != (perSecond > 0)
+	if l.perSecond == 0 {
+		// Time slots from before the limit was known are not used.
+		l.lastTimeSlot = now
+	}
+	l.perSecond = perSecond
+	return changed
+}
+
+// nextTimeSlot returns a VM's next time slot that can be used, which may lie in
+// the past.
+func (l *rateLimit) nextTimeSlot(slots TimeSlots, now time.Time) time.Time {
+	interval := float64(time.Second) / l.perSecond
+	period := max(minPeriod, time.Duration(interval*float64(slots.count)))
+	phase := time.Duration(interval * float64(slots.index))
+	after := now.Add(-timeSlotLifetime)
+	if l.lastTimeSlot.After(after) {
+		after = l.lastTimeSlot
+	}
+	sinceTimeSlot := (time.Duration(after.UnixNano()) - phase) % period
+	return after.Add(period - sinceTimeSlot)
+}
+
+// exhausted reports whether a VM may send no request now.
+func (l *rateLimit) exhausted(slots TimeSlots, now time.Time) bool {
+	return l.perSecond > 0 && l.nextTimeSlot(slots, now).After(now)
+}
+
+// use counts a request. One that is sent although the limit is exhausted uses the
+// next time slot in advance.
+func (l *rateLimit) use(slots TimeSlots, now time.Time) {
+	if l.perSecond > 0 {
+		l.lastTimeSlot = l.nextTimeSlot(slots, now)
+	}
+}
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -44,9 +44,7 @@
 	// unresponsive is set if the endpoint did not reply to a load request.
 	unresponsive bool
 	serviceTime  average
-	// rateLimit is the number of requests a second that the endpoint accepts from
-	// all VMs together, or 0 for no limit.
-	rateLimit float64
+	limit        rateLimit
 }
 
 // average is an exponentially weighted moving average.
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -89,6 +89,7 @@
 	dataCentre   string
 	random       *rand.Rand
 	senders      int
+	timeSlots    TimeSlots
 	states       map[string]*endpointState
 	listed       []hawthornrail.Endpoint
 	draining     *drainingSet
@@ -117,7 +118,7 @@
 // sampling, for choices between nearly equal endpoints and for jitter.
 func NewTable(params Params, dataCentre string, random *rand.Rand) *Table {
 	return &Table{
-		params: params, dataCentre: dataCentre, random: random, senders: 1,
+		params: params, dataCentre: dataCentre, random: random, senders: 1, timeSlots: NewTimeSlots(0, 1),
 		states: make(map[string]*endpointState), draining: newDrainingSet(), hints: make(map[string]hint),
 	}
 }
@@ -126,6 +127,9 @@
 // same endpoints.
 func (t *Table) SetSenders(n int) { t.senders = max(1, n) }
 
+// SetTimeSlots sets when this VM may send to endpoints with a rate limit.
+func (t *Table) SetTimeSlots(slots TimeSlots) { t.timeSlots = slots }
+
 // Set replaces the endpoints and keeps the state of those that remain.
 func (t *Table) Set(endpoints []hawthornrail.Endpoint) {
 	old := t.states
@@ -171,14 +175,27 @@
 
 // SetRateLimit records how many requests a second an endpoint accepts from all
 // VMs together, or 0 for no limit; it reports whether a limit starts or ends.
-func (t *Table) SetRateLimit(name string, perSecond float64, _ time.Time) (changed bool) {
+func (t *Table) SetRateLimit(name string, perSecond float64, now time.Time) (changed bool) {
 	s, ok := t.states[name]
-	if !ok {
-		return false
+	return ok && s.limit.set(perSecond, now)
+}
+
+// NextTimeSlot returns how long it takes until this VM may send to an endpoint whose
+// rate limit is exhausted; ok is false if no endpoint but for its limit could be
+// chosen.
+func (t *Table) NextTimeSlot(q hawthornrail.PickQuery, now time.Time) (wait time.Duration, ok bool) {
+	for _, list := range [][]*endpointState{t.local, t.remote} {
+		for _, s := range list {
+			if s.unavailable(now) || q.Excludes(s.endpoint.Name()) || !s.limit.exhausted(t.timeSlots, now) {
+				continue
+			}
+			untilTimeSlot := s.limit.nextTimeSlot(t.timeSlots, now).Sub(now)
+			if !ok || untilTimeSlot < wait {
+				wait, ok = untilTimeSlot, true
+			}
+		}
 	}
-	changed = (s.rateLimit > 0) != (perSecond > 0)
-	s.rateLimit = perSecond
-	return changed
+	return wait, ok
 }
 
 // recount recomputes the sums over all endpoints.
--- a/internal/standin/capacity/measure_test.go
+++ b/internal/standin/capacity/measure_test.go
@@ -200,7 +200,7 @@
 			current, next := hawthornrail.NewSnapshot(1, nil, nil, endpoints, nil), hawthornrail.NewSnapshot(2, nil, nil, endpoints, nil)
 			config := &fixedConfig{snapshot: current}
 			before := heapBytes()
-			p := pool.New(config, clock.Real(), "dc1", endpoint.DefaultParams())
+			p := pool.New(config, clock.Real(), "dc1", "vm1", endpoint.DefaultParams())
 			p.Capacity(hawthornrail.EngineEndpoint, "model-1")
 			held := heapBytes() - before
 			for b.Loop() {
