Apply changes that overlap with others, instead of a new list

Cause: a reply that a VM receives while another one is under way raises its revision, and with a confirmation a second each it nearly always does. The other reply then did not begin at the held revision and was dropped. A watch of the store ended in a full list for that, and a followed VM counted as failed.

Change: changes since a revision are applied if nothing is missing before them; each contains the last state of an object, so overlapping ones agree. A followed VM whose reply could not be applied is asked again and not given up.

--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -111,8 +111,7 @@
 
 // request applies the later revisions that a VM holds. Before that it passes
 // the VM's status of the store to report. The VM may delay its reply for wait
-// until there is a change. The status that is returned has no confirmation if
-// this VM does not hold all that the VM holds.
+// until there is a change.
 func (e *Exchange) request(ctx context.Context, address string, wait time.Duration, report func(string, StoreStatus, time.Time)) (StoreStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
@@ -130,9 +129,7 @@
 	// its way.
 	status.confirmed = sent.Add(time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
 	report(from.DataCentre(), status, e.clock.Now())
-	if !e.applyAll(address, reply.GetKinds()) {
-		status.confirmed = time.Time{}
-	}
+	status.applied = e.applyAll(address, reply.GetKinds())
 	return status, nil
 }
 
@@ -171,7 +168,7 @@
 		e.mirror.Replace(k.GetKind(), changes)
 		return
 	}
-	// Changes that do not follow on the held revision are requested again.
+	// Changes after a gap are requested again.
 	e.mirror.ApplyChanges(k.GetKind(), k.GetSince(), changes)
 }
 
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -116,16 +116,18 @@
 
 func equal(a, b hawthornrail.Object) bool { return string(a.Value()) == string(b.Value()) }
 
-// ApplyChanges applies all changes of a kind since a revision. It reports
-// whether that is the revision held here, and applies nothing otherwise.
+// ApplyChanges applies all changes of a kind since a revision. They may overlap
+// with changes that were applied meanwhile, since each of them contains the last
+// state of an object. It returns false and applies nothing if changes are missing
+// before that revision.
 func (m *Mirror) ApplyChanges(kind string, since uint64, changes hawthornrail.ObjectChanges) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c, ok := m.collections[kind]
-	if !ok || c.revision != since {
+	if !ok || c.revision < since {
 		return false
 	}
-	if changes.Revision() <= since {
+	if changes.Revision() <= c.revision {
 		return true
 	}
 	c.revision = changes.Revision()
--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -29,6 +29,9 @@
 	watching bool
 	// confirmed is when the store last confirmed that the VM is up to date.
 	confirmed time.Time
+	// applied is set if this VM then holds all that the VM holds. A reply that
+	// overlaps with another one may not follow on what this VM holds meanwhile.
+	applied bool
 }
 
 // NewStoreStatus returns a status: whether the store has responded recently,
--- a/internal/config/mirror/subscriber.go
+++ b/internal/config/mirror/subscriber.go
@@ -58,7 +58,9 @@
 			}
 			continue
 		}
-		s.storeHealth.Relayed(status.confirmed)
+		if status.applied {
+			s.storeHealth.Relayed(status.confirmed)
+		}
 		s.watchRole.Followed(slot, address)
 		if !followed {
 			s.log.Event(events.SourceFollowed).Str("source", address).Emit()
