Derive the pace of confirmations from the time until a change is in force

Change: the setting config.in_force_ms (the platform's bound, 2 s by default) says how long a change may take. A watch of the configuration waits for three eighths of it, a confirmation expires after seven tenths of it; at 2 s these are the former figures.

--- a/internal/config/mirror/exchange_test.go
+++ b/internal/config/mirror/exchange_test.go
@@ -38,7 +38,7 @@
 func TestStartRequestsNoLists(t *testing.T) {
 	requested := func(lost bool) int {
 		invoker := &recordingInvoker{first: make(chan struct{})}
-		storeHealth := mirror.NewStoreHealth("dc1")
+		storeHealth := mirror.NewStoreHealth("dc1", inForceTimeout)
 		if lost {
 			storeHealth.Failed(kind)
 		}
--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -91,7 +91,9 @@
 
 // simFleet is a fleet of VMs in two data centres, without a network.
 type simFleet struct {
-	store   *simStore
+	store *simStore
+	// inForce is how long a change may take until it is in force.
+	inForce time.Duration
 	vms     map[string]*simVM
 	running sync.WaitGroup
 }
@@ -99,7 +101,7 @@
 // newSimFleet starts VMs with the given addresses; the first letter of an
 // address is its data centre.
 func newSimFleet(ctx context.Context, addresses []string) *simFleet {
-	f := &simFleet{store: newSimStore(), vms: make(map[string]*simVM)}
+	f := &simFleet{store: newSimStore(), inForce: inForceTimeout, vms: make(map[string]*simVM)}
 	for _, address := range addresses {
 		f.vms[address] = &simVM{fleet: f, address: address, mirror: mirror.New(func(string, string, []hawthornrail.Object) {})}
 	}
@@ -111,7 +113,7 @@
 
 func (v *simVM) start(ctx context.Context, addresses []string) {
 	dataCentre := v.address[:1]
-	v.storeHealth = mirror.NewStoreHealth(dataCentre)
+	v.storeHealth = mirror.NewStoreHealth(dataCentre, v.fleet.inForce)
 	v.watchRole = mirror.NewWatchRole()
 	var peers, predecessors []string
 	for _, address := range addresses {
@@ -129,7 +131,7 @@
 	})
 	v.watchRole.SetPredecessors(predecessors, time.Now())
 	follower := mirror.NewFollower(mirror.FollowerDependencies{
-		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, HeartbeatKind: kind,
+		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, HeartbeatKind: kind, InForce: v.fleet.inForce,
 		Source: v, Clock: clock.Real(), Log: log,
 	})
 	subscriber := mirror.NewSubscriber(v.watchRole, v.exchange, v.storeHealth, clock.Real(), log)
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -15,9 +15,12 @@
 	// watchTimeout is how long a watch waits for a change. Dead connections are
 	// detected earlier, by their keep-alive probes.
 	watchTimeout = 10 * time.Second
-	// heartbeatWatchTimeout is the same for the heartbeat kind, whose responses
-	// confirm that this VM still receives all changes.
-	heartbeatWatchTimeout = 750 * time.Millisecond
+	// heartbeatShare is the fraction of the time until a change has to be in force
+	// for which a watch of the heartbeat kind waits. Its responses confirm that this
+	// VM still receives all changes.
+	heartbeatShare = 0.375
+	// minHeartbeatTimeout keeps the number of calls to the store low.
+	minHeartbeatTimeout = 100 * time.Millisecond
 	// watchInterval is the pause between two watches; changes in quick
 	// succession are then fetched with one call.
 	watchInterval = 150 * time.Millisecond
@@ -34,10 +37,11 @@
 	storeHealth *StoreHealth
 	watchRole   *WatchRole
 	// heartbeatKind is the kind that is watched with short waits.
-	heartbeatKind string
-	source        hawthornrail.ObjectSource
-	clock         hawthornrail.Clock
-	log           events.Logger
+	heartbeatKind    string
+	heartbeatTimeout time.Duration
+	source           hawthornrail.ObjectSource
+	clock            hawthornrail.Clock
+	log              events.Logger
 }
 
 // FollowerDependencies are the dependencies of a Follower.
@@ -48,9 +52,11 @@
 	// HeartbeatKind is the kind whose watches are kept short, because their
 	// responses confirm that the VM is up to date.
 	HeartbeatKind string
-	Source        hawthornrail.ObjectSource
-	Clock         hawthornrail.Clock
-	Log           events.Logger
+	// InForce is how long a change may take until it is in force.
+	InForce time.Duration
+	Source  hawthornrail.ObjectSource
+	Clock   hawthornrail.Clock
+	Log     events.Logger
 }
 
 // NewFollower returns a follower that has not called the store yet; it records
@@ -58,7 +64,8 @@
 func NewFollower(p FollowerDependencies) *Follower {
 	return &Follower{
 		mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, heartbeatKind: p.HeartbeatKind,
-		source: p.Source, clock: p.Clock, log: p.Log,
+		heartbeatTimeout: max(minHeartbeatTimeout, time.Duration(heartbeatShare*float64(p.InForce))),
+		source:           p.Source, clock: p.Clock, log: p.Log,
 	}
 }
 
@@ -142,7 +149,7 @@
 
 func (f *Follower) watchTimeout(kind string) time.Duration {
 	if kind == f.heartbeatKind {
-		return heartbeatWatchTimeout
+		return f.heartbeatTimeout
 	}
 	return watchTimeout
 }
--- a/internal/config/mirror/late_change_test.go
+++ b/internal/config/mirror/late_change_test.go
@@ -92,7 +92,7 @@
 		time.Sleep(seconds * time.Second)
 		calls = fleet.store.callCount() - before
 	})
-	// Two VMs watch, a little more than once a second.
+	// Two VMs watch, a little more than once a second each.
 	if limit := 2 * seconds * 5 / 4; calls > limit {
 		t.Errorf("%d calls in %d s, want %d at most", calls, seconds, limit)
 	}
--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -12,11 +12,11 @@
 	// contactTimeout is how long after a response the store counts as
 	// reachable.
 	contactTimeout = time.Second
-	// maxConfirmationAge is the age of the last confirmation of the store above
-	// which a VM must not rely on its sources. It exceeds the time between two
-	// confirmations of a watching VM, and leaves time to ask the store before a
-	// change has to be in force.
-	maxConfirmationAge = 1400 * time.Millisecond
+	// maxConfirmationShare is the fraction of the time until a change has to be in
+	// force after which a confirmation of the store is too old to rely on the
+	// sources. It exceeds the time between two confirmations of a watching VM, and
+	// leaves time to ask the store.
+	maxConfirmationShare = 0.7
 )
 
 // StoreStatus is a VM's view of the store. Between two responses the store may
@@ -48,11 +48,6 @@
 // Lost reports whether the store does not respond for some kind.
 func (s StoreStatus) Lost() bool { return s.lost }
 
-// upToDate reports whether the VM can be relied on as a source.
-func (s StoreStatus) upToDate(now time.Time) bool {
-	return s.watching && !s.lost && remainingAt(s.confirmed, now) > 0
-}
-
 // Settling returns how much longer missing objects may be registered again.
 func (s StoreStatus) Settling() time.Duration { return s.settling }
 
@@ -60,6 +55,8 @@
 // this VM and the store.
 type StoreHealth struct {
 	dataCentre string
+	// maxConfirmationAge is the age from which a confirmation is too old.
+	maxConfirmationAge time.Duration
 
 	mu        sync.Mutex
 	responded time.Time
@@ -79,9 +76,12 @@
 }
 
 // NewStoreHealth returns the store health of a VM of a data centre that has not
-// called the store yet.
-func NewStoreHealth(dataCentre string) *StoreHealth {
-	return &StoreHealth{dataCentre: dataCentre, nextConfirmation: make(chan struct{}), lost: make(map[string]bool)}
+// called the store yet. Changes have to be in force after the time inForce.
+func NewStoreHealth(dataCentre string, inForce time.Duration) *StoreHealth {
+	return &StoreHealth{
+		dataCentre: dataCentre, maxConfirmationAge: time.Duration(maxConfirmationShare * float64(inForce)),
+		nextConfirmation: make(chan struct{}), lost: make(map[string]bool),
+	}
 }
 
 // Responded records that the store responded for a kind, and reports whether it
@@ -128,7 +128,7 @@
 func (h *StoreHealth) SourcesExpireIn(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return remainingAt(h.relayed, now)
+	return h.expiresIn(h.relayed, now)
 }
 
 // Outdated reports whether this VM may have missed changes: neither the store nor
@@ -136,12 +136,17 @@
 func (h *StoreHealth) Outdated(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return remainingAt(later(h.confirmed, h.relayed), now) == 0
+	return h.expiresIn(later(h.confirmed, h.relayed), now) == 0
+}
+
+// UpToDate reports whether the VM with a status can be relied on as a source.
+func (h *StoreHealth) UpToDate(s StoreStatus, now time.Time) bool {
+	return s.watching && !s.lost && h.expiresIn(s.confirmed, now) > 0
 }
 
-// remainingAt returns how much longer a confirmation is recent.
-func remainingAt(confirmed, now time.Time) time.Duration {
-	return max(0, maxConfirmationAge-now.Sub(confirmed))
+// expiresIn returns how much longer a confirmation is recent.
+func (h *StoreHealth) expiresIn(confirmed, now time.Time) time.Duration {
+	return max(0, h.maxConfirmationAge-now.Sub(confirmed))
 }
 
 // Failed records that the store did not respond for a kind, and reports whether
--- a/internal/config/mirror/store_health_test.go
+++ b/internal/config/mirror/store_health_test.go
@@ -20,7 +20,7 @@
 	begin := time.Unix(1_000_000, 0)
 	regained := begin.Add(5 * time.Second)
 	newStoreHealth := func() *mirror.StoreHealth {
-		c := mirror.NewStoreHealth("dc1")
+		c := mirror.NewStoreHealth("dc1", inForceTimeout)
 		c.Responded(kind, begin)
 		c.Responded(otherKind, begin)
 		return c
--- a/internal/config/mirror/subscriber.go
+++ b/internal/config/mirror/subscriber.go
@@ -50,7 +50,7 @@
 			wait = longPollWait
 		}
 		status, err := s.exchange.request(ctx, address, wait, s.storeHealth.SourceReported)
-		if err != nil || !status.upToDate(s.clock.Now()) {
+		if err != nil || !s.storeHealth.UpToDate(status, s.clock.Now()) {
 			s.watchRole.Failed(slot, address, s.clock.Now())
 			if followed {
 				s.log.Event(events.SourceLost).Str("source", address).Bool("watching", status.watching).Bool("lost", status.Lost()).
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -17,6 +17,7 @@
 	defaultGrace          = 8 * time.Second
 	defaultSample         = 100
 	defaultMemoryMB       = 128
+	defaultInForce        = 2 * time.Second
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -30,6 +31,7 @@
 	Store    storeSection    `toml:"store"`
 	Disk     diskSection     `toml:"disk"`
 	Limits   limitsSection   `toml:"limits"`
+	Config   configSection   `toml:"config"`
 	Log      logSection      `toml:"log"`
 	Shutdown shutdownSection `toml:"shutdown"`
 }
@@ -66,6 +68,10 @@
 	MemoryMB       int `toml:"memory_mb"`
 }
 
+type configSection struct {
+	InForceMS float64 `toml:"in_force_ms"`
+}
+
 type logSection struct {
 	Sample int `toml:"sample"`
 }
@@ -99,6 +105,7 @@
 func Parse(text string) (Settings, error) {
 	f := file{
 		Limits:   limitsSection{MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB},
+		Config:   configSection{InForceMS: float64(defaultInForce.Milliseconds())},
 		Log:      logSection{Sample: defaultSample},
 		Shutdown: shutdownSection{GraceMS: int(defaultGrace.Milliseconds())},
 	}
@@ -133,6 +140,7 @@
 	require(f.Limits.MaxHeaderBytes > 0, "limits.max_header_bytes", "a positive number")
 	require(f.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "a positive number")
 	require(f.Limits.MemoryMB > 0, "limits.memory_mb", "a positive number")
+	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
 	require(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
 	for _, seed := range f.Peer.Seeds {
@@ -189,6 +197,12 @@
 // MemoryBytes returns the memory limit of the process.
 func (s Settings) MemoryBytes() int64 { return int64(s.file.Limits.MemoryMB) << 20 }
 
+// ConfigInForce returns how long a change of the configuration may take until it is
+// in force.
+func (s Settings) ConfigInForce() time.Duration {
+	return time.Duration(s.file.Config.InForceMS * float64(time.Millisecond))
+}
+
 // LogSample returns n if one in n successful requests is logged.
 func (s Settings) LogSample() int { return s.file.Log.Sample }
 
--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -37,6 +37,13 @@
 			t.Errorf("grace %v, sample %d, data centres %v", s.Grace(), s.LogSample(), s.DataCentres())
 		}
 	})
+	t.Run("time until a change is in force", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[config]\nin_force_ms = 3000\n")
+		if err != nil || s.ConfigInForce() != 3*time.Second {
+			t.Errorf("got %v %v, want 3s", s.ConfigInForce(), err)
+		}
+		assertProblem(t, valid+"[config]\nin_force_ms = 0\n", "config.in_force_ms: want a positive number")
+	})
 	t.Run("unknown key", func(t *testing.T) { assertProblem(t, valid+"[log]\nsamples = 1\n", "log.samples: unknown key") })
 	t.Run("wrong type", func(t *testing.T) { assertProblem(t, valid+"[log]\nsample = \"x\"\n", "sample") })
 	t.Run("address without a port", func(t *testing.T) { assertProblem(t, valid+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -119,10 +119,10 @@
 	n.client = peer.NewClient(self, nil, nil, n.clock, a.Dialer)
 	n.server = peer.NewServer(self, nil, nil, n.clock, n.log.Layer("peer"))
 	n.mirror = mirror.New(n.applyObjects)
-	n.storeHealth = mirror.NewStoreHealth(s.DataCentre())
+	n.storeHealth = mirror.NewStoreHealth(s.DataCentre(), s.ConfigInForce())
 	n.watchRole = mirror.NewWatchRole()
 	n.follower = mirror.NewFollower(mirror.FollowerDependencies{
-		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config,
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config, InForce: s.ConfigInForce(),
 		Source: a.Source, Clock: n.clock, Log: n.log.Layer("config"),
 	})
 	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
