Ask other VMs in an order of each VM's own, and date late confirmations

All VMs asked the others in the order of their addresses. After a start of the whole fleet they would all ask the same VM at about the same time, and move on together. The order now differs by VM.

A response of the store to a watch without changes counted from its arrival. One that was held up by a cut would have made a VM, and those that follow it, trust what is older than that. It now counts from the end of the watch's wait.

No test shows either of them: the simulated fleet has no load and holds no response up.

--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -1,8 +1,10 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"hash/maphash"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -35,6 +37,9 @@
 	client      peer.Invoker
 	peers       func() []string
 	clock       hawthornrail.Clock
+	// orderSeed defines the order in which requests are sent to the other VMs. It
+	// differs between VMs, so that they do not all send to the same one at once.
+	orderSeed maphash.Seed
 }
 
 // ExchangeDependencies are the dependencies of an Exchange.
@@ -52,7 +57,10 @@
 
 // NewExchange returns an exchange that has sent no request yet.
 func NewExchange(p ExchangeDependencies) *Exchange {
-	return &Exchange{mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, kinds: p.Kinds, client: p.Invoker, peers: p.Peers, clock: p.Clock}
+	return &Exchange{
+		mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, kinds: p.Kinds,
+		client: p.Invoker, peers: p.Peers, clock: p.Clock, orderSeed: maphash.MakeSeed(),
+	}
 }
 
 // Run sends requests to all VMs in turn until ctx ends. It does not wait for
@@ -60,7 +68,7 @@
 func (e *Exchange) Run(ctx context.Context) {
 	var pending sync.WaitGroup
 	defer pending.Wait()
-	for previous := e.randomPeer(); ; {
+	for previous := ""; ; {
 		interval := e.interval()
 		if !clock.Wait(ctx, e.clock, interval/2+rand.N(interval)) {
 			return
@@ -86,27 +94,22 @@
 	return requestInterval
 }
 
-// randomPeer returns the address of another VM, or an empty one if none is known.
-func (e *Exchange) randomPeer() string {
-	peers := e.peers()
-	if len(peers) == 0 {
-		return ""
-	}
-	return peers[rand.IntN(len(peers))]
-}
-
-// peerAfter returns the next address in the order of all other VMs; ok is false
-// if there are none.
+// peerAfter returns the address that follows on another one in this VM's order of
+// all other VMs; ok is false if there are none.
 func (e *Exchange) peerAfter(previous string) (address string, ok bool) {
-	peers := slices.Sorted(slices.Values(e.peers()))
+	peers := slices.Clone(e.peers())
 	if len(peers) == 0 {
 		return "", false
 	}
-	i, found := slices.BinarySearch(peers, previous)
-	if found {
-		i++
+	position := func(address string) uint64 { return maphash.String(e.orderSeed, address) }
+	slices.SortFunc(peers, func(a, b string) int { return cmp.Compare(position(a), position(b)) })
+	after := position(previous)
+	for _, p := range peers {
+		if position(p) > after {
+			return p, true
+		}
 	}
-	return peers[i%len(peers)], true
+	return peers[0], true
 }
 
 // request applies the later revisions that a VM holds. Before that it passes
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -132,8 +132,8 @@
 }
 
 func (f *Follower) watch(ctx context.Context, kind string) error {
-	since := f.mirror.Revision(kind)
-	changes, err := f.source.Watch(ctx, kind, since, f.watchTimeout(kind))
+	since, timeout, sent := f.mirror.Revision(kind), f.watchTimeout(kind), f.clock.Now()
+	changes, err := f.source.Watch(ctx, kind, since, timeout)
 	f.recordResult(kind, err)
 	if err != nil {
 		return err
@@ -142,11 +142,21 @@
 		return hawthornrail.ErrHistoryCompacted
 	}
 	if kind == f.heartbeatKind {
-		f.storeHealth.Confirmed(f.clock.Now())
+		f.storeHealth.Confirmed(f.confirmedAt(changes, sent.Add(timeout)))
 	}
 	return nil
 }
 
+// confirmedAt returns when the store sent the response to a watch whose wait ended
+// at waited: one without changes may have been held up on its way since then.
+func (f *Follower) confirmedAt(changes hawthornrail.ObjectChanges, waited time.Time) time.Time {
+	now := f.clock.Now()
+	if len(changes.Set())+len(changes.Removed()) == 0 && waited.Before(now) {
+		return waited
+	}
+	return now
+}
+
 func (f *Follower) watchTimeout(kind string) time.Duration {
 	if kind == f.heartbeatKind {
 		return f.heartbeatTimeout
