Tell callers when the fleet has a time slot, not when this VM has one

Found by reading: a request that no endpoint may get for their rate limits was told to come back after this VM's next time slot, a second at most. A caller comes back to any VM, and with a limit of one request in ten seconds a second is not true. The delay is now the mean time between two time slots of all VMs at the endpoints that could be chosen, and a random part as long.

TestRateLimit and TestTimeSlotsAreDistinct check the time slots by what is sent now and no longer by a method that only the delay needed.

--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -61,9 +61,9 @@
 		if e, ok := g.table.Choose(q, now); ok {
 			return e, nil
 		}
-		if wait, ok := g.table.NextTimeSlot(q, now); ok {
+		if perSecond := g.table.ExhaustedRate(q, now); perSecond > 0 {
 			f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "all endpoints that serve %s have exhausted their rate limits", q.Target())
-			return hawthornrail.Endpoint{}, f.WithRetryAfter(timeSlotRetryAfter(wait))
+			return hawthornrail.Endpoint{}, f.WithRetryAfter(timeSlotRetryAfter(perSecond))
 		}
 	}
 	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no endpoint serves %s", q.Target())
@@ -71,11 +71,11 @@
 }
 
 // timeSlotRetryAfter returns the retry delay for a request that has to wait for a
-// time slot of this VM. It is bounded, since another VM may have one sooner; a
-// random part spreads the callers.
-func timeSlotRetryAfter(wait time.Duration) time.Duration {
-	wait = min(max(wait, minTimeSlotRetryAfter), noEndpointRetryAfter)
-	return wait + rand.N(wait)
+// time slot, of which the VMs together have perSecond. The request may come back
+// to any of them; a random part spreads the callers.
+func timeSlotRetryAfter(perSecond float64) time.Duration {
+	interval := max(minTimeSlotRetryAfter, time.Duration(float64(time.Second)/perSecond))
+	return interval + rand.N(interval)
 }
 
 // RecordSent counts a request as sent to an endpoint that was chosen without Pick.
--- a/internal/policy/endpoint/limit_test.go
+++ b/internal/policy/endpoint/limit_test.go
@@ -83,6 +83,16 @@
 	return most
 }
 
+// firstTimeSlot returns after which time a VM that sends nothing else may send.
+func (f *limitedFleet) firstTimeSlot(vm int) time.Duration {
+	q := hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, "m", "", 100)
+	for at := f.now; ; at = at.Add(step) {
+		if _, ok := f.tables[vm].Choose(q, at); ok {
+			return at.Sub(f.now)
+		}
+	}
+}
+
 func (f *limitedFleet) all() []int {
 	vms := make([]int, len(f.tables))
 	for i := range vms {
@@ -163,23 +173,22 @@
 			t.Errorf("chosen: %v, want at most one request at the endpoint with the limit", chosen)
 		}
 	})
-	t.Run("the next time slot is known", func(t *testing.T) {
-		f := newLimitedFleet(1, 3, 1)
-		wait, ok := f.tables[0].NextTimeSlot(query(), f.now)
-		if !ok || wait <= 0 || wait > 3*time.Second {
-			t.Errorf("got %v %v, want at most the period of 3 s", wait, ok)
+	t.Run("the rate of exhausted endpoints is known", func(t *testing.T) {
+		f := newLimitedFleet(1, 3, 1.5)
+		if rate := f.tables[0].ExhaustedRate(query(), f.now); rate != 1.5 {
+			t.Errorf("%v a second, want 1.5", rate)
 		}
-		if _, ok := f.tables[0].NextTimeSlot(query(limitedName), f.now); ok {
-			t.Error("an excluded endpoint has a time slot")
+		if rate := f.tables[0].ExhaustedRate(query(limitedName), f.now); rate != 0 {
+			t.Errorf("%v a second of an excluded endpoint, want 0", rate)
 		}
 	})
 	t.Run("a request to the same endpoint uses the next time slot in advance", func(t *testing.T) {
 		f := newLimitedFleet(1, 1, 1)
-		before, _ := f.tables[0].NextTimeSlot(query(), f.now)
+		first := f.firstTimeSlot(0)
+		f.restart(0)
 		f.tables[0].RecordSent(limitedName, query(), f.now)
-		after, _ := f.tables[0].NextTimeSlot(query(), f.now)
-		if after-before != time.Second {
-			t.Errorf("the next time slot moves by %v, want 1s", after-before)
+		if delay := f.firstTimeSlot(0) - first; delay != time.Second {
+			t.Errorf("the time slot moves by %v, want 1s", delay)
 		}
 	})
 	t.Run("the limit ends", func(t *testing.T) {
@@ -194,8 +203,8 @@
 	t.Run("extreme rates", func(t *testing.T) {
 		for _, perSecond := range []float64{1e-3, 1e12} {
 			f := newLimitedFleet(1, 300, perSecond)
-			if wait, ok := f.tables[299].NextTimeSlot(query(), f.now); !ok || wait <= 0 {
-				t.Errorf("%v a second: got %v %v, want a time slot to come", perSecond, wait, ok)
+			if rate := f.tables[299].ExhaustedRate(query(), f.now); rate != perSecond {
+				t.Errorf("%v a second, want %v", rate, perSecond)
 			}
 		}
 	})
@@ -204,14 +213,15 @@
 // Guards against two VMs with the same time slots.
 func TestTimeSlotsAreDistinct(t *testing.T) {
 	f := newLimitedFleet(1, 5, 1)
-	var waits []time.Duration
-	for _, table := range f.tables {
-		wait, _ := table.NextTimeSlot(hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, "m", "", 100), f.now)
-		waits = append(waits, wait.Round(time.Millisecond))
-	}
-	slices.Sort(waits)
-	if len(slices.Compact(waits)) != len(f.tables) {
-		t.Errorf("time slots after %v, want different ones", waits)
+	var slots []time.Duration
+	for vm := range f.tables {
+		slots = append(slots, f.firstTimeSlot(vm))
+	}
+	slices.Sort(slots)
+	for i := range slots[1:] {
+		if gap := slots[i+1] - slots[i]; gap != time.Second {
+			t.Errorf("a gap of %v between the first time slots of two VMs, want 1s", gap)
+		}
 	}
 }
 
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -180,22 +180,17 @@
 	return ok && s.limit.set(perSecond, now)
 }
 
-// NextTimeSlot returns how long it takes until this VM may send to an endpoint whose
-// rate limit is exhausted; ok is false if no endpoint but for its limit could be
-// chosen.
-func (t *Table) NextTimeSlot(q hawthornrail.PickQuery, now time.Time) (wait time.Duration, ok bool) {
+// ExhaustedRate returns the requests a second that the endpoints accept from all
+// VMs which could be chosen if their rate limits were not exhausted for this VM.
+func (t *Table) ExhaustedRate(q hawthornrail.PickQuery, now time.Time) (perSecond float64) {
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if s.unavailable(now) || q.Excludes(s.endpoint.Name()) || !s.limit.exhausted(t.timeSlots, now) {
-				continue
-			}
-			untilTimeSlot := s.limit.nextTimeSlot(t.timeSlots, now).Sub(now)
-			if !ok || untilTimeSlot < wait {
-				wait, ok = untilTimeSlot, true
+			if !s.unavailable(now) && !q.Excludes(s.endpoint.Name()) && s.limit.exhausted(t.timeSlots, now) {
+				perSecond += s.limit.perSecond
 			}
 		}
 	}
-	return wait, ok
+	return perSecond
 }
 
 // recount recomputes the sums over all endpoints.
