--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -41,8 +41,8 @@
 	ForwardFailed      = register(2109, zerolog.WarnLevel, "request failed and may have run", "check the endpoint's state")
 	ForwardTruncated   = register(2110, zerolog.WarnLevel, "response truncated", "check the endpoint's log")
 	CallerDisconnected = register(2111, zerolog.InfoLevel, "caller disconnected before the end of the response", "")
-	EndpointLimited    = register(2113, zerolog.InfoLevel, "endpoint starts to name a rate limit, or names none any more if it is 0", "check the endpoint's load")
 	EndpointDraining   = register(2112, zerolog.InfoLevel, "endpoint reports that it is draining; it receives no new requests", "")
+	EndpointLimited    = register(2113, zerolog.InfoLevel, "endpoint starts to name a rate limit, or names none any more if it is 0", "check the endpoint's load")
 )
 
 // The events of programs.
