--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -29,8 +29,8 @@
 	watching bool
 	// confirmed is when the store last confirmed that the VM is up to date.
 	confirmed time.Time
-	// applied is set if this VM then holds all that the VM holds. A reply that
-	// overlaps with another one may not follow on what this VM holds meanwhile.
+	// applied is set if this VM then holds all that the VM holds. It does not if
+	// changes are missing before those of the reply.
 	applied bool
 }
 
