Log when an endpoint ends while it has a request, and the request's content

After a connection breaks, the VM now tries a new one: refused means that the process has ended. A connection that is accepted is kept for the retry.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -170,6 +170,11 @@
 // failMayHaveRun ends an attempt that may have run the request.
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
 	d.addPossibleRun(a.endpoint.Name())
+	if ctx.Err() == nil && d.crashed(a.endpoint) {
+		d.deps.Forwards.Crashed()
+		d.deps.Log.Event(events.EndpointCrashed).Str("endpoint", a.endpoint.Name()).Str("request", d.request.ID()).
+			Str("content", d.request.Content().String()).Str("team", d.request.Deployment().Team()).Err(err).Emit()
+	}
 	code := hawthornrail.CodeEndpointFailed
 	if ctx.Err() != nil {
 		code = hawthornrail.CodeResponseTruncated
@@ -182,6 +187,17 @@
 	return f
 }
 
+// crashed reports whether the process of an endpoint has ended without draining.
+// A broken connection alone does not show that: it may have been reset, or an
+// invalid response may have ended it.
+func (d *dispatch) crashed(e hawthornrail.Endpoint) bool {
+	listed, ok := d.deps.Config.Snapshot().Endpoint(e.Name())
+	if !ok || listed.Draining() || d.deps.Pool.Draining(e) {
+		return false
+	}
+	return d.deps.Transport.Refused(e.Address())
+}
+
 // addPossibleRun counts an endpoint against the route's attempts; once they are
 // used up, only the same endpoint may run the request again.
 func (d *dispatch) addPossibleRun(name string) {
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/singleflight"
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
@@ -43,6 +44,8 @@
 
 	dialed atomic.Int64
 
+	refusals singleflight.Group
+
 	mu   sync.Mutex
 	idle map[string][]idleConn
 }
--- /dev/null
+++ b/internal/endpoint/http/refused.go
@@ -0,0 +1,33 @@
+package http
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
+
+// refusalTimeout bounds the wait for a connection that may be refused; an
+// endpoint that is only unreachable does not refuse.
+const refusalTimeout = 100 * time.Millisecond
+
+// Refused reports whether an address refuses connections, as it does once its
+// process has ended. A connection that is accepted is kept for the next request.
+// Calls for one address at the same time share one attempt.
+func (t *Transport) Refused(address string) bool {
+	refused, _, _ := t.refusals.Do(address, func() (any, error) { return t.refused(address), nil })
+	return refused == true
+}
+
+func (t *Transport) refused(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
+	defer cancel()
+	netConn, err := t.dialer.Dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	t.dialed.Add(1)
+	t.putIdle(address, &conn{Conn: netConn, reader: bufio.NewReader(netConn)}, idleTimeout)
+	return false
+}
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -140,6 +140,12 @@
 	return first
 }
 
+// Draining reports whether an endpoint has reported that it is draining.
+func (p *Pool) Draining(e hawthornrail.Endpoint) (draining bool) {
+	p.forEachTable(e, func(t *endpoint.Table, _ time.Time) { draining = t.Draining(e.Name()) || draining })
+	return draining
+}
+
 // SetRateLimit records how many requests a second an endpoint accepts from all
 // VMs together, or 0 for no limit; it reports whether a limit starts or ends.
 func (p *Pool) SetRateLimit(e hawthornrail.Endpoint, perSecond float64) (changed bool) {
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -43,6 +43,7 @@
 	CallerDisconnected = register(2111, zerolog.InfoLevel, "caller disconnected before the end of the response", "")
 	EndpointDraining   = register(2112, zerolog.InfoLevel, "endpoint reports that it is draining; it receives no new requests", "")
 	EndpointLimited    = register(2113, zerolog.InfoLevel, "endpoint starts to name a rate limit, or names none any more if it is 0", "check the endpoint's load")
+	EndpointCrashed    = register(2114, zerolog.WarnLevel, "endpoint ended while it had the request", "check the endpoint; if the same content recurs, check its caller")
 )
 
 // The events of programs.
--- a/internal/observe/metrics/forwards.go
+++ b/internal/observe/metrics/forwards.go
@@ -11,6 +11,7 @@
 	nameForwards  = "forwards.ended"
 	nameRetried   = "forwards.retried"
 	nameResumed   = "forwards.resumed"
+	nameCrashed   = "forwards.endpoint_crashed"
 	nameFirstByte = "forwards.first_byte_us"
 	nameTotal     = "forwards.whole_us"
 	nameRateWait  = "forwards.rate_wait_us"
@@ -32,6 +33,7 @@
 	registry  metrics.Registry
 	retried   metrics.Counter
 	resumed   metrics.Counter
+	crashed   metrics.Counter
 	teams     *capped
 	services  *capped
 	endpoints *lru
@@ -43,6 +45,7 @@
 		registry:  registry,
 		retried:   metrics.NewRegisteredCounter(nameRetried, registry),
 		resumed:   metrics.NewRegisteredCounter(nameResumed, registry),
+		crashed:   metrics.NewRegisteredCounter(nameCrashed, registry),
 		teams:     newCapped(maxTeams),
 		services:  newCapped(maxServices),
 		endpoints: newLRU(maxEndpoints),
@@ -55,6 +58,9 @@
 // Resumed counts a stream that was resumed after an interruption.
 func (f *Forwards) Resumed() { f.resumed.Inc(1) }
 
+// Crashed counts a request whose endpoint ended while it had the request.
+func (f *Forwards) Crashed() { f.crashed.Inc(1) }
+
 // FirstByte records the time to the first byte of a response, by the kind of route.
 func (f *Forwards) FirstByte(kind hawthornrail.RouteKind, duration time.Duration) {
 	f.histogram(nameFirstByte, "kind", kindLabel(kind)).Update(duration.Microseconds())
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -173,6 +173,9 @@
 	return true
 }
 
+// Draining reports whether an endpoint has reported that it is draining.
+func (t *Table) Draining(name string) bool { return t.draining.has(name) }
+
 // SetRateLimit records how many requests a second an endpoint accepts from all
 // VMs together, or 0 for no limit; it reports whether a limit starts or ends.
 func (t *Table) SetRateLimit(name string, perSecond float64, now time.Time) (changed bool) {
