--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -28,6 +28,8 @@
 	AnswerTwice
 	// Hang runs the request and sends no response.
 	Hang
+	// Crash starts the response and ends the worker.
+	Crash
 )
 
 // Run is a request that a worker has started to run.
@@ -37,6 +39,8 @@
 	Host      string
 	URI       string
 	LastEvent string
+	// At is when the request started to run.
+	At time.Time
 }
 
 // Worker serves requests on a listener.
@@ -47,6 +51,9 @@
 	listener net.Listener
 
 	mu           sync.Mutex
+	conns        map[net.Conn]bool
+	crashPath    string
+	onCrash      func()
 	faults       []Fault
 	runs         []Run
 	disconnected []string
@@ -59,7 +66,7 @@
 // Start returns a worker with an instance id. Its streams consist of the given
 // number of events with a pause after each.
 func Start(listener net.Listener, id string, events int, pause time.Duration) *Worker {
-	w := &Worker{id: id, events: events, pause: pause, listener: listener}
+	w := &Worker{id: id, events: events, pause: pause, listener: listener, conns: make(map[net.Conn]bool)}
 	go w.accept()
 	return w
 }
@@ -67,6 +74,39 @@
 // Address returns the IP address and port that the worker listens on.
 func (w *Worker) Address() string { return w.listener.Addr().String() }
 
+// CrashOn makes the worker crash when it starts to run a request for a path;
+// onCrash is called once it has ended.
+func (w *Worker) CrashOn(path string, onCrash func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashPath, w.onCrash = path, onCrash
+}
+
+// SetCrashPath changes the path on which the worker crashes.
+func (w *Worker) SetCrashPath(path string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashPath = path
+}
+
+// Crash ends the worker: it closes the listener and all connections.
+func (w *Worker) Crash() {
+	w.Close()
+	w.mu.Lock()
+	conns := w.conns
+	w.conns = nil
+	w.mu.Unlock()
+	if conns == nil {
+		return
+	}
+	for c := range conns {
+		_ = c.Close()
+	}
+	if w.onCrash != nil {
+		w.onCrash()
+	}
+}
+
 // Close stops accepting connections.
 func (w *Worker) Close() { _ = w.listener.Close() }
 
@@ -127,15 +167,35 @@
 		if err != nil {
 			return
 		}
-		w.mu.Lock()
-		w.dials++
-		w.mu.Unlock()
+		if !w.register(c) {
+			_ = c.Close()
+			continue
+		}
 		go w.serve(c)
 	}
 }
 
+// register counts a connection and reports whether the worker still runs.
+func (w *Worker) register(c net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dials++
+	if w.conns == nil {
+		return false
+	}
+	w.conns[c] = true
+	return true
+}
+
+func (w *Worker) unregister(c net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.conns, c)
+	_ = c.Close()
+}
+
 func (w *Worker) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer w.unregister(c)
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -149,9 +209,12 @@
 	}
 }
 
-func (w *Worker) nextFault() Fault {
+func (w *Worker) nextFault(path string) Fault {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashPath != "" && path == w.crashPath {
+		return Crash
+	}
 	if len(w.faults) == 0 {
 		return None
 	}
@@ -167,17 +230,21 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.commonHeader(), w.id)
 		return true
 	}
-	fault := w.nextFault()
+	fault := w.nextFault(r.URL.Path)
 	if fault == Refuse {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sX-Not-Executed: 1\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", w.commonHeader(), id)
 		return true
 	}
 	w.mu.Lock()
-	w.runs = append(w.runs, Run{ID: id, Header: r.Header, Host: r.Host, URI: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id")})
+	w.runs = append(w.runs, Run{ID: id, Header: r.Header, Host: r.Host, URI: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now()})
 	w.mu.Unlock()
 	switch {
 	case fault == Lose:
 		return false
+	case fault == Crash:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		w.Crash()
+		return false
 	case fault == Hang:
 		var b [1]byte
 		_, _ = c.Read(b[:])
