Refuse requests that have crashed three endpoints, on all VMs

Callers saw two of three programs lost: one content, repeated at all VMs, took down all nine engines in rounds of 3 s, and everything that they ran with them.

Cause: a failed attempt was known to its own dispatch only, so each arrival and each retry moved the request to the next endpoint.

Change: a VM that sees an endpoint end tells all VMs which requests it had, by two digests: of the whole content, and of the path alone. Three crashed endpoints without a completion in between make a digest refused; one request for the whole fleet tries it after 3 s, 12 s, 48 s and so on, and the first that completes clears it. What VMs know are sets that merge in any order; a VM that restarted or was partitioned is brought up to date by comparing fingerprints.

--- a/forward.go
+++ b/forward.go
@@ -112,6 +112,8 @@
 	deployment     Deployment
 	revision       uint64
 	firstOfProgram bool
+	// digests are set once they have been computed.
+	digests *RequestDigests
 }
 
 // NewForwardRequest returns a request with its method, host, URI, path without
@@ -323,3 +325,17 @@
 	// Settle replaces a call's reservation by the tokens that it used.
 	Settle(program, call string, used uint64)
 }
+
+// Quarantine refuses requests like those that have crashed the endpoints which ran
+// them.
+type Quarantine interface {
+	// Check returns a Failure while requests with one of the digests are refused.
+	Check(digests RequestDigests) error
+	// Admit returns a Failure unless a request may be sent now; trial reports that no
+	// other request like it may.
+	Admit(ctx context.Context, digests RequestDigests) (trial bool, err error)
+	// RecordCrash records that an endpoint crashed while it had a team's request.
+	RecordCrash(digests RequestDigests, team, endpoint string)
+	// RecordCompletion records that an endpoint has run a request to its end.
+	RecordCompletion(digests RequestDigests)
+}
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -73,6 +73,25 @@
 	return next.Forward(ctx, r)
 }
 
+// Quarantine refuses requests like those that have crashed endpoints.
+type Quarantine struct {
+	quarantine hawthornrail.Quarantine
+}
+
+// NewQuarantine returns the filter over a quarantine.
+func NewQuarantine(quarantine hawthornrail.Quarantine) *Quarantine {
+	return &Quarantine{quarantine: quarantine}
+}
+
+// Filter refuses a request before it uses its program's budget and its team's
+// rate.
+func (f *Quarantine) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
+	if err := f.quarantine.Check(r.Digests()); err != nil {
+		return nil, err
+	}
+	return next.Forward(ctx, r)
+}
+
 // Admit enforces the rates of teams.
 type Admit struct {
 	admitter hawthornrail.Admitter
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -32,12 +32,17 @@
 	lastEvent string
 
 	sends int
-	// possibleRuns are the endpoints that may have run the request.
+	// mayHaveRun is set once an endpoint may have run the request.
+	mayHaveRun bool
+	// possibleRuns are the endpoints that may have run the request and count
+	// against the route's attempts; those that have ended do not.
 	possibleRuns []string
 	// excluded are the endpoints that are not tried again.
 	excluded []string
 	// nextEndpoint is the endpoint that must be tried next, if any.
 	nextEndpoint string
+	// trial is set while this is the only request of its kind that may be sent.
+	trial bool
 }
 
 // attempt is one send of a request to one endpoint.
@@ -70,17 +75,18 @@
 	if ctx.Err() != nil || d.sends >= maxSends || d.timeLeft() < minTimeLeft {
 		return false
 	}
-	if hawthornrail.AsFailure(err).Code() == hawthornrail.CodeNoEndpoint {
+	switch hawthornrail.AsFailure(err).Code() {
+	case hawthornrail.CodeNoEndpoint, hawthornrail.CodeQuarantined:
 		return false
 	}
-	return len(d.possibleRuns) == 0 || d.request.Route().Repeatable()
+	return !d.mayHaveRun || d.request.Route().Repeatable()
 }
 
 // withEarlierRuns returns err as a failure; its verdict is "may have run" if an
 // earlier send may have run, even if the last one did not.
 func (d *dispatch) withEarlierRuns(err error) error {
 	f := hawthornrail.AsFailure(err)
-	if len(d.possibleRuns) > 0 && f.Verdict() == hawthornrail.VerdictNotRun {
+	if d.mayHaveRun && f.Verdict() == hawthornrail.VerdictNotRun {
 		return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, err)
 	}
 	return f
@@ -96,6 +102,9 @@
 // tryEndpoint sends the request to one endpoint and reads the head of its
 // response.
 func (d *dispatch) tryEndpoint(ctx context.Context) (*attempt, error) {
+	if err := d.admit(ctx); err != nil {
+		return nil, err
+	}
 	a, err := d.pick()
 	if err != nil {
 		return nil, err
@@ -118,6 +127,16 @@
 	return d.checkHead(a)
 }
 
+// admit returns a failure if requests like this one are refused. A trial
+// lasts until an endpoint may have run it.
+func (d *dispatch) admit(ctx context.Context) (err error) {
+	if d.trial {
+		return nil
+	}
+	d.trial, err = d.deps.Quarantine.Admit(ctx, d.request.Digests())
+	return err
+}
+
 func (d *dispatch) pick() (*attempt, error) {
 	kind := hawthornrail.ServiceEndpoint
 	if d.service.Engine() {
@@ -169,11 +188,11 @@
 
 // failMayHaveRun ends an attempt that may have run the request.
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
-	d.addPossibleRun(a.endpoint.Name())
+	d.mayHaveRun, d.trial = true, false
 	if ctx.Err() == nil && d.crashed(a.endpoint) {
-		d.deps.Forwards.Crashed()
-		d.deps.Log.Event(events.EndpointCrashed).Str("endpoint", a.endpoint.Name()).Str("request", d.request.ID()).
-			Str("content", d.request.Content().String()).Str("team", d.request.Deployment().Team()).Err(err).Emit()
+		d.recordCrash(a.endpoint, err)
+	} else {
+		d.addPossibleRun(a.endpoint.Name())
 	}
 	code := hawthornrail.CodeEndpointFailed
 	if ctx.Err() != nil {
@@ -198,6 +217,16 @@
 	return d.deps.Transport.Refused(e.Address())
 }
 
+// recordCrash records that an endpoint has ended while it had the request.
+func (d *dispatch) recordCrash(e hawthornrail.Endpoint, err error) {
+	digests, team := d.request.Digests(), d.request.Deployment().Team()
+	d.excluded = append(d.excluded, e.Name())
+	d.deps.Forwards.Crashed()
+	d.deps.Log.Event(events.EndpointCrashed).Str("endpoint", e.Name()).Str("request", d.request.ID()).
+		Str("content", digests.Content().String()).Str("resource", digests.Resource().String()).Str("team", team).Err(err).Emit()
+	d.deps.Quarantine.RecordCrash(digests, team, e.Name())
+}
+
 // addPossibleRun counts an endpoint against the route's attempts; once they are
 // used up, only the same endpoint may run the request again.
 func (d *dispatch) addPossibleRun(name string) {
@@ -256,6 +285,9 @@
 	}
 	d.deps.Forwards.Attempted(d.service.Name(), a.endpoint.Name(), err, duration)
 	d.deps.Pool.Done(a.endpoint.Name(), a.query, err, usage, duration)
+	if err == nil {
+		d.deps.Quarantine.RecordCompletion(d.request.Digests())
+	}
 }
 
 // readWhole reads a response to its end before any of it reaches the caller.
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -33,6 +33,8 @@
 	Codec     hawthornrail.EndpointCodec
 	Clock     hawthornrail.Clock
 	Forwards  *metrics.Forwards
+	// Quarantine decides which requests are sent to endpoints.
+	Quarantine hawthornrail.Quarantine
 	// Log is the log of the process, for what it learns of endpoints.
 	Log events.Logger
 }
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -43,7 +43,10 @@
 	CallerDisconnected = register(2111, zerolog.InfoLevel, "caller disconnected before the end of the response", "")
 	EndpointDraining   = register(2112, zerolog.InfoLevel, "endpoint reports that it is draining; it receives no new requests", "")
 	EndpointLimited    = register(2113, zerolog.InfoLevel, "endpoint starts to name a rate limit, or names none any more if it is 0", "check the endpoint's load")
-	EndpointCrashed    = register(2114, zerolog.WarnLevel, "endpoint ended while it had the request", "check the endpoint; if the same content recurs, check its caller")
+	EndpointCrashed    = register(2114, zerolog.WarnLevel, "endpoint ended while it had the request", "check the endpoint; if the same content or resource recurs, check its caller")
+	RequestQuarantined = register(2115, zerolog.WarnLevel, "requests with a digest have crashed endpoints and are refused", "find the team's request by the content or resource of event 2114; see docs/operators/quarantine.md")
+	TrialStarted       = register(2116, zerolog.InfoLevel, "one request like those that are refused is sent, to see whether it still crashes its endpoint", "")
+	QuarantineEnded    = register(2117, zerolog.InfoLevel, "a request like those that are refused has completed; they are served again", "")
 )
 
 // The events of programs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -24,6 +24,7 @@
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/vm/suspects"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -41,6 +42,7 @@
 type entry struct {
 	node     *node.Node
 	server   *proxy.Server
+	suspects *suspects.Controller
 	draining atomic.Bool
 }
 
@@ -74,9 +76,11 @@
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
 		},
 		newAccounts,
+		newSuspects,
+		func(c *suspects.Controller) hawthornrail.Quarantine { return c },
 		newForwarder,
 		newServer,
-		func(s *proxy.Server) *entry { return &entry{node: n, server: s} },
+		func(s *proxy.Server, c *suspects.Controller) *entry { return &entry{node: n, server: s, suspects: c} },
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -93,17 +97,27 @@
 	})
 }
 
-func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards) *forward.Forwarder {
+func newSuspects(n *node.Node) *suspects.Controller {
+	c := suspects.New(suspects.Dependencies{
+		VM: n.Settings().VM(), Config: n.Config(), Peers: n.Peers, Direct: n.DirectClient(), Relay: n.RelayClient(),
+		Clock: n.Clock(), Log: n.Log().Layer("endpoint"), Registry: n.Metrics(),
+	})
+	metrics.Gauge(n.Metrics(), "quarantine.digests", func() int64 { return int64(c.Quarantined()) })
+	return c
+}
+
+func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards, q hawthornrail.Quarantine) *forward.Forwarder {
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", t.Dialed)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: p, Transport: t, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: m,
-		Log: n.Log().Layer("endpoint"),
+		Quarantine: q, Log: n.Log().Layer("endpoint"),
 	})
 }
 
-func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
+func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, q hawthornrail.Quarantine, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
 	chain := proxy.Chain(f,
 		proxy.NewIdentify(n.Config()),
+		proxy.NewQuarantine(q),
 		proxy.NewBudget(a, n.Config()),
 		proxy.NewAdmit(n.Rates(), n.Clock(), m),
 	)
@@ -115,9 +129,11 @@
 
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
-	if err := n.Start(func(context.Context, *vmpb.Open, *peer.Stream) bool { return false }); err != nil {
+	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool { return e.suspects.Receive(open, s) }
+	if err := n.Start(receive); err != nil {
 		return err
 	}
+	n.Loop(e.suspects.Run)
 	callerListener, err := net.Listen("tcp", n.Settings().CallerAddress())
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -127,11 +127,11 @@
 	})
 	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
 	n.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
-		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Invoker: n.client, Clock: n.clock,
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.Peers, Invoker: n.client, Clock: n.clock,
 	})
 	n.subscriber = mirror.NewSubscriber(n.watchRole, n.exchange, n.storeHealth, n.clock, n.log.Layer("config"))
 	table := members.NewTable(hawthornrail.NewMember(self, s.PeerAddress(), false, time.Time{}))
-	n.relay = relay.NewClient(n.client, n.peers, n.clock)
+	n.relay = relay.NewClient(n.client, n.Peers, n.clock)
 	n.rates = rate.NewLimiter(self, n.catalogue, table, rate.NewClient(n.relay), n.clock)
 	return n
 }
@@ -226,9 +226,9 @@
 	}
 }
 
-// peers returns the addresses of the entry VMs that changes of the configuration
-// are requested from, or the seeds while no entry VM is known.
-func (n *Node) peers() []string {
+// Peers returns the addresses of the other entry VMs, or the seeds while no entry
+// VM is known.
+func (n *Node) Peers() []string {
 	var addresses []string
 	for _, v := range n.catalogue.Snapshot().VMs() {
 		if v.Address() != "" && v.Address() != n.settings.PeerAddress() && !v.HoldsRates() {
--- a/verdict.go
+++ b/verdict.go
@@ -53,6 +53,7 @@
 	CodeRate               Code = "rate_limited"
 	CodeOverload           Code = "overloaded"
 	CodeNoEndpoint         Code = "no_endpoint"
+	CodeQuarantined        Code = "quarantined"
 	CodeEndpointFailed     Code = "endpoint_failed"
 	CodeResponseTruncated  Code = "answer_cut"
 	CodeHomeUnreachable    Code = "home_unreachable"
