Log the version that serves a stream, and which streams callers take up

The version of an endpoint's entry and the header field that names the attempt which brought a stream's first event are decoded; events 2101 and 2104 show them. Nothing acts on them yet.

--- a/config.go
+++ b/config.go
@@ -147,6 +147,7 @@
 	address    string
 	serves     []string
 	slots      int
+	version    string
 	draining   bool
 	fenced     bool
 	instance   string
@@ -164,6 +165,15 @@
 	return e
 }
 
+// WithVersion returns a copy with the version of its software.
+func (e Endpoint) WithVersion(version string) Endpoint {
+	e.version = version
+	return e
+}
+
+// Version returns the version of the endpoint's software, or the empty string.
+func (e Endpoint) Version() string { return e.version }
+
 // WithDraining returns a copy that is marked as draining or not.
 func (e Endpoint) WithDraining(draining bool) Endpoint {
 	e.draining = draining
--- a/forward.go
+++ b/forward.go
@@ -106,6 +106,7 @@
 	received       time.Time
 	deadline       time.Time
 	lastEvent      string
+	stream         string
 	call           ProgramCall
 	prompt         Prompt
 	route          Route
@@ -134,8 +135,11 @@
 // SetDeadline sets the time at which the caller stops waiting.
 func (r *ForwardRequest) SetDeadline(deadline time.Time) { r.deadline = deadline }
 
-// SetLastEvent sets the id of the last event that the caller has received.
-func (r *ForwardRequest) SetLastEvent(id string) { r.lastEvent = id }
+// SetResumed sets the id of the last event that the caller has received and the id
+// of the request that brought its first one, or empty strings.
+func (r *ForwardRequest) SetResumed(lastEvent, stream string) {
+	r.lastEvent, r.stream = lastEvent, stream
+}
 
 // SetCall sets the program information of the request.
 func (r *ForwardRequest) SetCall(c ProgramCall) { r.call = c }
@@ -199,6 +203,10 @@
 // empty string.
 func (r *ForwardRequest) LastEvent() string { return r.lastEvent }
 
+// Stream returns the id of the request that brought the first event of a stream
+// that the caller takes up again, or the empty string.
+func (r *ForwardRequest) Stream() string { return r.stream }
+
 // Call returns the program information of the request.
 func (r *ForwardRequest) Call() ProgramCall { return r.call }
 
--- a/internal/caller/proxy/exchange.go
+++ b/internal/caller/proxy/exchange.go
@@ -29,6 +29,7 @@
 	call := e.request.Call()
 	e.trail.Event(events.ForwardArrived).Str("method", e.request.Method()).Str("path", e.request.Path()).
 		Str("program", call.Program()).Str("line", call.Session()).
+		Str("after_event", e.request.LastEvent()).Str("stream", e.request.Stream()).
 		Int("deadline_ms", int(e.request.Deadline().Sub(e.request.Received()).Milliseconds())).Emit()
 	ctx := trail.With(context.Background(), e.trail)
 	ctx, e.cancel = context.WithCancelCause(ctx)
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -118,7 +118,7 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	d.fillRequest(request, a.endpoint)
-	d.logEvent(events.ForwardSent).Str("endpoint", a.endpoint.Name()).Str("service", d.service.Name()).
+	d.logEvent(events.ForwardSent).Str("endpoint", a.endpoint.Name()).Str("service", d.service.Name()).Str("version", a.endpoint.Version()).
 		Int("send", d.sends).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.lastEvent).Emit()
 	a.exchange, err = d.deps.Transport.DoAccepted(ctx, a.endpoint.Address(), request, d.acceptResponse)
 	if err != nil {
