Let a stream go on only at the software version that began it

Cause: the choice of an endpoint did not look at versions, neither when a VM resumes an interrupted stream nor when its caller takes it up at another VM, where nobody knew which version had begun it.

Change: the version whose event first reached the caller stays with the request. Nothing known: only a service with one version since the stream can have begun goes on, otherwise the stream is refused as not run. With one version there is no message. A stream that is taken up also stays at its service.

--- a/forward.go
+++ b/forward.go
@@ -347,3 +347,31 @@
 	// RecordCompletion records that an endpoint has run a request to its end.
 	RecordCompletion(digests RequestDigests)
 }
+
+// StreamOrigin is the service and the version of its software that began a stream.
+type StreamOrigin struct {
+	service string
+	version string
+}
+
+// NewStreamOrigin returns the origin of a stream.
+func NewStreamOrigin(service, version string) StreamOrigin {
+	return StreamOrigin{service: service, version: version}
+}
+
+// Service returns the name of the service.
+func (o StreamOrigin) Service() string { return o.service }
+
+// Version returns the version of the service's software.
+func (o StreamOrigin) Version() string { return o.version }
+
+// StreamOrigins knows which version of a service began a stream, also one that
+// began at another VM.
+type StreamOrigins interface {
+	// Record records where a stream began; stream is the id of the request that
+	// brings its first event.
+	Record(stream string, origin StreamOrigin)
+	// Find returns where a stream began that a caller takes up; ok is false if no VM
+	// that responds can tell.
+	Find(ctx context.Context, stream string, route Route) (origin StreamOrigin, ok bool)
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -180,6 +180,9 @@
 	program      string
 	promptTokens int
 	excluded     []string
+	// version restricts the choice if versioned is set.
+	version   string
+	versioned bool
 }
 
 // NewPickQuery returns the query for a program's request to a model or service
@@ -209,8 +212,19 @@
 // Excluded returns the excluded endpoints.
 func (q PickQuery) Excluded() []string { return q.excluded }
 
-// Excludes reports whether an endpoint is excluded.
-func (q PickQuery) Excludes(name string) bool { return slices.Contains(q.excluded, name) }
+// WithVersion returns a copy that allows only endpoints of a version.
+func (q PickQuery) WithVersion(version string) PickQuery {
+	q.version, q.versioned = version, true
+	return q
+}
+
+// Allows reports whether an endpoint has the required version and is not excluded.
+func (q PickQuery) Allows(e Endpoint) bool {
+	if q.versioned && e.Version() != q.version {
+		return false
+	}
+	return !slices.Contains(q.excluded, e.Name())
+}
 
 // Usage is the token usage of a call at its endpoint.
 type Usage struct {
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -41,6 +41,10 @@
 	excluded []string
 	// nextEndpoint is the endpoint that must be tried next, if any.
 	nextEndpoint string
+	// version is the only one that may go on with the stream, once versioned is set:
+	// the one that wrote the events which the caller has.
+	version   string
+	versioned bool
 	// trial is set while this is the only request of its kind that may be sent.
 	trial bool
 }
@@ -143,8 +147,11 @@
 		kind = hawthornrail.EngineEndpoint
 	}
 	q := hawthornrail.NewPickQuery(kind, d.service.Name(), d.request.Call().Program(), d.request.Prompt().Tokens()).Excluding(d.excluded)
+	if d.versioned {
+		q = q.WithVersion(d.version)
+	}
 	if d.nextEndpoint != "" {
-		if e, ok := d.deps.Config.Snapshot().Endpoint(d.nextEndpoint); ok {
+		if e, ok := d.deps.Config.Snapshot().Endpoint(d.nextEndpoint); ok && q.Allows(e) {
 			d.nextEndpoint = ""
 			return &attempt{endpoint: d.deps.Pool.RecordSent(e, q), query: q}, nil
 		}
@@ -156,6 +163,9 @@
 	return &attempt{endpoint: e, query: q}, nil
 }
 
+// keepVersion restricts the request to endpoints of a version from now on.
+func (d *dispatch) keepVersion(version string) { d.version, d.versioned = version, true }
+
 func (d *dispatch) fillRequest(request *fasthttp.Request, e hawthornrail.Endpoint) {
 	r := d.request
 	request.Header.DisableNormalizing()
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -35,6 +35,8 @@
 	Forwards  *metrics.Forwards
 	// Quarantine decides which requests are sent to endpoints.
 	Quarantine hawthornrail.Quarantine
+	// Origins knows which version of a service began a stream.
+	Origins hawthornrail.StreamOrigins
 	// Log is the log of the process, for what it learns of endpoints.
 	Log events.Logger
 }
@@ -52,11 +54,10 @@
 // resumes at another endpoint where the route allows it; ctx must stay valid
 // until the stream has ended.
 func (f *Forwarder) Forward(ctx context.Context, r *hawthornrail.ForwardRequest) (*hawthornrail.ForwardResponse, error) {
-	service, err := f.drawService(r)
-	if err != nil {
+	d := &dispatch{deps: &f.deps, request: r, trail: trail.From(ctx), lastEvent: r.LastEvent()}
+	if err := f.chooseService(ctx, d); err != nil {
 		return nil, err
 	}
-	d := &dispatch{deps: &f.deps, request: r, service: service, trail: trail.From(ctx), lastEvent: r.LastEvent()}
 	a, err := d.open(ctx)
 	if err != nil {
 		return nil, err
@@ -67,6 +68,26 @@
 	return d.readWhole(ctx, a)
 }
 
+// chooseService sets the service of a request; a stream that its caller takes up
+// goes on at the service and version that began it.
+func (f *Forwarder) chooseService(ctx context.Context, d *dispatch) (err error) {
+	r := d.request
+	if !r.Route().Resumable() || r.LastEvent() == "" {
+		d.service, err = f.drawService(r)
+		return err
+	}
+	origin, ok := f.deps.Origins.Find(ctx, r.Stream(), r.Route())
+	if !ok {
+		return hawthornrail.NotRun(hawthornrail.CodeStreamUnknown, "no VM knows where stream %s began", r.Stream()).WithRetryAfter(busyRetryAfter)
+	}
+	if !r.Route().HasTarget(origin.Service()) {
+		return hawthornrail.NotRun(hawthornrail.CodeStreamUnknown, "route %s no longer leads to service %s", r.Route().Name(), origin.Service())
+	}
+	d.keepVersion(origin.Version())
+	d.service, err = f.lookUpService(origin.Service())
+	return err
+}
+
 // drawService picks one of the route's services at random by weight.
 func (f *Forwarder) drawService(r *hawthornrail.ForwardRequest) (hawthornrail.Service, error) {
 	targets := r.Route().Targets()
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -22,6 +22,8 @@
 	splitter eventSplitter
 	ready    []byte
 	buffer   []byte
+	// recorded is set once the origin of the stream is recorded.
+	recorded bool
 	err      error
 }
 
@@ -51,6 +53,9 @@
 	n, err := s.attempt.exchange.Read(chunk[:])
 	s.buffer = s.splitter.add(s.buffer[:0], chunk[:n])
 	s.ready = s.buffer
+	if len(s.ready) > 0 {
+		s.recordOrigin()
+	}
 	if err == nil {
 		return
 	}
@@ -64,6 +69,22 @@
 	s.resume(err)
 }
 
+// recordOrigin records, before the first event reaches the caller, which version
+// the stream has to go on at.
+func (s *eventStream) recordOrigin() {
+	if s.recorded {
+		return
+	}
+	s.recorded = true
+	d := s.dispatch
+	d.keepVersion(s.attempt.endpoint.Version())
+	stream := d.request.ID()
+	if d.request.LastEvent() != "" {
+		stream = d.request.Stream()
+	}
+	d.deps.Origins.Record(stream, hawthornrail.NewStreamOrigin(d.service.Name(), d.version))
+}
+
 // resume opens the stream again after its last complete event.
 func (s *eventStream) resume(cause error) {
 	d := s.dispatch
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -24,6 +24,7 @@
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/vm/streams"
 	"hawthornrail.example/hawthornrail/internal/vm/suspects"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -43,6 +44,7 @@
 	node     *node.Node
 	server   *proxy.Server
 	suspects *suspects.Controller
+	streams  *streams.Controller
 	draining atomic.Bool
 }
 
@@ -78,9 +80,13 @@
 		newAccounts,
 		newSuspects,
 		func(c *suspects.Controller) hawthornrail.Quarantine { return c },
+		newStreams,
+		func(c *streams.Controller) hawthornrail.StreamOrigins { return c },
 		newForwarder,
 		newServer,
-		func(s *proxy.Server, c *suspects.Controller) *entry { return &entry{node: n, server: s, suspects: c} },
+		func(s *proxy.Server, q *suspects.Controller, o *streams.Controller) *entry {
+			return &entry{node: n, server: s, suspects: q, streams: o}
+		},
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -106,11 +112,17 @@
 	return c
 }
 
-func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards, q hawthornrail.Quarantine) *forward.Forwarder {
+func newStreams(n *node.Node) *streams.Controller {
+	return streams.New(streams.Dependencies{
+		VM: n.Settings().VM(), DataCentre: n.Settings().DataCentre(), Config: n.Config(), Invoker: n.DirectClient(), Clock: n.Clock(),
+	})
+}
+
+func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards, q hawthornrail.Quarantine, o hawthornrail.StreamOrigins) *forward.Forwarder {
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", t.Dialed)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: p, Transport: t, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: m,
-		Quarantine: q, Log: n.Log().Layer("endpoint"),
+		Quarantine: q, Origins: o, Log: n.Log().Layer("endpoint"),
 	})
 }
 
@@ -129,11 +141,14 @@
 
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
-	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool { return e.suspects.Receive(open, s) }
+	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool {
+		return e.suspects.Receive(open, s) || e.streams.Receive(open, s)
+	}
 	if err := n.Start(receive); err != nil {
 		return err
 	}
 	n.Loop(e.suspects.Run)
+	n.Loop(e.streams.Run)
 	callerListener, err := net.Listen("tcp", n.Settings().CallerAddress())
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -41,7 +41,7 @@
 	var best *endpointState
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if q.Excludes(s.endpoint.Name()) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
+			if !q.Allows(s.endpoint) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
 				continue
 			}
 			if best == nil || s.retryAt.Before(best.retryAt) {
@@ -86,7 +86,7 @@
 
 // eligible reports whether an endpoint may be chosen for a query.
 func (t *Table) eligible(s *endpointState, q hawthornrail.PickQuery, now time.Time) bool {
-	return !s.unavailable(now) && !q.Excludes(s.endpoint.Name()) && !s.limit.exhausted(t.timeSlots, now)
+	return !s.unavailable(now) && q.Allows(s.endpoint) && !s.limit.exhausted(t.timeSlots, now)
 }
 
 // appendSample appends eligible endpoints from a random sample, or from all if
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -188,7 +188,7 @@
 func (t *Table) ExhaustedRate(q hawthornrail.PickQuery, now time.Time) (perSecond float64) {
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if !s.unavailable(now) && !q.Excludes(s.endpoint.Name()) && s.limit.exhausted(t.timeSlots, now) {
+			if !s.unavailable(now) && q.Allows(s.endpoint) && s.limit.exhausted(t.timeSlots, now) {
 				perSecond += s.limit.perSecond
 			}
 		}
--- /dev/null
+++ b/internal/policy/version/doc.go
@@ -0,0 +1,3 @@
+// Package version tracks which versions of a service's software its endpoints have
+// had.
+package version
--- /dev/null
+++ b/internal/vm/streams/controller.go
@@ -0,0 +1,197 @@
+package streams
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/policy/version"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// observeInterval is the interval at which the list of endpoints is compared
+	// with the previous one.
+	observeInterval = 100 * time.Millisecond
+	// reportDelay is how long the origin of a stream waits for others to be sent
+	// with it.
+	reportDelay = 20 * time.Millisecond
+	// reportTimeout bounds one message about origins.
+	reportTimeout = time.Second
+	// maxUnreported bounds the origins that wait to be sent; those beyond are known
+	// to this VM alone.
+	maxUnreported = 4096
+)
+
+// Dependencies are the dependencies of a Controller.
+type Dependencies struct {
+	// VM is the name of this VM.
+	VM         string
+	DataCentre string
+	Config     hawthornrail.Configuration
+	Invoker    peer.Invoker
+	Clock      hawthornrail.Clock
+}
+
+// Controller knows which version began a stream, of those that began here and of
+// some that began at other VMs; it implements hawthornrail.StreamOrigins.
+type Controller struct {
+	deps Dependencies
+
+	mu      sync.Mutex
+	origins *origins
+	history *version.History
+	// observed is the configuration whose endpoints the history contains.
+	observed *hawthornrail.Snapshot
+	// unreported are the origins that other VMs have to be told.
+	unreported []*vmpb.StreamOrigin
+	changed    chan struct{}
+}
+
+// New returns a controller that knows no stream.
+func New(deps Dependencies) *Controller {
+	return &Controller{deps: deps, origins: newOrigins(), history: version.NewHistory(), changed: make(chan struct{}, 1)}
+}
+
+// Run observes the endpoints and tells other VMs of streams until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	var pending sync.WaitGroup
+	defer pending.Wait()
+	pending.Go(func() {
+		for clock.Wait(ctx, c.deps.Clock, observeInterval) {
+			c.observe()
+		}
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.changed:
+		}
+		if !clock.Wait(ctx, c.deps.Clock, reportDelay) {
+			return
+		}
+		for address, streams := range c.takeUnreported() {
+			pending.Go(func() { c.report(ctx, address, streams) })
+		}
+	}
+}
+
+func (c *Controller) observe() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeLocked()
+}
+
+// observeLocked adds the endpoints in force to the history; c.mu must be held.
+func (c *Controller) observeLocked() {
+	snapshot := c.deps.Config.Snapshot()
+	if snapshot == c.observed {
+		return
+	}
+	c.observed = snapshot
+	c.history.Observe(snapshot.Endpoints(), c.deps.Clock.Now())
+}
+
+// Record records where a stream began. Other VMs are told only if the service has
+// had another version recently: otherwise any VM can tell.
+func (c *Controller) Record(stream string, origin hawthornrail.StreamOrigin) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeLocked()
+	now := c.deps.Clock.Now()
+	if c.history.Recent(origin.Service(), retention, now) <= 1 {
+		return
+	}
+	c.origins.add(stream, origin, now)
+	if len(c.unreported) == maxUnreported {
+		return
+	}
+	c.unreported = append(c.unreported, originToWire(stream, origin))
+	select {
+	case c.changed <- struct{}{}:
+	default:
+		// A report is already due.
+	}
+}
+
+// takeUnreported returns the origins that each VM has to be told.
+func (c *Controller) takeUnreported() map[string][]*vmpb.StreamOrigin {
+	c.mu.Lock()
+	streams := c.unreported
+	c.unreported = nil
+	c.mu.Unlock()
+	messages := make(map[string][]*vmpb.StreamOrigin)
+	vms := c.entryVMs()
+	for _, s := range streams {
+		for _, address := range c.keepers(vms, s.GetStream()) {
+			messages[address] = append(messages[address], s)
+		}
+	}
+	return messages
+}
+
+func (c *Controller) report(ctx context.Context, address string, streams []*vmpb.StreamOrigin) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	open := &vmpb.Open{Kind: &vmpb.Open_StreamsBegun{StreamsBegun: &vmpb.StreamsBegun{Streams: streams}}}
+	// A VM that is not reached is one of several that keep the origin.
+	_, _ = c.deps.Invoker.Invoke(ctx, address, open, &vmpb.StreamsBegunReply{})
+}
+
+// Receive serves the requests of other VMs about streams and reports whether open
+// is one.
+func (c *Controller) Receive(open *vmpb.Open, s *peer.Stream) bool {
+	switch {
+	case open.GetStreamsBegun() != nil:
+		// The sender does not wait for the reply.
+		_ = s.Send(c.receiveReport(open.GetStreamsBegun()))
+	case open.GetStreamAsk() != nil:
+		// A VM that misses the reply asks others at the same time.
+		_ = s.Send(c.receiveAsk(open.GetStreamAsk()))
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Controller) receiveReport(report *vmpb.StreamsBegun) *vmpb.StreamsBegunReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range report.GetStreams() {
+		c.origins.add(s.GetStream(), originFromWire(s), c.deps.Clock.Now())
+	}
+	return &vmpb.StreamsBegunReply{}
+}
+
+func (c *Controller) receiveAsk(ask *vmpb.StreamAsk) *vmpb.StreamReply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observeLocked()
+	if origin, ok := c.origins.find(ask.GetStream()); ok {
+		return &vmpb.StreamReply{Origin: originToWire(ask.GetStream(), origin)}
+	}
+	return c.versionsLocked(ask.GetService(), time.Duration(ask.GetWindowMs())*time.Millisecond)
+}
+
+// versionsLocked returns what this VM knows of the versions of a service within a
+// window; c.mu must be held.
+func (c *Controller) versionsLocked(service string, window time.Duration) *vmpb.StreamReply {
+	now := c.deps.Clock.Now()
+	reply := &vmpb.StreamReply{Several: c.history.Recent(service, window, now) > 1}
+	if v, ok := c.history.Sole(service, window, now); ok {
+		reply.Sole = originToWire("", hawthornrail.NewStreamOrigin(service, v))
+	}
+	return reply
+}
+
+func originToWire(stream string, origin hawthornrail.StreamOrigin) *vmpb.StreamOrigin {
+	return &vmpb.StreamOrigin{Stream: stream, Service: origin.Service(), Version: origin.Version()}
+}
+
+func originFromWire(m *vmpb.StreamOrigin) hawthornrail.StreamOrigin {
+	return hawthornrail.NewStreamOrigin(m.GetService(), m.GetVersion())
+}
--- /dev/null
+++ b/internal/vm/streams/fleet_test.go
@@ -0,0 +1,283 @@
+package streams
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// routeTimeout is short, so that the versions of a moment ago are soon forgotten.
+const routeTimeout = 200 * time.Millisecond
+
+var errUnreachable = errors.New("unreachable")
+
+// network connects controllers without sockets.
+type network struct {
+	messages atomic.Int64
+
+	mu       sync.Mutex
+	snapshot *hawthornrail.Snapshot
+	vms      []*Controller
+	down     map[int]bool
+}
+
+// link is the configuration and the invoker of one VM.
+type link struct {
+	network *network
+	age     time.Duration
+	// snapshot replaces the network's if the VM is cut off from changes.
+	snapshot *hawthornrail.Snapshot
+}
+
+func (l link) Age() time.Duration { return l.age }
+
+func (l link) Snapshot() *hawthornrail.Snapshot {
+	if l.snapshot != nil {
+		return l.snapshot
+	}
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	return l.network.snapshot
+}
+
+func (l link) Invoke(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
+	var to int
+	if _, err := fmt.Sscan(address, &to); err != nil {
+		return hawthornrail.Instance{}, err
+	}
+	n := l.network
+	n.mu.Lock()
+	receiver, down := n.vms[to], n.down[to]
+	n.mu.Unlock()
+	if down || ctx.Err() != nil {
+		return hawthornrail.Instance{}, errUnreachable
+	}
+	n.messages.Add(1)
+	if report := open.GetStreamsBegun(); report != nil {
+		proto.Merge(reply, receiver.receiveReport(report))
+		return hawthornrail.Instance{}, nil
+	}
+	proto.Merge(reply, receiver.receiveAsk(open.GetStreamAsk()))
+	return hawthornrail.Instance{}, nil
+}
+
+func endpointsOf(versions ...string) []hawthornrail.Endpoint {
+	var list []hawthornrail.Endpoint
+	for _, v := range versions {
+		list = append(list, hawthornrail.NewEndpoint("e-"+v, hawthornrail.EngineEndpoint, "dc0", "", []string{"engine"}).WithVersion(v))
+	}
+	return list
+}
+
+// newNetwork starts VMs in three data centres, to which endpoints of some versions
+// are listed.
+func newNetwork(t *testing.T, size int, versions ...string) *network {
+	t.Helper()
+	n := &network{vms: make([]*Controller, size), down: make(map[int]bool)}
+	var vms []hawthornrail.VM
+	for vm := range size {
+		vms = append(vms, hawthornrail.NewVM(name(vm), dataCentre(vm), fmt.Sprint(vm), false).WithoutRates())
+	}
+	n.snapshot = hawthornrail.NewSnapshot(1, nil, nil, endpointsOf(versions...), vms)
+	for vm := range size {
+		n.start(t, vm, link{network: n})
+	}
+	return n
+}
+
+func name(vm int) string { return fmt.Sprintf("vm%d", vm) }
+
+func dataCentre(vm int) string { return fmt.Sprintf("dc%d", vm%3) }
+
+// start starts a VM, or starts it again with nothing that it knew.
+func (n *network) start(t *testing.T, vm int, l link) {
+	t.Helper()
+	c := New(Dependencies{VM: name(vm), DataCentre: dataCentre(vm), Config: l, Invoker: l, Clock: clock.Real()})
+	n.mu.Lock()
+	n.vms[vm] = c
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { c.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	c.observe()
+}
+
+func (n *network) list(versions ...string) {
+	n.mu.Lock()
+	n.snapshot = n.snapshot.WithEndpoints(endpointsOf(versions...))
+	vms := n.vms
+	n.mu.Unlock()
+	for _, c := range vms {
+		c.observe()
+	}
+}
+
+func (n *network) setDown(vm int, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[vm] = down
+}
+
+func route() hawthornrail.Route {
+	targets := []hawthornrail.Target{hawthornrail.NewTarget("engine", 1)}
+	return hawthornrail.NewRoute("turns", "host", "/", hawthornrail.StreamRoute, targets).WithResumable(true).WithTimeoutAndObjective(routeTimeout, 0)
+}
+
+// find asks a VM where a stream began; it returns an empty version if that is not
+// known.
+func (n *network) find(t *testing.T, vm int, stream string) string {
+	t.Helper()
+	origin, ok := n.vms[vm].Find(t.Context(), stream, route())
+	if !ok {
+		return ""
+	}
+	if origin.Service() != "engine" {
+		t.Errorf("stream %s began at service %q", stream, origin.Service())
+	}
+	return origin.Version()
+}
+
+// begin begins streams at all VMs, alternately at the versions v1 and v2, and
+// returns the version of each.
+func (n *network) begin(count int) map[string]string {
+	streams := make(map[string]string)
+	for s := range count {
+		stream, version := fmt.Sprintf("s%d", s), fmt.Sprintf("v%d", 1+s%2)
+		n.vms[s%len(n.vms)].Record(stream, hawthornrail.NewStreamOrigin("engine", version))
+		streams[stream] = version
+	}
+	time.Sleep(5 * reportDelay)
+	return streams
+}
+
+// taken counts the streams that can be taken up, and those at a wrong version.
+func (n *network) taken(t *testing.T, streams map[string]string, at func(s int) int) (known, wrong int) {
+	t.Helper()
+	for s := range len(streams) {
+		stream := fmt.Sprintf("s%d", s)
+		switch n.find(t, at(s), stream) {
+		case "":
+		case streams[stream]:
+			known++
+		default:
+			wrong++
+		}
+	}
+	return known, wrong
+}
+
+// Guards against the incident ORDER: a stream is taken up at a VM that does not
+// know which version began it.
+func TestTakenUpAtAnotherVM(t *testing.T) {
+	for _, size := range []int{3, 9, 83} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			n := newNetwork(t, size, "v1", "v2")
+			streams := n.begin(100)
+			if perStream := float64(n.messages.Load()) / 100; perStream > 2 {
+				t.Errorf("%.1f messages a stream, want 2 at most", perStream)
+			}
+			for _, distance := range []int{0, 1, 3} {
+				known, wrong := n.taken(t, streams, func(s int) int { return (s + distance) % size })
+				if wrong > 0 || known < len(streams) {
+					t.Errorf("%d VMs on: %d of %d streams are known, %d wrong", distance, known, len(streams), wrong)
+				}
+			}
+		})
+	}
+}
+
+// Guards against streams that are lost with the VM that began them: it restarts,
+// and two more of nine with it.
+func TestTakenUpAfterRestarts(t *testing.T) {
+	n := newNetwork(t, 9, "v1", "v2")
+	streams := n.begin(180)
+	for _, vm := range []int{0, 4, 8} {
+		n.start(t, vm, link{network: n})
+		n.setDown(vm, vm == 4)
+	}
+	// The next VM in the same data centre.
+	known, wrong := n.taken(t, streams, func(s int) int { return (s + 3) % 9 })
+	if wrong > 0 || known < len(streams)*3/4 {
+		t.Errorf("%d of %d streams are known, %d wrong", known, len(streams), wrong)
+	}
+}
+
+// Guards against messages and refusals while a service has one version only.
+func TestOneVersion(t *testing.T) {
+	n := newNetwork(t, 9, "v1")
+	time.Sleep(windowFactor * routeTimeout)
+	n.vms[0].Record("s1", hawthornrail.NewStreamOrigin("engine", "v1"))
+	time.Sleep(3 * reportDelay)
+	if got := n.find(t, 5, "s1"); got != "v1" {
+		t.Errorf("version %q, want v1", got)
+	}
+	if n.messages.Load() != 0 {
+		t.Errorf("%d messages", n.messages.Load())
+	}
+	t.Run("at a VM that has just started", func(t *testing.T) {
+		n.start(t, 5, link{network: n})
+		if got := n.find(t, 5, "s2"); got != "v1" {
+			t.Errorf("version %q, want v1", got)
+		}
+	})
+}
+
+// Guards against a guess: one version serves now, two did when the stream can have
+// begun.
+func TestUnknownStream(t *testing.T) {
+	n := newNetwork(t, 9, "v1", "v2")
+	n.list("v2")
+	if got := n.find(t, 3, "unknown"); got != "" {
+		t.Errorf("version %q", got)
+	}
+	time.Sleep(windowFactor*routeTimeout + observeInterval)
+	if got := n.find(t, 3, "unknown"); got != "v2" {
+		t.Errorf("version %q long after, want v2", got)
+	}
+}
+
+// Guards against a VM that is cut off from changes: its list has one version, while
+// streams begin at another one elsewhere.
+func TestTakenUpWithOldList(t *testing.T) {
+	n := newNetwork(t, 9, "v1")
+	old := n.snapshot
+	n.start(t, 3, link{network: n, age: time.Minute, snapshot: old})
+	time.Sleep(windowFactor * routeTimeout)
+	n.list("v1", "v2")
+	n.vms[0].Record("s1", hawthornrail.NewStreamOrigin("engine", "v2"))
+	time.Sleep(3 * reportDelay)
+	if got := n.find(t, 3, "s1"); got != "v2" {
+		t.Errorf("version %q, want v2", got)
+	}
+	if got := n.find(t, 3, "unknown"); got != "" {
+		t.Errorf("version %q of an unknown stream", got)
+	}
+}
+
+// Guards against origins that are kept for ever.
+func TestOriginsAreBounded(t *testing.T) {
+	o := newOrigins()
+	now := time.Unix(1_800_000_000, 0)
+	for s := range 5 * maxOrigins {
+		o.add(fmt.Sprint(s), hawthornrail.NewStreamOrigin("engine", "v1"), now)
+	}
+	if kept := len(o.current) + len(o.previous); kept > 2*maxOrigins {
+		t.Errorf("%d origins are kept", kept)
+	}
+	if _, ok := o.find(fmt.Sprint(5*maxOrigins - 1)); !ok {
+		t.Error("the last origin is not kept")
+	}
+}
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package hawthornrail
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -124,6 +125,11 @@
 // Targets returns the services that receive the route's requests.
 func (r Route) Targets() []Target { return r.targets }
 
+// HasTarget reports whether a service is one of the route's targets.
+func (r Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.targets, func(t Target) bool { return t.service == service })
+}
+
 // Service is the configuration of the endpoints of one service.
 type Service struct {
 	name           string
--- a/verdict.go
+++ b/verdict.go
@@ -54,6 +54,7 @@
 	CodeOverload           Code = "overloaded"
 	CodeNoEndpoint         Code = "no_endpoint"
 	CodeQuarantined        Code = "quarantined"
+	CodeStreamUnknown      Code = "stream_unknown"
 	CodeEndpointFailed     Code = "endpoint_failed"
 	CodeResponseTruncated  Code = "answer_cut"
 	CodeHomeUnreachable    Code = "home_unreachable"
