--- a/internal/platform/client/json_client.go
+++ b/internal/platform/client/json_client.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -54,6 +55,18 @@
 // Do sends one request, without a body if body is nil, and decodes the body of
 // a successful response into reply.
 func (c *JSONClient) Do(ctx context.Context, timeout time.Duration, method, path string, body []byte, reply any) error {
+	responseBody, err := c.DoEncoded(ctx, timeout, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(responseBody, reply); err != nil {
+		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
+	}
+	return nil
+}
+
+// DoEncoded is like Do but returns the body of a successful response as it is.
+func (c *JSONClient) DoEncoded(ctx context.Context, timeout time.Duration, method, path string, body []byte) ([]byte, error) {
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -68,16 +81,13 @@
 		timeout = min(timeout, time.Until(deadline))
 	}
 	if err := c.client.DoTimeout(request, response, timeout); err != nil {
-		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
+		return nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
 	}
+	responseBody := response.Body()
 	if err := statusError(response.StatusCode()); err != nil {
-		responseBody := response.Body()
-		return fmt.Errorf("%s %s: status %d: %w: %s", method, path, response.StatusCode(), err, responseBody[:min(len(responseBody), maxErrorBytes)])
+		return nil, fmt.Errorf("%s %s: status %d: %w: %s", method, path, response.StatusCode(), err, responseBody[:min(len(responseBody), maxErrorBytes)])
 	}
-	if err := json.Unmarshal(response.Body(), reply); err != nil {
-		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
-	}
-	return nil
+	return bytes.Clone(responseBody), nil
 }
 
 func statusError(status int) error {
