Do not take a response without an id on a used connection for a request's own

A faulty endpoint that sends an earlier refusal once more on a kept connection made callers believe that a request had not run, while it ran: a caller of a request that must run once would send it again.

Cause: a response without an id counted as the response to the request under way. Change: only on a connection that has carried no other request; otherwise it is read and dropped, as one with another id is. Copies with an id were told apart before.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -179,9 +179,12 @@
 	request.SetBodyRaw(r.Body())
 }
 
-func (d *dispatch) acceptResponse(h *fasthttp.ResponseHeader) bool {
+// acceptResponse reports whether a response belongs to the request. One without an
+// id may be a late copy of an earlier response if the connection was used before:
+// taken for this request's, an earlier refusal would deny that it runs.
+func (d *dispatch) acceptResponse(h *fasthttp.ResponseHeader, used bool) bool {
 	id := d.deps.Codec.Read(h.StatusCode(), h).RequestID
-	return id == "" || id == d.request.ID()
+	return id == d.request.ID() || id == "" && !used
 }
 
 // failWithoutResponse ends an attempt that got no response.
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -53,6 +53,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// used is set once a response has been read from the connection.
+	used bool
 }
 
 // New returns a transport with an empty pool.
@@ -72,8 +74,9 @@
 }
 
 // Accept reports whether a response belongs to the request that was sent; a
-// response that does not is read to its end and discarded.
-type Accept func(h *fasthttp.ResponseHeader) bool
+// response that does not is read to its end and discarded. used reports that the
+// connection has carried other requests before.
+type Accept func(h *fasthttp.ResponseHeader, used bool) bool
 
 // Do sends a request to an address and reads the response's header. When ctx
 // is done the connection is closed, which cancels the request at the endpoint.
@@ -81,7 +84,7 @@
 // whether the request was sent, and a late response to an earlier request could
 // be taken for the response to this one.
 func (t *Transport) Do(ctx context.Context, address string, request *fasthttp.Request, fresh bool) (*Exchange, error) {
-	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader) bool { return true })
+	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader, bool) bool { return true })
 }
 
 // DoAccepted is like Do, but may reuse an idle connection; late responses to
@@ -120,7 +123,7 @@
 		if err := e.readHead(request); err != nil {
 			return err
 		}
-		if e.accept(&e.response.Header) {
+		if e.accept(&e.response.Header, e.conn.used) {
 			return nil
 		}
 		if err := e.discardBody(); err != nil {
@@ -195,6 +198,7 @@
 		_ = e.response.CloseBodyStream()
 	}
 	if reusable {
+		e.conn.used = true
 		e.transport.putIdle(e.address, e.conn, keepFor)
 		return
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -28,6 +28,9 @@
 	AnswerTwice
 	// Hang runs the request and sends no response.
 	Hang
+	// RefuseAgain sends a refusal without an id, as a copy of an earlier one, before
+	// the response.
+	RefuseAgain
 	// Crash starts the response and ends the worker.
 	Crash
 )
@@ -238,6 +241,9 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, Run{ID: id, Header: r.Header, Host: r.Host, URI: r.RequestURI, LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now()})
 	w.mu.Unlock()
+	if fault == RefuseAgain {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	}
 	switch {
 	case fault == Lose:
 		return false
