Keep the text of an error out of a stream that is resumed

A stream had begun and broke off; if the endpoint answered its resumption with a success that is no stream, or with events without ids, the caller got the error's text among its events, and an end that looks regular.

Cause: a resumed response was taken for the stream if its status was 200, and events without an id were passed on. Change: it must be a stream by its media type, as the first response must be, and where the events so far had ids, data without one ends the attempt like a broken connection. An answer with another status was dropped before.

--- a/internal/endpoint/forward/events.go
+++ b/internal/endpoint/forward/events.go
@@ -13,6 +13,12 @@
 	partial []byte
 	lastID  string
 	count   int
+	// resumed is set once the events come from a response that goes on with those
+	// of an earlier one.
+	resumed bool
+	// foreign is set once an event can't belong to the stream: a resumed one whose
+	// events have ids gets data without an id, such as the text of an error.
+	foreign bool
 }
 
 // add adds a part of the stream and appends the events that it completes to
@@ -35,7 +41,14 @@
 
 // appendEvent appends an event to out unless its id does not follow lastID.
 func (s *eventSplitter) appendEvent(out, event []byte) []byte {
-	if id := eventID(event); id != "" {
+	id := eventID(event)
+	if id == "" && s.resumed && s.lastID != "" && hasData(event) {
+		s.foreign = true
+	}
+	if s.foreign {
+		return out
+	}
+	if id != "" {
 		if s.lastID != "" && !idAfter(id, s.lastID) {
 			return out
 		}
@@ -45,12 +58,26 @@
 	return append(out, event...)
 }
 
-// discardPartial drops the incomplete event, which a resumed stream sends again.
-func (s *eventSplitter) discardPartial() { s.partial = s.partial[:0] }
+// resume prepares for the events of another response. It drops the incomplete
+// event, which that one sends again.
+func (s *eventSplitter) resume() {
+	s.partial = s.partial[:0]
+	s.resumed, s.foreign = true, false
+}
 
 // atBoundary reports whether the data so far ends with a complete event.
 func (s *eventSplitter) atBoundary() bool { return len(s.partial) == 0 }
 
+// hasData reports whether an event holds more than comments.
+func hasData(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte{'\n'}) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the id of an event, or an empty string.
 func eventID(event []byte) string {
 	for len(event) > 0 {
--- a/internal/endpoint/forward/events_test.go
+++ b/internal/endpoint/forward/events_test.go
@@ -39,7 +39,7 @@
 			if !interrupted {
 				break
 			}
-			s.discardPartial()
+			s.resume()
 			// The endpoint resumes after the last event or up to two events earlier.
 			first = max(1, s.count+1-rapid.IntRange(0, 2).Draw(t, "repeated"))
 		}
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Route().Kind() == hawthornrail.StreamRoute && a.exchange.Status() == statusOK {
+	if r.Route().Kind() == hawthornrail.StreamRoute && isEventStream(a.exchange) {
 		return d.stream(ctx, a)
 	}
 	return d.readWhole(ctx, a)
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -11,7 +11,23 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
-const readBufferSize = 2 << 10
+const (
+	readBufferSize  = 2 << 10
+	eventStreamType = "text/event-stream"
+)
+
+var (
+	errNoStream     = errors.New("response to the resumption is no stream")
+	errForeignEvent = errors.New("event of a resumed stream has no id")
+)
+
+// isEventStream reports whether a response is a stream; one without a media type
+// is taken for it.
+func isEventStream(e *http.Exchange) bool {
+	mediaType, _, _ := strings.Cut(e.ContentType(), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return e.Status() == statusOK && (mediaType == "" || strings.EqualFold(mediaType, eventStreamType))
+}
 
 // eventStream is the body of a streamed response; it resumes at another
 // endpoint when the connection to the current one fails.
@@ -56,6 +72,10 @@
 	if len(s.ready) > 0 {
 		s.recordOrigin()
 	}
+	if s.splitter.foreign {
+		s.resume(errForeignEvent)
+		return
+	}
 	if err == nil {
 		return
 	}
@@ -99,12 +119,12 @@
 		if a, err = d.open(s.ctx); err != nil {
 			break
 		}
-		if a.exchange.Status() == statusOK {
-			s.splitter.discardPartial()
+		if isEventStream(a.exchange) {
+			s.splitter.resume()
 			s.attempt = a
 			return
 		}
-		err = d.failMayHaveRun(s.ctx, a, errors.New("resume was refused"))
+		err = d.failMayHaveRun(s.ctx, a, errNoStream)
 	}
 	s.finish(err)
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -31,6 +31,16 @@
 	// RefuseAgain sends a refusal without an id, as a copy of an earlier one, before
 	// the response.
 	RefuseAgain
+	// CutBetweenEvents crashes the worker after the second event of a stream.
+	CutBetweenEvents
+	// Reset resets the connection after the second event of a stream, or in the
+	// middle of another response.
+	Reset
+	// FailWithText answers with an error; FailAsSuccess has the status of a success,
+	// and FailAsEvent sends the error's text as an event without an id.
+	FailWithText
+	FailAsSuccess
+	FailAsEvent
 	// Crash starts the response and ends the worker.
 	Crash
 )
@@ -61,6 +71,11 @@
 	runs         []Run
 	disconnected []string
 	dials        int
+	// unframed makes responses end with their connection, without a length or
+	// chunks.
+	unframed bool
+	// withoutIDs leaves out the ids of events.
+	withoutIDs bool
 	// fields are the header fields in all responses of a worker that is draining
 	// or names a rate limit.
 	fields string
@@ -127,6 +142,36 @@
 	w.fields = "Server-Leaving: 1\r\n"
 }
 
+// SetUnframed makes all further responses end with their connection.
+func (w *Worker) SetUnframed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unframed = true
+}
+
+func (w *Worker) isUnframed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unframed
+}
+
+// SetWithoutIDs leaves out the ids of all further events.
+func (w *Worker) SetWithoutIDs() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.withoutIDs = true
+}
+
+// event returns an event of a stream.
+func (w *Worker) event(n int, id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.withoutIDs {
+		return fmt.Sprintf("data: %d of %s\n\n", n, id)
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+}
+
 // Limit names a rate limit in all further responses, or none if it is empty.
 func (w *Worker) Limit(perSecond string) {
 	w.mu.Lock()
@@ -255,15 +300,58 @@
 		var b [1]byte
 		_, _ = c.Read(b[:])
 		return false
+	case fault == FailWithText || fault == FailAsSuccess || fault == FailAsEvent:
+		return w.failResume(c, id, fault)
 	case r.Method == http.MethodPost && r.Header.Get("X-Token-Count") != "":
 		return w.stream(c, r, fault)
 	}
+	return w.respondWhole(c, id, fault)
+}
+
+func (w *Worker) respondWhole(c net.Conn, id string, fault Fault) bool {
 	body := "answer to " + id
-	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\nContent-Length: %d\r\n\r\n%s", w.commonHeader(), id, w.id, len(body), body)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	if w.isUnframed() {
+		length = ""
+	}
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nX-Server-Load: 1,0,16\r\n%s\r\n%s", w.commonHeader(), id, w.id, length, body)
+	if fault == Reset {
+		_, _ = c.Write([]byte(response[:len(response)-3]))
+		reset(c)
+		return false
+	}
 	_, _ = c.Write([]byte(response))
 	if fault == AnswerTwice {
 		_, _ = c.Write([]byte(response))
 	}
+	return !w.isUnframed()
+}
+
+// reset closes a connection without the regular end.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without lingering, unsent bytes are dropped and the other end gets a reset.
+		_ = tcp.SetLinger(0)
+	}
+	time.Sleep(resetDelay)
+	_ = c.Close()
+}
+
+// resetDelay lets the bytes before a reset arrive.
+const resetDelay = 20 * time.Millisecond
+
+const errorText = "<html>upstream failed</html>\n\n"
+
+// failResume answers with an error where a stream should go on.
+func (w *Worker) failResume(c net.Conn, id string, fault Fault) bool {
+	status, contentType, body := "500 Internal Server Error", "text/html", errorText
+	if fault != FailWithText {
+		status = "200 OK"
+	}
+	if fault == FailAsEvent {
+		contentType, body = "text/event-stream", "data: "+errorText
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, id, contentType, len(body), body)
 	return true
 }
 
@@ -273,14 +361,25 @@
 	if err != nil {
 		lastEvent = 0
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", w.commonHeader(), id, w.id)
+	framing, frame, end := "Transfer-Encoding: chunked\r\n", chunk, "0\r\n\r\n"
+	if w.isUnframed() {
+		framing, frame, end = "", func(s string) string { return s }, ""
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", w.commonHeader(), id, w.id, framing)
 	for n := lastEvent + 1; n <= w.events; n++ {
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
-		if fault == CutStream && n == lastEvent+2 {
-			_, _ = fmt.Fprintf(c, "%x\r\n%s", len(event), event[:8])
+		event := w.event(n, id)
+		switch {
+		case fault == CutStream && n == lastEvent+2:
+			_, _ = fmt.Fprint(c, frame(event)[:len(frame(event))-len(event)/2])
+			return false
+		case fault == Reset && n == lastEvent+3:
+			reset(c)
+			return false
+		case fault == CutBetweenEvents && n == lastEvent+3:
+			w.Crash()
 			return false
 		}
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+		if _, err := fmt.Fprint(c, frame(event)); err != nil {
 			w.mu.Lock()
 			w.disconnected = append(w.disconnected, id)
 			w.mu.Unlock()
@@ -288,6 +387,8 @@
 		}
 		time.Sleep(w.pause)
 	}
-	_, _ = fmt.Fprint(c, "0\r\n\r\n")
-	return true
+	_, _ = fmt.Fprint(c, end)
+	return end != ""
 }
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
