Do not resume a stream whose events have no ids

A caller got the first events twice: a stream of events without ids broke off and was opened again from its start, since there was no last id to go on from. Its interruption now ends the response early, without its end. A stream without an event yet is still opened again.

TestEventsWithoutIDs failed before (the first event twice) and passes.

--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -112,7 +112,7 @@
 	if s.splitter.lastID != "" {
 		d.lastEvent = s.splitter.lastID
 	}
-	for d.mayRetry(s.ctx, err) {
+	for s.resumable() && d.mayRetry(s.ctx, err) {
 		d.logEvent(events.StreamResumed).Err(err).Str("after_event", d.lastEvent).Emit()
 		d.deps.Forwards.Resumed()
 		var a *attempt
@@ -129,6 +129,12 @@
 	s.finish(err)
 }
 
+// resumable reports whether an endpoint can tell which events the caller has:
+// those without ids would be sent again.
+func (s *eventStream) resumable() bool {
+	return s.splitter.count == 0 || s.splitter.lastID != ""
+}
+
 func (s *eventStream) finish(err error) {
 	s.err = io.EOF
 	if err != nil {
