Do not take the end of a crashed endpoint's connection for the end of a response

A response without a length or chunks ends with its connection. If its endpoint crashed between two events, or in the middle of another body, the caller got a part that looked complete.

Cause: nothing distinguishes that end from a regular one on the connection. Change: after such an end the endpoint must still accept a connection (or be draining); if it refuses, the response counts as broken off, and a stream is resumed. A reset, and an end inside an event, were recognised before.

TestCrashBetweenEvents failed before (a stream of two events of five as if complete) and passes.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -230,6 +230,12 @@
 	return d.deps.Transport.Refused(e.Address())
 }
 
+// brokenOff reports whether a response that ends with its connection may be
+// incomplete: its endpoint has crashed.
+func (d *dispatch) brokenOff(a *attempt) bool {
+	return !a.exchange.Framed() && d.crashed(a.endpoint)
+}
+
 // recordCrash records that an endpoint has ended while it had the request.
 func (d *dispatch) recordCrash(e hawthornrail.Endpoint, err error) {
 	digests, team := d.request.Digests(), d.request.Deployment().Team()
@@ -307,6 +313,9 @@
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	for {
 		body, err := io.ReadAll(io.LimitReader(a.exchange, maxResponseBytes))
+		if err == nil && d.brokenOff(a) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), endToEndHeaders(a.exchange), body)
 			d.finish(a, nil, 0)
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -79,7 +79,7 @@
 	if err == nil {
 		return
 	}
-	if errors.Is(err, io.EOF) && s.splitter.atBoundary() {
+	if errors.Is(err, io.EOF) && s.splitter.atBoundary() && !s.dispatch.brokenOff(s.attempt) {
 		s.finish(nil)
 		return
 	}
