Remember requests that crash endpoints when all entry VMs restart

Cause: what VMs know of crashes was in the memory of entry VMs only. Change: crashes are reported to the holders too, which compare like the others, and a VM that starts asks the holders and two entry VMs as soon as it knows the list of VMs.

--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -25,7 +25,6 @@
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/vm/streams"
-	"hawthornrail.example/hawthornrail/internal/vm/suspects"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -43,7 +42,6 @@
 type entry struct {
 	node     *node.Node
 	server   *proxy.Server
-	suspects *suspects.Controller
 	streams  *streams.Controller
 	draining atomic.Bool
 }
@@ -78,15 +76,12 @@
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
 		},
 		newAccounts,
-		newSuspects,
-		func(c *suspects.Controller) hawthornrail.Quarantine { return c },
+		func() hawthornrail.Quarantine { return n.Suspects() },
 		newStreams,
 		func(c *streams.Controller) hawthornrail.StreamOrigins { return c },
 		newForwarder,
 		newServer,
-		func(s *proxy.Server, q *suspects.Controller, o *streams.Controller) *entry {
-			return &entry{node: n, server: s, suspects: q, streams: o}
-		},
+		func(s *proxy.Server, o *streams.Controller) *entry { return &entry{node: n, server: s, streams: o} },
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -103,15 +98,6 @@
 	})
 }
 
-func newSuspects(n *node.Node) *suspects.Controller {
-	c := suspects.New(suspects.Dependencies{
-		VM: n.Settings().VM(), Config: n.Config(), Peers: n.Peers, Direct: n.DirectClient(), Relay: n.RelayClient(),
-		Clock: n.Clock(), Log: n.Log().Layer("endpoint"), Registry: n.Metrics(),
-	})
-	metrics.Gauge(n.Metrics(), "quarantine.digests", func() int64 { return int64(c.Quarantined()) })
-	return c
-}
-
 func newStreams(n *node.Node) *streams.Controller {
 	return streams.New(streams.Dependencies{
 		VM: n.Settings().VM(), DataCentre: n.Settings().DataCentre(), Config: n.Config(), Invoker: n.DirectClient(), Clock: n.Clock(),
@@ -141,13 +127,10 @@
 
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
-	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool {
-		return e.suspects.Receive(open, s) || e.streams.Receive(open, s)
-	}
+	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool { return e.streams.Receive(open, s) }
 	if err := n.Start(receive); err != nil {
 		return err
 	}
-	n.Loop(e.suspects.Run)
 	n.Loop(e.streams.Run)
 	callerListener, err := net.Listen("tcp", n.Settings().CallerAddress())
 	if err != nil {
--- a/internal/operator/node/metrics.go
+++ b/internal/operator/node/metrics.go
@@ -23,6 +23,7 @@
 	metrics.Gauge(n.registry, "config.version", func() int64 { return int64(n.catalogue.Snapshot().Revision()) })
 	metrics.Gauge(n.registry, "config.age_ms", func() int64 { return n.catalogue.Age().Milliseconds() })
 	metrics.Gauge(n.registry, "endpoints", func() int64 { return int64(len(n.catalogue.Snapshot().Endpoints())) })
+	metrics.Gauge(n.registry, "quarantine.digests", func() int64 { return int64(n.suspects.Quarantined()) })
 	metrics.Gauge(n.registry, "log.dropped", n.logSink.Dropped)
 	metrics.Gauge(n.registry, "log.failed", n.logSink.Failed)
 	metrics.Gauge(n.registry, "process.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -27,6 +27,7 @@
 	"hawthornrail.example/hawthornrail/internal/vm/members"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/vm/relay"
+	"hawthornrail.example/hawthornrail/internal/vm/suspects"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -94,6 +95,7 @@
 	client      *peer.Client
 	relay       *relay.Client
 	rates       *rate.Limiter
+	suspects    *suspects.Controller
 	kinds       []string
 
 	background context.Context
@@ -127,11 +129,15 @@
 	})
 	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
 	n.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
-		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.Peers, Invoker: n.client, Clock: n.clock,
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Invoker: n.client, Clock: n.clock,
 	})
 	n.subscriber = mirror.NewSubscriber(n.watchRole, n.exchange, n.storeHealth, n.clock, n.log.Layer("config"))
 	table := members.NewTable(hawthornrail.NewMember(self, s.PeerAddress(), false, time.Time{}))
-	n.relay = relay.NewClient(n.client, n.Peers, n.clock)
+	n.relay = relay.NewClient(n.client, n.peers, n.clock)
+	n.suspects = suspects.New(suspects.Dependencies{
+		VM: s.VM(), Config: n.catalogue, Address: s.PeerAddress(), Peers: n.peers, Direct: n.client, Relay: n.relay,
+		Clock: n.clock, Log: n.log.Layer("endpoint"), Registry: n.registry,
+	})
 	n.rates = rate.NewLimiter(self, n.catalogue, table, rate.NewClient(n.relay), n.clock)
 	return n
 }
@@ -226,9 +232,9 @@
 	}
 }
 
-// Peers returns the addresses of the other entry VMs, or the seeds while no entry
+// peers returns the addresses of the other entry VMs, or the seeds while no entry
 // VM is known.
-func (n *Node) Peers() []string {
+func (n *Node) peers() []string {
 	var addresses []string
 	for _, v := range n.catalogue.Snapshot().VMs() {
 		if v.Address() != "" && v.Address() != n.settings.PeerAddress() && !v.HoldsRates() {
@@ -276,6 +282,9 @@
 // Tasks returns the counts and durations of the process's tasks.
 func (n *Node) Tasks() *metrics.Tasks { return n.tasks }
 
+// Suspects returns what is known of requests that crash endpoints.
+func (n *Node) Suspects() *suspects.Controller { return n.suspects }
+
 // Rates returns the teams' rates.
 func (n *Node) Rates() *rate.Limiter { return n.rates }
 
@@ -305,7 +314,7 @@
 		return err
 	}
 	handler := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
-		if n.exchange.Receive(ctx, open, s) || n.rates.Receive(open, s) {
+		if n.exchange.Receive(ctx, open, s) || n.rates.Receive(open, s) || n.suspects.Receive(open, s) {
 			return
 		}
 		extra(ctx, open, s)
@@ -326,6 +335,7 @@
 		n.Loop(func(ctx context.Context) { n.subscriber.Run(ctx, slot) })
 	}
 	n.Loop(n.rates.Run)
+	n.Loop(n.suspects.Run)
 	n.Loop(n.reload)
 	n.Loop(n.reportWork)
 	return n.serveMetrics()
--- a/internal/vm/suspects/controller.go
+++ b/internal/vm/suspects/controller.go
@@ -18,9 +18,10 @@
 
 // Dependencies are the dependencies of a Controller.
 type Dependencies struct {
-	// VM is the name of this VM.
-	VM     string
-	Config hawthornrail.Configuration
+	// VM is the name of this VM, and Address its address for other VMs.
+	VM      string
+	Address string
+	Config  hawthornrail.Configuration
 	// Peers returns the addresses of the other entry VMs.
 	Peers func() []string
 	// Direct sends reports, and Relay, which also reaches VMs through others, asks
--- a/internal/vm/suspects/report.go
+++ b/internal/vm/suspects/report.go
@@ -22,6 +22,10 @@
 	// compareInterval is the mean time between two reports that a VM with suspects
 	// sends to one other VM, to find what either has missed.
 	compareInterval = 500 * time.Millisecond
+	// learnInterval is the interval at which a VM that has started looks for the
+	// list of VMs, and maxLearnFrom how many entry VMs it asks beside the holders.
+	learnInterval = 50 * time.Millisecond
+	maxLearnFrom  = 2
 	// reportTimeout bounds one report.
 	reportTimeout = time.Second
 )
@@ -31,6 +35,7 @@
 func (c *Controller) Run(ctx context.Context) {
 	var pending sync.WaitGroup
 	defer pending.Wait()
+	pending.Go(func() { c.learn(ctx) })
 	pending.Go(func() { c.compareWithPeers(ctx) })
 	for {
 		select {
@@ -42,23 +47,58 @@
 			return
 		}
 		report := c.takeUnreported()
-		for _, address := range c.deps.Peers() {
+		for _, address := range c.allVMs() {
 			// A VM that misses a report is compared with at its next turn.
 			pending.Go(func() { _, _ = c.send(ctx, address, report) })
 		}
 	}
 }
 
+// learn compares with the holders and some entry VMs as soon as this VM knows the
+// list of VMs. The holders know of suspects if all entry VMs have restarted.
+func (c *Controller) learn(ctx context.Context) {
+	for !c.knowsVMs() {
+		if !clock.Wait(ctx, c.deps.Clock, learnInterval) {
+			return
+		}
+	}
+	peers := c.deps.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var pending sync.WaitGroup
+	for _, address := range append(c.holders(), peers[:min(len(peers), maxLearnFrom)]...) {
+		pending.Go(func() { c.compareWith(ctx, address) })
+	}
+	pending.Wait()
+}
+
+func (c *Controller) knowsVMs() bool {
+	return slices.ContainsFunc(c.deps.Config.Snapshot().VMs(), func(v hawthornrail.VM) bool { return v.Address() != "" })
+}
+
+// holders returns the addresses of the other holders of rates and budgets. They
+// send no requests to endpoints, but remember suspects for the entry VMs.
+func (c *Controller) holders() []string {
+	var addresses []string
+	for _, v := range c.deps.Config.Snapshot().VMs() {
+		if v.HoldsRates() && v.Address() != "" && v.Address() != c.deps.Address {
+			addresses = append(addresses, v.Address())
+		}
+	}
+	return addresses
+}
+
+func (c *Controller) allVMs() []string { return append(c.deps.Peers(), c.holders()...) }
+
 // compareWithPeers sends this VM's fingerprint to the other VMs in turn while it
 // has suspects. A VM that has restarted or was partitioned learns of them so.
 func (c *Controller) compareWithPeers(ctx context.Context) {
 	for turn := rand.Int(); clock.Wait(ctx, c.deps.Clock, compareInterval/2+rand.N(compareInterval)); turn++ {
-		peers := c.deps.Peers()
-		if len(peers) == 0 || c.empty() {
+		vms := c.allVMs()
+		if len(vms) == 0 || c.empty() {
 			continue
 		}
-		slices.Sort(peers)
-		c.compareWith(ctx, peers[turn%len(peers)])
+		slices.Sort(vms)
+		c.compareWith(ctx, vms[turn%len(vms)])
 	}
 }
 
