--- a/internal/vm/suspects/fleet_test.go
+++ b/internal/vm/suspects/fleet_test.go
@@ -54,7 +54,8 @@
 	n.mu.Lock()
 	receiver, connected := n.vms[to], n.parts[l.vm] == n.parts[to]
 	n.mu.Unlock()
-	if !connected || ctx.Err() != nil {
+	// A VM that has not started yet can't be reached either.
+	if receiver == nil || !connected || ctx.Err() != nil {
 		return hawthornrail.Instance{}, errUnreachable
 	}
 	n.messages.Add(1)
