--- a/internal/endpoint/http/refused.go
+++ b/internal/endpoint/http/refused.go
@@ -1,7 +1,6 @@
 package http
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"syscall"
@@ -23,11 +22,10 @@
 func (t *Transport) refused(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
-	netConn, err := t.dialer.Dial(ctx, address)
+	c, err := t.connect(ctx, address, true)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	t.dialed.Add(1)
-	t.putIdle(address, &conn{Conn: netConn, reader: bufio.NewReader(netConn)}, idleTimeout)
+	t.putIdle(address, c, idleTimeout)
 	return false
 }
