Send requests through other VMs while a VM reaches no endpoint

A VM now tracks for each service when an endpoint was heard last. Endpoints that leave bytes unacknowledged for 0.1 s, or whose connections fail, while none is heard, put the way in doubt; connections to three endpoints check it, and if none accepts, a few VMs are asked. Requests then go through one of those that reach an endpoint, one hop at most, with what earlier sends have shown; the direct way is probed until it is back. If all that reply reach none either, the service is down and requests are refused at once.

--- a/forward.go
+++ b/forward.go
@@ -229,6 +229,7 @@
 	headers []Header
 	body    []byte
 	stream  io.ReadCloser
+	version string
 }
 
 // NewForwardResponse returns a response with a buffered body.
@@ -251,6 +252,16 @@
 // Body returns the buffered body, or nil for a stream.
 func (a *ForwardResponse) Body() []byte { return a.body }
 
+// WithVersion returns a copy with the version of the software that wrote it.
+func (a *ForwardResponse) WithVersion(version string) *ForwardResponse {
+	c := *a
+	c.version = version
+	return &c
+}
+
+// Version returns the version of the software that wrote the response.
+func (a *ForwardResponse) Version() string { return a.version }
+
 // Stream returns the streamed body, or nil for a buffered response.
 func (a *ForwardResponse) Stream() io.ReadCloser { return a.stream }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -13,6 +13,14 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
+// AcknowledgedConn is a connection that shows whether its other end receives what is
+// sent: one that is slow acknowledges it, one that is out of reach does not.
+type AcknowledgedConn interface {
+	net.Conn
+	// Unacknowledged returns the number of sent bytes that are not acknowledged.
+	Unacknowledged() (int, error)
+}
+
 // ResponseWriter receives a response as it arrives; the response is complete only
 // if the handler that writes it returns no error.
 type ResponseWriter interface {
--- /dev/null
+++ b/internal/endpoint/contact/attempt.go
@@ -0,0 +1,65 @@
+package contact
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+// Attempt is a request at an endpoint; it implements http.Observer.
+type Attempt struct {
+	service  *service
+	endpoint string
+	abandon  func()
+
+	// conn is set once the request is sent.
+	conn atomic.Pointer[hawthornrail.AcknowledgedConn]
+	// activeAt is when the request was sent or its endpoint was heard last, in
+	// nanoseconds of Unix time.
+	activeAt atomic.Int64
+}
+
+// Sent is told the connection that the request is sent on.
+func (a *Attempt) Sent(c net.Conn) {
+	a.activeAt.Store(a.service.tracker.deps.Clock.Now().UnixNano())
+	if acknowledged, ok := c.(hawthornrail.AcknowledgedConn); ok {
+		a.conn.Store(&acknowledged)
+	}
+}
+
+// Heard is told that the endpoint accepted a connection or that bytes arrived.
+func (a *Attempt) Heard() {
+	now := a.service.tracker.deps.Clock.Now()
+	a.activeAt.Store(now.UnixNano())
+	a.service.recordContact(now)
+}
+
+// End records that the request has ended at the endpoint.
+func (a *Attempt) End() { a.service.remove(a) }
+
+// silentSince reports whether the request was sent, and nothing was heard of its
+// endpoint since, before a time.
+func (a *Attempt) silentSince(t time.Time) bool {
+	active := a.activeAt.Load()
+	return active != 0 && active < t.UnixNano()
+}
+
+// lost reports whether the endpoint has left bytes of the request unacknowledged for
+// longer than any that is reached does.
+func (a *Attempt) lost(now time.Time) bool {
+	return a.silentSince(now.Add(-silenceLimit)) && a.unacknowledged()
+}
+
+// unacknowledged reports whether the endpoint leaves bytes of the request
+// unacknowledged.
+func (a *Attempt) unacknowledged() bool {
+	c := a.conn.Load()
+	if c == nil {
+		return false
+	}
+	count, err := (*c).Unacknowledged()
+	// A connection that is closed has an error, which ends its request.
+	return err == nil && count > 0
+}
--- /dev/null
+++ b/internal/endpoint/contact/route.go
@@ -0,0 +1,169 @@
+package contact
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/policy/reach"
+)
+
+const (
+	// connectTimeout bounds the wait for a connection that shows whether an endpoint
+	// is reached; its system accepts connections without its process.
+	connectTimeout = 100 * time.Millisecond
+	// maxConnects bounds the endpoints that a check connects to.
+	maxConnects = 3
+)
+
+// Route is how a request for a service is sent: directly, or through a helper.
+type Route struct {
+	helper hawthornrail.VM
+	around bool
+}
+
+// Helper returns the VM through which the request goes; ok is false if it goes
+// directly.
+func (r Route) Helper() (vm hawthornrail.VM, ok bool) { return r.helper, r.around }
+
+func (s *service) route(ctx context.Context, key string, once bool, refused []string) (Route, error) {
+	for searched := false; ; {
+		s.mu.Lock()
+		path, settled := s.state.Path(), s.settled
+		helper, ok := s.helpers.Choose(key, refused)
+		s.mu.Unlock()
+		switch {
+		case path == reach.Direct && (!once || settled == nil || !s.doubt()):
+			return Route{}, nil
+		case path == reach.Around && ok:
+			return Route{helper: helper, around: true}, nil
+		case path == reach.Around && !searched:
+			searched = true
+			s.find(ctx)
+		case path == reach.Direct:
+			// The check that was just begun is waited for.
+		case settled != nil:
+			if err := s.awaitContact(ctx, settled); err != nil {
+				return Route{}, err
+			}
+		default:
+			return Route{}, s.unreachable()
+		}
+	}
+}
+
+// awaitContact waits until an endpoint is heard or a check has ended.
+func (s *service) awaitContact(ctx context.Context, settled <-chan struct{}) error {
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return hawthornrail.NewFailure(hawthornrail.CodeDeadline, hawthornrail.VerdictNotRun, fmt.Errorf("check the way to service %s: %w", s.name, context.Cause(ctx)))
+	}
+}
+
+func (s *service) unreachable() error {
+	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no VM that replies reaches an endpoint of service %s", s.name)
+	return f.WithRetryAfter(s.retryAfter())
+}
+
+// helper returns a VM that reaches endpoints, for a request that this VM could not
+// send itself although it reaches some endpoints.
+func (s *service) helper(ctx context.Context, key string, refused []string) (hawthornrail.VM, bool) {
+	s.mu.Lock()
+	valid := s.now().Sub(s.foundAt) < helpersValid
+	s.mu.Unlock()
+	if !valid {
+		s.find(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.Choose(key, refused)
+}
+
+func (s *service) removeHelper(vm hawthornrail.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.helpers.Remove(vm.Name())
+}
+
+// find asks other VMs whether they reach endpoints; calls at the same time share one
+// search, and searches pause in between.
+func (s *service) find(ctx context.Context) {
+	_, _, _ = s.search.Do("", func() (any, error) {
+		s.mu.Lock()
+		due := s.now().Sub(s.foundAt) >= findPause
+		s.mu.Unlock()
+		if !due {
+			return nil, nil
+		}
+		// The search serves all requests that wait for it, so it outlasts this one.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+		defer cancel()
+		helpers, _ := s.tracker.deps.Detour.Find(ctx, s.name, findWithin)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.helpers.Set(helpers)
+		s.foundAt = s.now()
+		s.state.SetHelpers(len(helpers) > 0)
+		return nil, nil
+	})
+}
+
+// connectSome reports whether one of some endpoints accepts a connection, those that
+// were not lost first.
+func (s *service) connectSome(ctx context.Context) bool {
+	s.mu.Lock()
+	var waiting []string
+	for a := range s.attempts {
+		waiting = append(waiting, a.endpoint)
+	}
+	s.mu.Unlock()
+	snapshot := s.tracker.deps.Config.Snapshot()
+	candidates := append(endpoints(snapshot, s.name, waiting), endpoints(snapshot, s.name, nil)...)
+	return s.tracker.connectAny(ctx, candidates)
+}
+
+// connectOne reports whether a random endpoint accepts a connection. A service
+// without endpoints needs no way around.
+func (s *service) connectOne(ctx context.Context) bool {
+	candidates := endpoints(s.tracker.deps.Config.Snapshot(), s.name, nil)
+	if len(candidates) == 0 {
+		return true
+	}
+	return s.tracker.connectAny(ctx, candidates[:1])
+}
+
+// connectAny reports whether one of the first endpoints accepts a connection.
+func (t *Tracker) connectAny(ctx context.Context, candidates []hawthornrail.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	candidates = candidates[:min(len(candidates), maxConnects)]
+	results := make(chan error, len(candidates))
+	for _, e := range candidates {
+		go func() { results <- t.deps.Connector.Connect(ctx, e.Address()) }()
+	}
+	for range candidates {
+		if err := <-results; err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// endpoints returns, in random order, the endpoints of a service that are not
+// draining, or of all services if name is empty.
+func endpoints(snapshot *hawthornrail.Snapshot, name string, excluded []string) []hawthornrail.Endpoint {
+	var list []hawthornrail.Endpoint
+	for _, e := range snapshot.Endpoints() {
+		if e.Draining() || slices.Contains(excluded, e.Name()) || name != "" && !slices.Contains(e.Serves(), name) {
+			continue
+		}
+		list = append(list, e)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- /dev/null
+++ b/internal/endpoint/forward/detour.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+)
+
+// tryHelper sends the request through another VM.
+func (d *dispatch) tryHelper(ctx context.Context, helper hawthornrail.VM) (*attempt, error) {
+	a := &attempt{around: true, sent: d.deps.Clock.Now()}
+	d.logEvent(events.ForwardDetoured).Str("through", helper.Name()).Str("service", d.service.Name()).
+		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
+	response, err := d.deps.Detour.Open(ctx, helper, d.service.Name(), d.request, d.progress)
+	if err != nil {
+		d.finish(a, err, 0)
+		return nil, d.failAround(helper, err)
+	}
+	a.exchange = detoured{response}
+	return a, nil
+}
+
+// failAround returns the failure of an attempt through another VM. One that did not
+// take the request is not tried again for it.
+func (d *dispatch) failAround(helper hawthornrail.VM, err error) error {
+	if errors.Is(err, hawthornrail.ErrHelperRefused) {
+		d.refusedBy = append(d.refusedBy, helper.Name())
+		d.deps.Contact.HelperFailed(d.service.Name(), helper)
+	}
+	f := hawthornrail.AsFailure(err)
+	if f.RetryAfter() <= 0 && f.Verdict() == hawthornrail.VerdictNotRun {
+		f = f.WithRetryAfter(jitteredRetryAfter())
+	}
+	return f
+}
+
+// failureAround returns the failure of a response through another VM. What that VM has
+// not judged itself, such as an event that belongs to no stream, names no endpoint.
+func (d *dispatch) failureAround(err error) error {
+	var f *hawthornrail.Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	d.progress.AddUnknownRun()
+	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through another VM: %w", err))
+}
+
+// affinity returns what the requests that share a prompt have in common.
+func (d *dispatch) affinity() string {
+	if program := d.request.Call().Program(); program != "" {
+		return program
+	}
+	return d.request.ID()
+}
+
+// versionOf returns the version of the software that an attempt is at.
+func (d *dispatch) versionOf(a *attempt) string {
+	if response, ok := a.exchange.(detoured); ok {
+		return response.Version()
+	}
+	return a.endpoint.Version()
+}
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
@@ -20,77 +21,103 @@
 const (
 	statusOK         = nethttp.StatusOK
 	maxResponseBytes = 32 << 20
+	// maxUnreached is how many endpoints may refuse a connection until the request goes
+	// through another VM.
+	maxUnreached = 2
 )
 
+// errOutOfReach is the cause of an attempt that is abandoned because this VM reaches no
+// endpoint of the service.
+var errOutOfReach = errors.New("service is out of reach of this VM")
+
 // dispatch is the state of one request while it is sent to one or more
 // endpoints.
 type dispatch struct {
-	deps      *Dependencies
-	request   *hawthornrail.ForwardRequest
-	service   hawthornrail.Service
-	trail     *trail.Trail
-	lastEvent string
-
-	sends int
-	// mayHaveRun is set once an endpoint may have run the request.
-	mayHaveRun bool
-	// possibleRuns are the endpoints that may have run the request and count
-	// against the route's attempts; those that have ended do not.
-	possibleRuns []string
-	// excluded are the endpoints that are not tried again.
-	excluded []string
-	// nextEndpoint is the endpoint that must be tried next, if any.
-	nextEndpoint string
-	// version is the only one that may go on with the stream, once versioned is set:
-	// the one that wrote the events which the caller has.
-	version   string
-	versioned bool
+	deps     *Dependencies
+	request  *hawthornrail.ForwardRequest
+	service  hawthornrail.Service
+	trail    *trail.Trail
+	progress *hawthornrail.ForwardProgress
+	// forOther is set for a request that another VM has sent here.
+	forOther bool
 	// trial is set while this is the only request of its kind that may be sent.
 	trial bool
+	// unreached are the endpoints to which this VM could open no connection.
+	unreached []string
+	// refusedBy are the VMs that did not take the request.
+	refusedBy []string
 }
 
-// attempt is one send of a request to one endpoint.
+// attempt is one send of a request to one endpoint, or through another VM.
 type attempt struct {
 	endpoint hawthornrail.Endpoint
 	query    hawthornrail.PickQuery
-	exchange *http.Exchange
+	exchange exchange
 	sent     time.Time
 	finished bool
+	// contact tracks whether the endpoint is reached, and ctx ends when the attempt is
+	// abandoned because it is not; both are unset for an attempt through another VM.
+	contact *contact.Attempt
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// around is set for an attempt through another VM, whose endpoint is not known.
+	around bool
+}
+
+// abandoned reports whether the attempt was given up because this VM reaches no
+// endpoint of the service.
+func (a *attempt) abandoned() bool {
+	return a.ctx != nil && errors.Is(context.Cause(a.ctx), errOutOfReach)
+}
+
+// respond sends the request and returns the response, whole or as a stream.
+func (d *dispatch) respond(ctx context.Context) (*hawthornrail.ForwardResponse, error) {
+	a, err := d.open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if d.request.Route().Kind() == hawthornrail.StreamRoute && isEventStream(a.exchange) {
+		return d.stream(ctx, a)
+	}
+	return d.readWhole(ctx, a)
 }
 
 // open sends the request until an endpoint responds or no further attempt is
 // allowed.
 func (d *dispatch) open(ctx context.Context) (*attempt, error) {
 	for {
-		a, err := d.tryEndpoint(ctx)
+		a, err := d.try(ctx)
 		if err == nil {
 			return a, nil
 		}
 		if !d.mayRetry(ctx, err) {
 			return nil, d.withEarlierRuns(err)
 		}
-		d.logEvent(events.ForwardRetried).Err(err).Int("sends", d.sends).Emit()
+		d.logEvent(events.ForwardRetried).Err(err).Int("sends", d.progress.Sends()).Emit()
 		d.deps.Forwards.Retried()
 	}
 }
 
 // mayRetry reports whether the request may be sent again after err.
 func (d *dispatch) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || d.sends >= maxSends || d.timeLeft() < minTimeLeft {
+	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft {
+		return false
+	}
+	if d.progress.Exhausted(d.request.Route().Attempts()) {
 		return false
 	}
 	switch hawthornrail.AsFailure(err).Code() {
 	case hawthornrail.CodeNoEndpoint, hawthornrail.CodeQuarantined:
 		return false
 	}
-	return !d.mayHaveRun || d.request.Route().Repeatable()
+	return !d.progress.MayHaveRun() || d.request.Route().Repeatable()
 }
 
 // withEarlierRuns returns err as a failure; its verdict is "may have run" if an
 // earlier send may have run, even if the last one did not.
 func (d *dispatch) withEarlierRuns(err error) error {
 	f := hawthornrail.AsFailure(err)
-	if d.mayHaveRun && f.Verdict() == hawthornrail.VerdictNotRun {
+	if d.progress.MayHaveRun() && f.Verdict() == hawthornrail.VerdictNotRun {
 		return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, err)
 	}
 	return f
@@ -103,6 +130,27 @@
 	return d.request.Deadline().Sub(d.deps.Clock.Now())
 }
 
+// try sends the request once, directly or through another VM.
+func (d *dispatch) try(ctx context.Context) (*attempt, error) {
+	if d.forOther {
+		return d.tryEndpoint(ctx)
+	}
+	once := !d.request.Route().Repeatable()
+	route, err := d.deps.Contact.Route(ctx, d.service.Name(), d.affinity(), once, d.refusedBy)
+	if err != nil {
+		return nil, err
+	}
+	if helper, ok := route.Helper(); ok {
+		return d.tryHelper(ctx, helper)
+	}
+	if len(d.unreached) >= maxUnreached {
+		if helper, ok := d.deps.Contact.Helper(ctx, d.service.Name(), d.affinity(), d.refusedBy); ok {
+			return d.tryHelper(ctx, helper)
+		}
+	}
+	return d.tryEndpoint(ctx)
+}
+
 // tryEndpoint sends the request to one endpoint and reads the head of its
 // response.
 func (d *dispatch) tryEndpoint(ctx context.Context) (*attempt, error) {
@@ -117,18 +165,31 @@
 		d.finish(a, context.DeadlineExceeded, 0)
 		return nil, hawthornrail.NotRun(hawthornrail.CodeDeadline, "the deadline has passed")
 	}
-	d.sends++
+	d.progress.CountSend()
 	a.sent = d.deps.Clock.Now()
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	d.fillRequest(request, a.endpoint)
 	d.logEvent(events.ForwardSent).Str("endpoint", a.endpoint.Name()).Str("service", d.service.Name()).Str("version", a.endpoint.Version()).
-		Int("send", d.sends).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.lastEvent).Emit()
-	a.exchange, err = d.deps.Transport.DoAccepted(ctx, a.endpoint.Address(), request, d.acceptResponse)
+		Int("send", d.progress.Sends()).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
+	d.track(ctx, a)
+	response, err := d.deps.Transport.DoAccepted(a.ctx, a.endpoint.Address(), request, d.acceptResponse, a.contact)
 	if err != nil {
 		return nil, d.failWithoutResponse(ctx, a, err)
 	}
-	return d.checkHead(a)
+	a.exchange = direct{response}
+	return d.checkHead(a, response.Header())
+}
+
+// track tracks whether the endpoint of an attempt is reached. A request that may run
+// again is abandoned, and sent through another VM, once this VM reaches none.
+func (d *dispatch) track(ctx context.Context, a *attempt) {
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	var abandon func()
+	if d.request.Route().Repeatable() && !d.forOther {
+		abandon = func() { a.cancel(errOutOfReach) }
+	}
+	a.contact = d.deps.Contact.Begin(d.service.Name(), a.endpoint.Name(), abandon)
 }
 
 // admit returns a failure if requests like this one are refused. A trial
@@ -146,13 +207,13 @@
 	if d.service.Engine() {
 		kind = hawthornrail.EngineEndpoint
 	}
-	q := hawthornrail.NewPickQuery(kind, d.service.Name(), d.request.Call().Program(), d.request.Prompt().Tokens()).Excluding(d.excluded)
-	if d.versioned {
-		q = q.WithVersion(d.version)
+	q := hawthornrail.NewPickQuery(kind, d.service.Name(), d.request.Call().Program(), d.request.Prompt().Tokens()).Excluding(slices.Concat(d.progress.Excluded(), d.unreached))
+	if version, restricted := d.progress.Version(); restricted {
+		q = q.WithVersion(version)
 	}
-	if d.nextEndpoint != "" {
-		if e, ok := d.deps.Config.Snapshot().Endpoint(d.nextEndpoint); ok && q.Allows(e) {
-			d.nextEndpoint = ""
+	if next := d.progress.NextEndpoint(); next != "" {
+		if e, ok := d.deps.Config.Snapshot().Endpoint(next); ok && q.Allows(e) {
+			d.progress.SetNextEndpoint("")
 			return &attempt{endpoint: d.deps.Pool.RecordSent(e, q), query: q}, nil
 		}
 	}
@@ -163,9 +224,6 @@
 	return &attempt{endpoint: e, query: q}, nil
 }
 
-// keepVersion restricts the request to endpoints of a version from now on.
-func (d *dispatch) keepVersion(version string) { d.version, d.versioned = version, true }
-
 func (d *dispatch) fillRequest(request *fasthttp.Request, e hawthornrail.Endpoint) {
 	r := d.request
 	request.Header.DisableNormalizing()
@@ -173,7 +231,7 @@
 	request.SetRequestURI(r.URI())
 	request.Header.SetHost(r.Host())
 	request.Header.SetNoDefaultContentType(true)
-	for _, h := range d.deps.Codec.Headers(r, e, d.timeLeft(), d.lastEvent) {
+	for _, h := range d.deps.Codec.Headers(r, e, d.timeLeft(), d.progress.LastEvent()) {
 		request.Header.Add(h.Name(), h.Value())
 	}
 	request.SetBodyRaw(r.Body())
@@ -189,36 +247,59 @@
 
 // failWithoutResponse ends an attempt that got no response.
 func (d *dispatch) failWithoutResponse(ctx context.Context, a *attempt, err error) error {
-	if errors.Is(err, http.ErrUnsent) {
-		d.excluded = append(d.excluded, a.endpoint.Name())
-		f := hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictNotRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
-		d.finish(a, f, 0)
-		d.deps.Transport.Forget(a.endpoint.Address())
-		return f.WithRetryAfter(jitteredRetryAfter())
-	}
-	return d.failMayHaveRun(ctx, a, err)
+	if !errors.Is(err, http.ErrUnsent) {
+		return d.failMayHaveRun(ctx, a, err)
+	}
+	if !a.abandoned() {
+		d.unreached = append(d.unreached, a.endpoint.Name())
+	}
+	f := hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictNotRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
+	d.recordLoss(ctx, a)
+	d.finish(a, f, 0)
+	d.deps.Transport.Forget(a.endpoint.Address())
+	return f.WithRetryAfter(jitteredRetryAfter())
+}
+
+// recordLoss records that the endpoint of an attempt was lost, unless the request was
+// cancelled.
+func (d *dispatch) recordLoss(ctx context.Context, a *attempt) {
+	if ctx.Err() == nil && !a.abandoned() {
+		d.deps.Contact.Lost(d.service.Name(), a.endpoint.Name())
+	}
 }
 
 // failMayHaveRun ends an attempt that may have run the request.
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
-	d.mayHaveRun, d.trial = true, false
-	if ctx.Err() == nil && d.crashed(a.endpoint) {
+	d.progress.SetMayHaveRun()
+	d.trial = false
+	if a.around {
+		d.finish(a, err, 0)
+		return d.failureAround(err)
+	}
+	d.recordLoss(ctx, a)
+	if ctx.Err() == nil && !a.abandoned() && d.crashed(a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
-		d.addPossibleRun(a.endpoint.Name())
-	}
-	code := hawthornrail.CodeEndpointFailed
-	if ctx.Err() != nil {
-		code = hawthornrail.CodeResponseTruncated
+		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
 	}
-	if d.timeLeft() <= 0 {
-		code = hawthornrail.CodeDeadline
-	}
-	f := hawthornrail.NewFailure(code, hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
+	f := hawthornrail.NewFailure(d.lossCode(ctx, a), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
 	d.finish(a, f, 0)
 	return f
 }
 
+// lossCode returns the code of an attempt that ended without a whole response. One that
+// was abandoned says nothing about its endpoint.
+func (d *dispatch) lossCode(ctx context.Context, a *attempt) hawthornrail.Code {
+	switch {
+	case d.timeLeft() <= 0:
+		return hawthornrail.CodeDeadline
+	case ctx.Err() != nil || a.abandoned():
+		return hawthornrail.CodeResponseTruncated
+	default:
+		return hawthornrail.CodeEndpointFailed
+	}
+}
+
 // crashed reports whether the process of an endpoint has ended without draining.
 // A broken connection alone does not show that: it may have been reset, or an
 // invalid response may have ended it.
@@ -239,30 +320,16 @@
 // recordCrash records that an endpoint has ended while it had the request.
 func (d *dispatch) recordCrash(e hawthornrail.Endpoint, err error) {
 	digests, team := d.request.Digests(), d.request.Deployment().Team()
-	d.excluded = append(d.excluded, e.Name())
+	d.progress.Exclude(e.Name())
 	d.deps.Forwards.Crashed()
 	d.deps.Log.Event(events.EndpointCrashed).Str("endpoint", e.Name()).Str("request", d.request.ID()).
 		Str("content", digests.Content().String()).Str("resource", digests.Resource().String()).Str("team", team).Err(err).Emit()
 	d.deps.Quarantine.RecordCrash(digests, team, e.Name())
 }
 
-// addPossibleRun counts an endpoint against the route's attempts; once they are
-// used up, only the same endpoint may run the request again.
-func (d *dispatch) addPossibleRun(name string) {
-	if !slices.Contains(d.possibleRuns, name) {
-		d.possibleRuns = append(d.possibleRuns, name)
-	}
-	if len(d.possibleRuns) >= d.request.Route().Attempts() {
-		d.nextEndpoint = name
-		return
-	}
-	d.excluded = append(d.excluded, name)
-}
-
 // checkHead evaluates the head of a response; an endpoint that did not run the
 // request is not tried again for it.
-func (d *dispatch) checkHead(a *attempt) (*attempt, error) {
-	h := a.exchange.Header()
+func (d *dispatch) checkHead(a *attempt, h *fasthttp.ResponseHeader) (*attempt, error) {
 	reading := d.deps.Codec.Read(h.StatusCode(), h)
 	if reading.Load {
 		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()))
@@ -276,7 +343,7 @@
 	if !reading.NotRun && !reading.WrongInstance {
 		return a, nil
 	}
-	d.excluded = append(d.excluded, a.endpoint.Name())
+	d.progress.Exclude(a.endpoint.Name())
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.exchange, maxResponseBytes))
 	code := hawthornrail.CodeOverload
 	if reading.WrongInstance {
@@ -297,6 +364,16 @@
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
+	if a.cancel != nil {
+		a.cancel(nil)
+	}
+	if a.contact != nil {
+		a.contact.End()
+	}
+	if a.around {
+		d.deps.Forwards.Detoured(d.deps.Clock.Since(a.sent))
+		return
+	}
 	usage := hawthornrail.NewUsage(uint64(d.request.Prompt().Tokens()), uint64(generated), 0)
 	duration := time.Duration(0)
 	if !a.sent.IsZero() {
@@ -317,7 +394,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err == nil {
-			response := hawthornrail.NewForwardResponse(a.exchange.Status(), endToEndHeaders(a.exchange), body)
+			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
 			return response, nil
 		}
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
@@ -37,6 +38,10 @@
 	Quarantine hawthornrail.Quarantine
 	// Origins knows which version of a service began a stream.
 	Origins hawthornrail.StreamOrigins
+	// Contact knows whether this VM reaches endpoints, and Detour is the way around
+	// through other VMs.
+	Contact *contact.Tracker
+	Detour  hawthornrail.Detour
 	// Log is the log of the process, for what it learns of endpoints.
 	Log events.Logger
 }
@@ -54,18 +59,28 @@
 // resumes at another endpoint where the route allows it; ctx must stay valid
 // until the stream has ended.
 func (f *Forwarder) Forward(ctx context.Context, r *hawthornrail.ForwardRequest) (*hawthornrail.ForwardResponse, error) {
-	d := &dispatch{deps: &f.deps, request: r, trail: trail.From(ctx), lastEvent: r.LastEvent()}
+	progress := hawthornrail.NewForwardProgress(r.LastEvent())
+	d := f.newDispatch(ctx, r, &progress)
 	if err := f.chooseService(ctx, d); err != nil {
 		return nil, err
 	}
-	a, err := d.open(ctx)
-	if err != nil {
+	return d.respond(ctx)
+}
+
+// ForwardFor is like Forward for a request of another VM, which has chosen its service.
+// It goes to no further VM, and the other VM records the origin of its stream.
+func (f *Forwarder) ForwardFor(ctx context.Context, r *hawthornrail.ForwardRequest, service string, p *hawthornrail.ForwardProgress) (*hawthornrail.ForwardResponse, error) {
+	d := f.newDispatch(ctx, r, p)
+	d.forOther = true
+	var err error
+	if d.service, err = f.lookUpService(service); err != nil {
 		return nil, err
 	}
-	if r.Route().Kind() == hawthornrail.StreamRoute && isEventStream(a.exchange) {
-		return d.stream(ctx, a)
-	}
-	return d.readWhole(ctx, a)
+	return d.respond(ctx)
+}
+
+func (f *Forwarder) newDispatch(ctx context.Context, r *hawthornrail.ForwardRequest, p *hawthornrail.ForwardProgress) *dispatch {
+	return &dispatch{deps: &f.deps, request: r, trail: trail.From(ctx), progress: p}
 }
 
 // chooseService sets the service of a request; a stream that its caller takes up
@@ -83,7 +98,7 @@
 	if !r.Route().HasTarget(origin.Service()) {
 		return hawthornrail.NotRun(hawthornrail.CodeStreamUnknown, "route %s no longer leads to service %s", r.Route().Name(), origin.Service())
 	}
-	d.keepVersion(origin.Version())
+	d.progress.KeepVersion(origin.Version())
 	d.service, err = f.lookUpService(origin.Service())
 	return err
 }
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -23,7 +23,7 @@
 
 // isEventStream reports whether a response is a stream; one without a media type
 // is taken for it.
-func isEventStream(e *http.Exchange) bool {
+func isEventStream(e exchange) bool {
 	mediaType, _, _ := strings.Cut(e.ContentType(), ";")
 	mediaType = strings.TrimSpace(mediaType)
 	return e.Status() == statusOK && (mediaType == "" || strings.EqualFold(mediaType, eventStreamType))
@@ -46,8 +46,8 @@
 // stream returns a response whose events are forwarded as they arrive.
 func (d *dispatch) stream(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	s := &eventStream{ctx: ctx, dispatch: d, attempt: a}
-	s.splitter.lastID = d.lastEvent
-	return hawthornrail.NewForwardStream(a.exchange.Status(), endToEndHeaders(a.exchange), s), nil
+	s.splitter.lastID = d.progress.LastEvent()
+	return hawthornrail.NewForwardStream(a.exchange.Status(), a.exchange.EndToEnd(), s).WithVersion(d.versionOf(a)), nil
 }
 
 // Read returns events as soon as they are complete; io.EOF means that the
@@ -97,12 +97,16 @@
 	}
 	s.recorded = true
 	d := s.dispatch
-	d.keepVersion(s.attempt.endpoint.Version())
+	version := d.versionOf(s.attempt)
+	d.progress.KeepVersion(version)
+	if d.forOther {
+		return
+	}
 	stream := d.request.ID()
 	if d.request.LastEvent() != "" {
 		stream = d.request.Stream()
 	}
-	d.deps.Origins.Record(stream, hawthornrail.NewStreamOrigin(d.service.Name(), d.version))
+	d.deps.Origins.Record(stream, hawthornrail.NewStreamOrigin(d.service.Name(), version))
 }
 
 // resume opens the stream again after its last complete event.
@@ -110,10 +114,10 @@
 	d := s.dispatch
 	err := d.failMayHaveRun(s.ctx, s.attempt, cause)
 	if s.splitter.lastID != "" {
-		d.lastEvent = s.splitter.lastID
+		d.progress.SetLastEvent(s.splitter.lastID)
 	}
 	for s.resumable() && d.mayRetry(s.ctx, err) {
-		d.logEvent(events.StreamResumed).Err(err).Str("after_event", d.lastEvent).Emit()
+		d.logEvent(events.StreamResumed).Err(err).Str("after_event", d.progress.LastEvent()).Emit()
 		d.deps.Forwards.Resumed()
 		var a *attempt
 		if a, err = d.open(s.ctx); err != nil {
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -55,6 +55,25 @@
 	reader *bufio.Reader
 	// used is set once a response has been read from the connection.
 	used bool
+	// observer is told of the bytes that arrive for the current request, if any.
+	observer Observer
+}
+
+// Read reads from the connection and tells the observer that the endpoint was heard.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.observer != nil {
+		c.observer.Heard()
+	}
+	return n, err
+}
+
+// Observer is told what shows whether an endpoint is reached while it has a request.
+type Observer interface {
+	// Sent is told the connection that the request is sent on.
+	Sent(c net.Conn)
+	// Heard is told that the endpoint accepted a connection or that bytes arrived.
+	Heard()
 }
 
 // New returns a transport with an empty pool.
@@ -84,17 +103,17 @@
 // whether the request was sent, and a late response to an earlier request could
 // be taken for the response to this one.
 func (t *Transport) Do(ctx context.Context, address string, request *fasthttp.Request, fresh bool) (*Exchange, error) {
-	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader, bool) bool { return true })
+	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader, bool) bool { return true }, nil)
 }
 
 // DoAccepted is like Do, but may reuse an idle connection; late responses to
-// earlier requests are identified by accept and discarded.
-func (t *Transport) DoAccepted(ctx context.Context, address string, request *fasthttp.Request, accept Accept) (*Exchange, error) {
-	return t.do(ctx, address, request, false, accept)
+// earlier requests are identified by accept and discarded. observer may be nil.
+func (t *Transport) DoAccepted(ctx context.Context, address string, request *fasthttp.Request, accept Accept, observer Observer) (*Exchange, error) {
+	return t.do(ctx, address, request, false, accept, observer)
 }
 
-func (t *Transport) do(ctx context.Context, address string, request *fasthttp.Request, fresh bool, accept Accept) (*Exchange, error) {
-	c, err := t.connect(ctx, address, fresh)
+func (t *Transport) do(ctx context.Context, address string, request *fasthttp.Request, fresh bool, accept Accept, observer Observer) (*Exchange, error) {
+	c, dialed, err := t.connect(ctx, address, fresh)
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
@@ -102,6 +121,13 @@
 		_ = c.Close()
 		return nil, errors.Join(ErrUnsent, err)
 	}
+	c.observer = observer
+	if observer != nil {
+		if dialed {
+			observer.Heard()
+		}
+		observer.Sent(c.Conn)
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
 	e := &Exchange{transport: t, address: address, conn: c, stopCancel: stopCancel, accept: accept}
 	if err := e.roundTrip(request); err != nil {
@@ -198,25 +224,28 @@
 		_ = e.response.CloseBodyStream()
 	}
 	if reusable {
-		e.conn.used = true
+		e.conn.used, e.conn.observer = true, nil
 		e.transport.putIdle(e.address, e.conn, keepFor)
 		return
 	}
 	_ = e.conn.Close()
 }
 
-func (t *Transport) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+// connect returns an idle connection, unless fresh is set, or a new one.
+func (t *Transport) connect(ctx context.Context, address string, fresh bool) (c *conn, dialed bool, err error) {
 	if !fresh {
 		if c := t.takeIdle(address); c != nil {
-			return c, nil
+			return c, false, nil
 		}
 	}
 	netConn, err := t.dialer.Dial(ctx, address)
 	if err != nil {
-		return nil, fmt.Errorf("dial endpoint: %w", err)
+		return nil, false, fmt.Errorf("dial endpoint: %w", err)
 	}
 	t.dialed.Add(1)
-	return &conn{Conn: netConn, reader: bufio.NewReader(netConn)}, nil
+	c = &conn{Conn: netConn}
+	c.reader = bufio.NewReader(c)
+	return c, true, nil
 }
 
 // Dialed returns the number of connections opened since the process started.
--- a/internal/endpoint/http/refused.go
+++ b/internal/endpoint/http/refused.go
@@ -22,10 +22,15 @@
 func (t *Transport) refused(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
-	c, err := t.connect(ctx, address, true)
+	return errors.Is(t.Connect(ctx, address), syscall.ECONNREFUSED)
+}
+
+// Connect opens a connection to an address and keeps it for the next request.
+func (t *Transport) Connect(ctx context.Context, address string) error {
+	c, _, err := t.connect(ctx, address, true)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	t.putIdle(address, c, idleTimeout)
-	return false
+	return nil
 }
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -47,6 +47,9 @@
 	RequestQuarantined = register(2115, zerolog.WarnLevel, "requests with a digest have crashed endpoints and are refused", "find the team's request by the content or resource of event 2114; see docs/operators/quarantine.md")
 	TrialStarted       = register(2116, zerolog.InfoLevel, "one request like those that are refused is sent, to see whether it still crashes its endpoint", "")
 	QuarantineEnded    = register(2117, zerolog.InfoLevel, "a request like those that are refused has completed; they are served again", "")
+	ForwardDetoured    = register(2118, zerolog.InfoLevel, "request sent through another VM, since this one reaches no endpoint", "")
+	DetourReceived     = register(2119, zerolog.InfoLevel, "request of another VM received for an endpoint", "")
+	DetourEnded        = register(2120, zerolog.InfoLevel, "request of another VM ended", "")
 )
 
 // The events of programs.
@@ -107,6 +110,8 @@
 var (
 	EndpointUnresponsive = register(6001, zerolog.WarnLevel, "endpoint does not respond", "check the endpoint")
 	EndpointResponsive   = register(6002, zerolog.InfoLevel, "endpoint responds again", "")
+	ServiceUnreachable   = register(6003, zerolog.WarnLevel, "VM reaches no endpoint of a service; requests go through other VMs that do, or are refused if there is none", "check the network between the VM and the endpoints")
+	ServiceReachable     = register(6004, zerolog.InfoLevel, "VM reaches endpoints of a service again", "")
 )
 
 var catalogue []Event
--- a/internal/observe/metrics/forwards.go
+++ b/internal/observe/metrics/forwards.go
@@ -12,6 +12,8 @@
 	nameRetried   = "forwards.retried"
 	nameResumed   = "forwards.resumed"
 	nameCrashed   = "forwards.endpoint_crashed"
+	nameDetoured  = "forwards.detoured"
+	nameDetour    = "forwards.detour_us"
 	nameFirstByte = "forwards.first_byte_us"
 	nameTotal     = "forwards.whole_us"
 	nameRateWait  = "forwards.rate_wait_us"
@@ -33,6 +35,7 @@
 	registry  metrics.Registry
 	retried   metrics.Counter
 	resumed   metrics.Counter
+	detoured  metrics.Counter
 	crashed   metrics.Counter
 	teams     *capped
 	services  *capped
@@ -45,6 +48,7 @@
 		registry:  registry,
 		retried:   metrics.NewRegisteredCounter(nameRetried, registry),
 		resumed:   metrics.NewRegisteredCounter(nameResumed, registry),
+		detoured:  metrics.NewRegisteredCounter(nameDetoured, registry),
 		crashed:   metrics.NewRegisteredCounter(nameCrashed, registry),
 		teams:     newCapped(maxTeams),
 		services:  newCapped(maxServices),
@@ -61,6 +65,12 @@
 // Crashed counts a request whose endpoint ended while it had the request.
 func (f *Forwards) Crashed() { f.crashed.Inc(1) }
 
+// Detoured records the duration of a request that went through another VM.
+func (f *Forwards) Detoured(duration time.Duration) {
+	f.detoured.Inc(1)
+	f.registry.GetOrRegister(nameDetour, newHistogram).(metrics.Histogram).Update(duration.Microseconds())
+}
+
 // FirstByte records the time to the first byte of a response, by the kind of route.
 func (f *Forwards) FirstByte(kind hawthornrail.RouteKind, duration time.Duration) {
 	f.histogram(nameFirstByte, "kind", kindLabel(kind)).Update(duration.Microseconds())
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/proxy"
+	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
 	endpointhttp "hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
@@ -23,6 +25,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
 	"hawthornrail.example/hawthornrail/internal/program/account"
+	"hawthornrail.example/hawthornrail/internal/vm/detour"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/vm/streams"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -43,6 +46,7 @@
 	node     *node.Node
 	server   *proxy.Server
 	streams  *streams.Controller
+	detours  *detour.Server
 	draining atomic.Bool
 }
 
@@ -79,9 +83,14 @@
 		func() hawthornrail.Quarantine { return n.Suspects() },
 		newStreams,
 		func(c *streams.Controller) hawthornrail.StreamOrigins { return c },
+		newDetour,
+		newContact,
 		newForwarder,
+		newDetourServer,
 		newServer,
-		func(s *proxy.Server, o *streams.Controller) *entry { return &entry{node: n, server: s, streams: o} },
+		func(s *proxy.Server, o *streams.Controller, d *detour.Server) *entry {
+			return &entry{node: n, server: s, streams: o, detours: d}
+		},
 	}
 	for _, p := range providers {
 		if err := c.Provide(p); err != nil {
@@ -104,11 +113,45 @@
 	})
 }
 
-func newForwarder(n *node.Node, p *pool.Pool, t *endpointhttp.Transport, m *metrics.Forwards, q hawthornrail.Quarantine, o hawthornrail.StreamOrigins) *forward.Forwarder {
-	metrics.Gauge(n.Metrics(), "endpoints.dialed", t.Dialed)
+func newDetour(n *node.Node) hawthornrail.Detour {
+	return detour.NewClient(detour.ClientDependencies{
+		VM: n.Settings().VM(), DataCentre: n.Settings().DataCentre(), Config: n.Config(), Peers: n.DirectClient(), Clock: n.Clock(),
+	})
+}
+
+func newContact(n *node.Node, t *endpointhttp.Transport, d hawthornrail.Detour) *contact.Tracker {
+	return contact.New(contact.Dependencies{
+		DataCentre: n.Settings().DataCentre(), Config: n.Config(), Connector: t, Detour: d,
+		Clock: n.Clock(), Log: n.Log().Layer("endpoint"), Loop: n.Loop,
+	})
+}
+
+// forwarderIn are the dependencies of a forwarder.
+type forwarderIn struct {
+	dig.In
+
+	Node       *node.Node
+	Pool       *pool.Pool
+	Transport  *endpointhttp.Transport
+	Forwards   *metrics.Forwards
+	Quarantine hawthornrail.Quarantine
+	Origins    hawthornrail.StreamOrigins
+	Contact    *contact.Tracker
+	Detour     hawthornrail.Detour
+}
+
+func newForwarder(in forwarderIn) *forward.Forwarder {
+	n := in.Node
+	metrics.Gauge(n.Metrics(), "endpoints.dialed", in.Transport.Dialed)
 	return forward.New(forward.Dependencies{
-		Config: n.Config(), Pool: p, Transport: t, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: m,
-		Quarantine: q, Origins: o, Log: n.Log().Layer("endpoint"),
+		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
+		Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
+	})
+}
+
+func newDetourServer(n *node.Node, f *forward.Forwarder, c *contact.Tracker, r *trail.Recorder) *detour.Server {
+	return detour.NewServer(detour.ServerDependencies{
+		Handler: f, Contact: c, Clock: n.Clock(), Recorder: r, MemoryBytes: n.Settings().MemoryBytes(),
 	})
 }
 
@@ -127,7 +170,9 @@
 
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
-	receive := func(_ context.Context, open *vmpb.Open, s *peer.Stream) bool { return e.streams.Receive(open, s) }
+	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
+		return e.streams.Receive(open, s) || e.detours.Receive(ctx, open, s)
+	}
 	if err := n.Start(receive); err != nil {
 		return err
 	}
@@ -177,11 +222,12 @@
 	n.Log().Event(events.ProcessStopping).Int("requests", e.server.InFlight()).Emit()
 	e.draining.Store(true)
 	e.server.StartDraining()
+	e.detours.StartDraining()
 	grace := n.Settings().Grace() - stopMargin
 	n.Clock().Sleep(min(drainDelay, grace/2))
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, grace-n.Clock().Since(start)))
 	defer cancel()
-	if err := e.server.Shutdown(ctx); err != nil {
+	if err := errors.Join(e.server.Shutdown(ctx), e.detours.Wait(ctx)); err != nil {
 		n.Log().Event(events.DrainTimedOut).Int("requests", e.server.InFlight()).Err(err).Emit()
 	}
 	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
--- /dev/null
+++ b/internal/vm/detour/convert.go
@@ -0,0 +1,82 @@
+package detour
+
+import (
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+// requestToWire returns the message of an identified request that has left until its
+// deadline, or 0 if it has none.
+func requestToWire(r *hawthornrail.ForwardRequest, service string, left time.Duration, p *hawthornrail.ForwardProgress) *vmpb.Detour {
+	route := r.Route()
+	return &vmpb.Detour{
+		RequestId: r.ID(), Method: r.Method(), Host: r.Host(), Uri: r.URI(), Path: r.Path(),
+		Headers: headersToWire(r.Headers()), Body: r.Body(), LeftMs: left.Milliseconds(),
+		Team: r.Deployment().Team(), Service: service, Program: r.Call().Program(),
+		PromptTokens: uint64(r.Prompt().Tokens()), MaxOutputTokens: uint64(r.Prompt().MaxOutput()),
+		Route: route.Name(), RouteKind: string(route.Kind()), Resumable: route.Resumable(), Attempts: uint32(route.Attempts()),
+		Progress: progressToWire(p),
+	}
+}
+
+// requestFromWire returns the request of a message. Its route and team are those that
+// the sender found, so that one request runs under a single configuration.
+func requestFromWire(m *vmpb.Detour, now time.Time) *hawthornrail.ForwardRequest {
+	r := hawthornrail.NewForwardRequest(m.GetMethod(), m.GetHost(), m.GetUri(), m.GetPath(), m.GetBody(), now)
+	r.SetID(m.GetRequestId())
+	r.SetHeaders(headersFromWire(m.GetHeaders()))
+	if m.GetLeftMs() > 0 {
+		r.SetDeadline(now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond))
+	}
+	r.SetCall(hawthornrail.NewProgramCall(m.GetProgram(), "", 0, 0))
+	r.SetPrompt(hawthornrail.NewPrompt(int(m.GetPromptTokens()), int(m.GetMaxOutputTokens()), nil))
+	r.Identify(hawthornrail.NewDeployment("", m.GetTeam(), 0))
+	route := hawthornrail.NewRoute(m.GetRoute(), m.GetHost(), "", hawthornrail.RouteKind(m.GetRouteKind()), nil)
+	r.Match(route.WithResumable(m.GetResumable()).WithAttempts(int(m.GetAttempts())), 0)
+	return r
+}
+
+func headersToWire(headers []hawthornrail.Header) []*vmpb.HeaderField {
+	converted := make([]*vmpb.HeaderField, 0, len(headers))
+	for _, h := range headers {
+		converted = append(converted, &vmpb.HeaderField{Name: h.Name(), Value: h.Value()})
+	}
+	return converted
+}
+
+func headersFromWire(fields []*vmpb.HeaderField) []hawthornrail.Header {
+	converted := make([]hawthornrail.Header, 0, len(fields))
+	for _, f := range fields {
+		converted = append(converted, hawthornrail.NewHeader(f.GetName(), f.GetValue()))
+	}
+	return converted
+}
+
+func progressToWire(p *hawthornrail.ForwardProgress) *vmpb.Progress {
+	version, versioned := p.Version()
+	return &vmpb.Progress{
+		Sends: uint32(p.Sends()), MayHaveRun: p.MayHaveRun(), PossibleRuns: p.PossibleRuns(), Excluded: p.Excluded(),
+		UnknownRuns: uint32(p.UnknownRuns()), NextEndpoint: p.NextEndpoint(), Version: version, Versioned: versioned, LastEvent: p.LastEvent(),
+	}
+}
+
+// progressFromWire adds what a message tells to a progress; what has been known does
+// not become unknown.
+func progressFromWire(m *vmpb.Progress, p *hawthornrail.ForwardProgress) {
+	p.SetSends(max(p.Sends(), int(m.GetSends())))
+	if m.GetMayHaveRun() {
+		p.SetMayHaveRun()
+	}
+	p.SetUnknownRuns(max(p.UnknownRuns(), int(m.GetUnknownRuns())))
+	p.SetPossibleRuns(m.GetPossibleRuns())
+	p.SetExcluded(m.GetExcluded())
+	p.SetNextEndpoint(m.GetNextEndpoint())
+	if m.GetVersioned() {
+		p.KeepVersion(m.GetVersion())
+	}
+	if m.GetLastEvent() != "" {
+		p.SetLastEvent(m.GetLastEvent())
+	}
+}
--- a/internal/vm/dial/dial.go
+++ b/internal/vm/dial/dial.go
@@ -44,11 +44,38 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return conn, nil
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return conn{tcp}, nil
+}
+
+// conn is a TCP connection that reports its unacknowledged bytes; it implements
+// hawthornrail.AcknowledgedConn.
+type conn struct {
+	*net.TCPConn
+}
+
+// Unacknowledged returns the number of sent bytes that the other end has not
+// acknowledged.
+func (c conn) Unacknowledged() (count int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, fmt.Errorf("access connection: %w", err)
+	}
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		count, readErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	if err := errors.Join(err, readErr); err != nil {
+		return 0, fmt.Errorf("read unacknowledged bytes: %w", err)
+	}
+	return count, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, after which a connection with
--- a/verdict.go
+++ b/verdict.go
@@ -66,6 +66,7 @@
 	CodeUnknownRoute       Code = "unknown_route"
 	CodeDeadline           Code = "deadline_passed"
 	CodeAccountUnreachable Code = "account_unreachable"
+	CodeHelperRefused      Code = "helper_refused"
 	CodeInternal           Code = "internal"
 )
 
