Do not take a cut of a VM's own link for a crash of its endpoints

A VM whose connections are reset and refused saw all endpoints end at once and reported the requests that they had; the fleet then refused requests like them.

An endpoint counts as crashed only if this VM reaches another one. The check costs one connection for each crash, which is kept for the next request.

--- a/internal/endpoint/contact/tracker.go
+++ b/internal/endpoint/contact/tracker.go
@@ -87,6 +87,19 @@
 	return s.connectSome(ctx)
 }
 
+// ReachesOther reports whether this VM reaches any endpoint but the given one, of its
+// service first. While none is listed nothing can be told, and it reports true.
+func (t *Tracker) ReachesOther(ctx context.Context, name, endpoint string) bool {
+	candidates := endpoints(t.deps.Config.Snapshot(), name, []string{endpoint})
+	if len(candidates) == 0 {
+		candidates = endpoints(t.deps.Config.Snapshot(), "", []string{endpoint})
+	}
+	if len(candidates) == 0 {
+		return true
+	}
+	return t.connectAny(ctx, candidates)
+}
+
 // Lost records that a connection to an endpoint of a service failed.
 func (t *Tracker) Lost(name, endpoint string) { t.service(name).recordLoss(endpoint) }
 
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -277,7 +277,7 @@
 		return d.failureAround(err)
 	}
 	d.recordLoss(ctx, a)
-	if ctx.Err() == nil && !a.abandoned() && d.crashed(a.endpoint) {
+	if ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
 		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
@@ -301,9 +301,14 @@
 }
 
 // crashed reports whether the process of an endpoint has ended without draining.
-// A broken connection alone does not show that: it may have been reset, or an
-// invalid response may have ended it.
-func (d *dispatch) crashed(e hawthornrail.Endpoint) bool {
+// Neither a broken connection nor a refused one shows that alone: this VM may have lost
+// the way to all endpoints.
+func (d *dispatch) crashed(ctx context.Context, e hawthornrail.Endpoint) bool {
+	return d.gone(e) && d.deps.Contact.ReachesOther(ctx, d.service.Name(), e.Name())
+}
+
+// gone reports whether an endpoint that is not draining refuses connections.
+func (d *dispatch) gone(e hawthornrail.Endpoint) bool {
 	listed, ok := d.deps.Config.Snapshot().Endpoint(e.Name())
 	if !ok || listed.Draining() || d.deps.Pool.Draining(e) {
 		return false
@@ -312,9 +317,9 @@
 }
 
 // brokenOff reports whether a response that ends with its connection may be
-// incomplete: its endpoint has crashed.
+// incomplete: its endpoint refuses connections.
 func (d *dispatch) brokenOff(a *attempt) bool {
-	return !a.exchange.Framed() && d.crashed(a.endpoint)
+	return !a.exchange.Framed() && d.gone(a.endpoint)
 }
 
 // recordCrash records that an endpoint has ended while it had the request.
