Do not take the end of a connection between VMs for the end of a stream

Found by a test before the landing: when the connection to the VM in between broke between two events, the stream ended at its caller as if complete, since the error wrapped io.EOF, which means the end of the response.

--- a/internal/vm/detour/client.go
+++ b/internal/vm/detour/client.go
@@ -179,9 +179,10 @@
 }
 
 // lost returns the failure of a request of which a VM has told no end: an endpoint may
-// have run it.
+// have run it. It does not wrap err, since the end of a connection would be taken for
+// that of the response.
 func lost(helper hawthornrail.VM, err error, p *hawthornrail.ForwardProgress) error {
 	p.SetMayHaveRun()
 	p.AddUnknownRun()
-	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through VM %s: %w", helper.Name(), err))
+	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through VM %s: %s", helper.Name(), err.Error()))
 }
