Notice lost endpoints also before a connection is open, and bound what asks cost

A VM that starts while it is cut off, or has no kept connection, noticed the cut only when connections timed out after 1 s; requests that wait for their connection now show it, and are sent around even if they must run once, since they were not sent. VMs that are asked whether they reach a service connect to its endpoints once in 250 ms at most, however many ask.

--- a/detour.go
+++ b/detour.go
@@ -11,6 +11,10 @@
 // draining, busy or cut off itself; the request did not run.
 var ErrHelperRefused = errors.New("VM takes no request of another VM")
 
+// ErrHelperLost means that the connection to another VM ended before it told the end of
+// a request; an endpoint may have run it.
+var ErrHelperLost = errors.New("VM in between was lost")
+
 // Detour sends requests to endpoints through other VMs, when this one reaches none.
 type Detour interface {
 	// Find asks other VMs whether they reach endpoints of a service; denials is how
--- a/internal/endpoint/contact/attempt.go
+++ b/internal/endpoint/contact/attempt.go
@@ -10,9 +10,11 @@
 
 // Attempt is a request at an endpoint; it implements http.Observer.
 type Attempt struct {
-	service  *service
-	endpoint string
-	abandon  func()
+	service    *service
+	endpoint   string
+	repeatable bool
+	abandon    func()
+	begunAt    time.Time
 
 	// conn is set once the request is sent.
 	conn atomic.Pointer[hawthornrail.AcknowledgedConn]
@@ -39,19 +41,26 @@
 // End records that the request has ended at the endpoint.
 func (a *Attempt) End() { a.service.remove(a) }
 
-// silentSince reports whether the request was sent, and nothing was heard of its
-// endpoint since, before a time.
+// wasSent reports whether a connection was opened for the request.
+func (a *Attempt) wasSent() bool { return a.activeAt.Load() != 0 }
+
+// silentSince reports whether nothing was heard of the endpoint since a time.
 func (a *Attempt) silentSince(t time.Time) bool {
-	active := a.activeAt.Load()
-	return active != 0 && active < t.UnixNano()
+	if !a.wasSent() {
+		return a.begunAt.Before(t)
+	}
+	return a.activeAt.Load() < t.UnixNano()
 }
 
-// lost reports whether the endpoint has left bytes of the request unacknowledged for
-// longer than any that is reached does.
+// lost reports whether the endpoint has accepted no connection, or has left bytes of the
+// request unacknowledged, for longer than any that is reached does.
 func (a *Attempt) lost(now time.Time) bool {
-	return a.silentSince(now.Add(-silenceLimit)) && a.unacknowledged()
+	return a.silentSince(now.Add(-silenceLimit)) && (!a.wasSent() || a.unacknowledged())
 }
 
+// mayAbandon reports whether the request can be sent another way.
+func (a *Attempt) mayAbandon() bool { return a.repeatable || !a.wasSent() }
+
 // unacknowledged reports whether the endpoint leaves bytes of the request
 // unacknowledged.
 func (a *Attempt) unacknowledged() bool {
--- a/internal/endpoint/contact/route.go
+++ b/internal/endpoint/contact/route.go
@@ -15,6 +15,8 @@
 	// connectTimeout bounds the wait for a connection that shows whether an endpoint
 	// is reached; its system accepts connections without its process.
 	connectTimeout = 100 * time.Millisecond
+	// connectPause is the least time between connections for the sake of other VMs.
+	connectPause = 250 * time.Millisecond
 	// maxConnects bounds the endpoints that a check connects to.
 	maxConnects = 3
 )
@@ -113,6 +115,25 @@
 	})
 }
 
+// connectForOther is like connectSome for another VM that asks; calls at about the same
+// time share one result.
+func (s *service) connectForOther(ctx context.Context) bool {
+	connected, _, _ := s.connects.Do("", func() (any, error) {
+		s.mu.Lock()
+		connected, valid := s.connected, s.now().Sub(s.connectedAt) < connectPause
+		s.mu.Unlock()
+		if valid {
+			return connected, nil
+		}
+		connected = s.connectSome(context.WithoutCancel(ctx))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.connected, s.connectedAt = connected, s.now()
+		return connected, nil
+	})
+	return connected == true
+}
+
 // connectSome reports whether one of some endpoints accepts a connection, those that
 // were not lost first.
 func (s *service) connectSome(ctx context.Context) bool {
--- a/internal/endpoint/contact/service.go
+++ b/internal/endpoint/contact/service.go
@@ -40,7 +40,9 @@
 type service struct {
 	tracker *Tracker
 	name    string
-	search  singleflight.Group
+	// search and connects let calls at the same time share one result.
+	search   singleflight.Group
+	connects singleflight.Group
 
 	// heardAt is when an endpoint was heard last, in nanoseconds of Unix time.
 	heardAt atomic.Int64
@@ -58,6 +60,10 @@
 	settled chan struct{}
 	// checks counts the checks that have begun.
 	checks int
+	// connectedAt is when this VM last tried to connect because another one asked, and
+	// connected whether an endpoint accepted.
+	connectedAt time.Time
+	connected   bool
 	// cutOffAt is when the service was found to be out of reach.
 	cutOffAt time.Time
 }
@@ -154,7 +160,7 @@
 	}
 	noneHeard := now.Sub(s.lastHeard()) >= maxSilence
 	for a := range s.attempts {
-		if a.abandon != nil && (a.lost(now) || noneHeard && a.silentSince(now.Add(-maxSilence))) {
+		if a.mayAbandon() && (a.lost(now) || noneHeard && a.silentSince(now.Add(-maxSilence))) {
 			a.abandon()
 		}
 	}
--- a/internal/endpoint/contact/tracker.go
+++ b/internal/endpoint/contact/tracker.go
@@ -81,10 +81,7 @@
 		return false
 	}
 	s := t.service(name)
-	if t.deps.Clock.Since(s.lastHeard()) <= within {
-		return true
-	}
-	return s.connectSome(ctx)
+	return t.deps.Clock.Since(s.lastHeard()) <= within || s.connectForOther(ctx)
 }
 
 // ReachesOther reports whether this VM reaches any endpoint but the given one, of its
@@ -121,11 +118,11 @@
 func (t *Tracker) HelperFailed(name string, vm hawthornrail.VM) { t.service(name).removeHelper(vm) }
 
 // Begin records that a request is about to be sent to an endpoint. abandon is called
-// once the service is found to be out of reach, unless the endpoint was heard since; it
-// may be nil.
-func (t *Tracker) Begin(name, endpoint string, abandon func()) *Attempt {
+// once the service is found to be out of reach, if the request may run again or was not
+// sent yet.
+func (t *Tracker) Begin(name, endpoint string, repeatable bool, abandon func()) *Attempt {
 	s := t.service(name)
-	a := &Attempt{service: s, endpoint: endpoint, abandon: abandon}
+	a := &Attempt{service: s, endpoint: endpoint, repeatable: repeatable, abandon: abandon, begunAt: t.deps.Clock.Now()}
 	s.add(a)
 	return a
 }
--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -11,7 +11,7 @@
 
 // tryHelper sends the request through another VM.
 func (d *dispatch) tryHelper(ctx context.Context, helper hawthornrail.VM) (*attempt, error) {
-	a := &attempt{around: true, sent: d.deps.Clock.Now()}
+	a := &attempt{around: true, helper: helper, sent: d.deps.Clock.Now()}
 	d.logEvent(events.ForwardDetoured).Str("through", helper.Name()).Str("service", d.service.Name()).
 		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
 	response, err := d.deps.Detour.Open(ctx, helper, d.service.Name(), d.request, d.progress)
@@ -24,9 +24,9 @@
 }
 
 // failAround returns the failure of an attempt through another VM. One that did not
-// take the request is not tried again for it.
+// take the request, or was lost, is not tried again for it.
 func (d *dispatch) failAround(helper hawthornrail.VM, err error) error {
-	if errors.Is(err, hawthornrail.ErrHelperRefused) {
+	if errors.Is(err, hawthornrail.ErrHelperRefused) || errors.Is(err, hawthornrail.ErrHelperLost) {
 		d.refusedBy = append(d.refusedBy, helper.Name())
 		d.deps.Contact.HelperFailed(d.service.Name(), helper)
 	}
@@ -37,12 +37,12 @@
 	return f
 }
 
-// failureAround returns the failure of a response through another VM. What that VM has
+// failResponse returns the failure of a response through another VM. What that VM has
 // not judged itself, such as an event that belongs to no stream, names no endpoint.
-func (d *dispatch) failureAround(err error) error {
+func (d *dispatch) failResponse(a *attempt, err error) error {
 	var f *hawthornrail.Failure
 	if errors.As(err, &f) {
-		return f
+		return d.failAround(a.helper, f)
 	}
 	d.progress.AddUnknownRun()
 	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through another VM: %w", err))
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -60,8 +60,10 @@
 	contact *contact.Attempt
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	// around is set for an attempt through another VM, whose endpoint is not known.
+	// around is set for an attempt through another VM, the helper, whose endpoint is not
+	// known.
 	around bool
+	helper hawthornrail.VM
 }
 
 // abandoned reports whether the attempt was given up because this VM reaches no
@@ -181,15 +183,13 @@
 	return d.checkHead(a, response.Header())
 }
 
-// track tracks whether the endpoint of an attempt is reached. A request that may run
-// again is abandoned, and sent through another VM, once this VM reaches none.
+// track tracks whether the endpoint of an attempt is reached. Once this VM reaches none,
+// the attempt is abandoned and the request sent through another VM, if it may run again
+// or was not sent yet.
 func (d *dispatch) track(ctx context.Context, a *attempt) {
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	var abandon func()
-	if d.request.Route().Repeatable() && !d.forOther {
-		abandon = func() { a.cancel(errOutOfReach) }
-	}
-	a.contact = d.deps.Contact.Begin(d.service.Name(), a.endpoint.Name(), abandon)
+	abandon := func() { a.cancel(errOutOfReach) }
+	a.contact = d.deps.Contact.Begin(d.service.Name(), a.endpoint.Name(), d.request.Route().Repeatable(), abandon)
 }
 
 // admit returns a failure if requests like this one are refused. A trial
@@ -274,7 +274,7 @@
 	d.trial = false
 	if a.around {
 		d.finish(a, err, 0)
-		return d.failureAround(err)
+		return d.failResponse(a, err)
 	}
 	d.recordLoss(ctx, a)
 	if ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
--- a/internal/vm/detour/client.go
+++ b/internal/vm/detour/client.go
@@ -184,5 +184,5 @@
 func lost(helper hawthornrail.VM, err error, p *hawthornrail.ForwardProgress) error {
 	p.SetMayHaveRun()
 	p.AddUnknownRun()
-	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through VM %s: %s", helper.Name(), err.Error()))
+	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("%w: VM %s: %s", hawthornrail.ErrHelperLost, helper.Name(), err.Error()))
 }
