Answer requests that outlast the drain time of a planned stop

Reported: requests that came late in the grace are taken and passed on, and cut with no answer at its end. Here new requests are taken for 3 s of the grace and those in flight had until its end less a second; what had not ended then, after 3 to 4 s at its endpoint, was cut with the process.

Such requests now end with a response at that time: 502, may have run; a stream is interrupted. The process still stops within the grace.

--- a/internal/caller/proxy/exchange.go
+++ b/internal/caller/proxy/exchange.go
@@ -31,7 +31,7 @@
 		Str("program", call.Program()).Str("line", call.Session()).
 		Str("after_event", e.request.LastEvent()).Str("stream", e.request.Stream()).
 		Int("deadline_ms", int(e.request.Deadline().Sub(e.request.Received()).Milliseconds())).Emit()
-	ctx := trail.With(context.Background(), e.trail)
+	ctx := trail.With(e.server.requests, e.trail)
 	ctx, e.cancel = context.WithCancelCause(ctx)
 	e.cancelDeadline = func() {}
 	if deadline := e.request.Deadline(); !deadline.IsZero() {
--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -29,6 +29,12 @@
 	writeTimeout = 30 * time.Second
 )
 
+// closePollInterval is how often Abort looks whether all connections are closed.
+const closePollInterval = 10 * time.Millisecond
+
+// errAborted is the cause of the contexts of requests that outlast the drain time.
+var errAborted = errors.New("VM shuts down")
+
 // errCallerDisconnected is the cause of a context whose caller closed its
 // connection.
 var errCallerDisconnected = errors.New("caller has left")
@@ -51,11 +57,15 @@
 	http     *fasthttp.Server
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// requests is the parent of the contexts of all requests.
+	requests context.Context
+	abort    context.CancelCauseFunc
 }
 
 // New returns a server with the given dependencies.
 func New(deps Dependencies) *Server {
 	s := &Server{deps: deps}
+	s.requests, s.abort = context.WithCancelCause(context.Background())
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ReadBufferSize: deps.MaxHeaderBytes, MaxRequestBodySize: deps.MaxBodyBytes,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
@@ -89,6 +99,16 @@
 	return nil
 }
 
+// Abort ends the requests that are still in flight and waits, up to a timeout, until
+// their callers have been told: a response that has not begun is one that may have run,
+// a stream is interrupted.
+func (s *Server) Abort(timeout time.Duration) {
+	s.abort(errAborted)
+	for end := s.deps.Clock.Now().Add(timeout); s.http.GetOpenConnectionsCount() > 0 && s.deps.Clock.Now().Before(end); {
+		s.deps.Clock.Sleep(closePollInterval)
+	}
+}
+
 // discardLogger drops the log lines of fasthttp: the trail of each request
 // records how the request ended.
 type discardLogger struct{}
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -39,6 +39,9 @@
 	// stopMargin is the part of the grace period that is reserved for stopping
 	// the process after its requests have been drained.
 	stopMargin = time.Second
+	// abortTimeout is the part of it in which the callers of requests that have not
+	// ended are told.
+	abortTimeout = 500 * time.Millisecond
 )
 
 // entry is the running process.
@@ -231,6 +234,7 @@
 	defer cancel()
 	if err := errors.Join(e.server.Shutdown(ctx), e.detours.Wait(ctx)); err != nil {
 		n.Log().Event(events.DrainTimedOut).Int("requests", e.server.InFlight()).Err(err).Emit()
+		e.server.Abort(abortTimeout)
 	}
 	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
 	n.Stop()
