Do not take a failed resumption for the end of a stream over another VM

The failure of a resumption wrapped io.EOF, the end of a connection, and the VM in between took it for the end of the stream.

A stream's failure no longer wraps its cause.

TestDetouredStreamThatCannotGoOn: ended as if complete after three of five events before; interrupted after, 3 runs.

--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -142,11 +142,18 @@
 func (s *eventStream) finish(err error) {
 	s.err = io.EOF
 	if err != nil {
-		s.err = err
+		s.err = interrupted(err)
 	}
 	s.dispatch.finish(s.attempt, err, s.splitter.count*s.dispatch.service.TokensPerEvent())
 }
 
+// interrupted returns a failure without its cause: the end of a connection, io.EOF,
+// would mean that the stream is complete.
+func interrupted(err error) error {
+	f := hawthornrail.AsFailure(err)
+	return hawthornrail.NewFailure(f.Code(), f.Verdict(), errors.New(f.Message())).WithRetryAfter(f.RetryAfter())
+}
+
 // Close cancels the request at its endpoint unless the stream has ended.
 func (s *eventStream) Close() error {
 	if s.err == nil {
