Give up a VM in between that is silent, without waiting for its connection

A VM that others sent requests through and that lost power, or was paused, was noticed by a health check after 1.5 s, and all requests of that time were lost.

A VM that has a request and sends nothing for 150 ms is asked for a sign of life. Without a reply within 200 ms it gets no further requests, and those that may run again go on through another VM; those that must run once stay. The reads of a stream between VMs end when it is closed, and a connection that has broken unnoticed is opened again.

--- a/internal/vm/detour/client.go
+++ b/internal/vm/detour/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -48,10 +49,15 @@
 // implements hawthornrail.Detour.
 type Client struct {
 	deps ClientDependencies
+
+	mu      sync.Mutex
+	helpers map[string]*helperState
 }
 
 // NewClient returns a client with the given dependencies.
-func NewClient(deps ClientDependencies) *Client { return &Client{deps: deps} }
+func NewClient(deps ClientDependencies) *Client {
+	return &Client{deps: deps, helpers: make(map[string]*helperState)}
+}
 
 // reachReply is the reply of a VM that was asked whether it reaches a service; known is
 // false if none came.
@@ -62,6 +68,8 @@
 	busy    bool
 }
 
+var errSilent = errors.New("gives no sign of life")
+
 // Find asks a few VMs of this data centre and of the others whether they reach
 // endpoints of a service, and some more if none does.
 func (c *Client) Find(ctx context.Context, service string, within time.Duration) (helpers []hawthornrail.VM, denials int) {
@@ -113,6 +121,7 @@
 		// Other VMs are asked at the same time.
 		return reachReply{vm: vm}
 	}
+	c.state(vm.Name()).recordHeard(c.deps.Clock.Now())
 	return reachReply{vm: vm, known: true, reached: reply.GetReached(), busy: reply.GetBusy()}
 }
 
@@ -128,41 +137,33 @@
 
 // Open sends a request through a VM.
 func (c *Client) Open(ctx context.Context, helper hawthornrail.VM, service string, r *hawthornrail.ForwardRequest, p *hawthornrail.ForwardProgress) (hawthornrail.DetourResponse, error) {
+	if c.state(helper.Name()).isSilent() {
+		return nil, refused(fmt.Errorf("VM %s: %w", helper.Name(), errSilent))
+	}
 	left := time.Duration(0)
 	if !r.Deadline().IsZero() {
 		left = max(time.Millisecond, r.Deadline().Sub(c.deps.Clock.Now()))
 	}
 	open := &vmpb.Open{Kind: &vmpb.Open_Detour{Detour: requestToWire(r, service, left, p)}}
 	exchange, err := c.deps.Peers.Open(ctx, helper.Address(), open)
+	if errors.Is(err, peer.ErrUnsent) {
+		// Its connection may have broken unnoticed; the next attempt opens another one.
+		exchange, err = c.deps.Peers.Open(ctx, helper.Address(), open)
+	}
 	if errors.Is(err, peer.ErrUnsent) {
 		return nil, refused(fmt.Errorf("VM %s: %w", helper.Name(), err))
 	}
 	if err != nil {
 		return nil, lost(helper, err, p)
 	}
-	response, err := receiveHead(exchange, helper, p)
-	if err != nil {
-		exchange.Close()
+	response := c.newResponse(exchange, helper, r, p)
+	if err := response.receiveHead(); err != nil {
+		response.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
-func receiveHead(exchange *peer.Exchange, helper hawthornrail.VM, p *hawthornrail.ForwardProgress) (*response, error) {
-	var reply vmpb.DetourReply
-	if err := exchange.Receive(&reply); err != nil {
-		return nil, lost(helper, err, p)
-	}
-	if end := reply.GetEnd(); end != nil {
-		return nil, failureOf(end, p)
-	}
-	head := reply.GetHead()
-	if head == nil {
-		return nil, lost(helper, errUnexpected, p)
-	}
-	return &response{exchange: exchange, helper: helper, progress: p, head: head}, nil
-}
-
 // failureOf returns the failure that ends a request.
 func failureOf(end *vmpb.DetourEnd, p *hawthornrail.ForwardProgress) error {
 	err := convert.EndFromWire(end.GetEnd())
--- a/internal/vm/detour/response.go
+++ b/internal/vm/detour/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strings"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -18,10 +19,54 @@
 type response struct {
 	exchange *peer.Exchange
 	helper   hawthornrail.VM
+	state    *helperState
+	clock    hawthornrail.Clock
 	progress *hawthornrail.ForwardProgress
 	head     *vmpb.DetourHead
 	ready    []byte
 	err      error
+	// stopWatch is closed with the response.
+	stopWatch chan struct{}
+	closed    sync.Once
+}
+
+// newResponse returns the response to a request that was sent to a VM. One that may run
+// again is abandoned if the VM gives no sign of life.
+func (c *Client) newResponse(exchange *peer.Exchange, helper hawthornrail.VM, r *hawthornrail.ForwardRequest, p *hawthornrail.ForwardProgress) *response {
+	response := &response{
+		exchange: exchange, helper: helper, state: c.state(helper.Name()), clock: c.deps.Clock, progress: p, stopWatch: make(chan struct{}),
+	}
+	abandon := func() {}
+	if r.Route().Repeatable() {
+		abandon = response.Close
+	}
+	go c.watch(helper, abandon, response.stopWatch)
+	return response
+}
+
+// receive reads the next message.
+func (r *response) receive() (*vmpb.DetourReply, error) {
+	var reply vmpb.DetourReply
+	if err := r.exchange.Receive(&reply); err != nil {
+		return nil, lost(r.helper, err, r.progress)
+	}
+	r.state.recordHeard(r.clock.Now())
+	return &reply, nil
+}
+
+// receiveHead reads the head of the response, or returns the failure of the request.
+func (r *response) receiveHead() error {
+	reply, err := r.receive()
+	if err != nil {
+		return err
+	}
+	if end := reply.GetEnd(); end != nil {
+		return failureOf(end, r.progress)
+	}
+	if r.head = reply.GetHead(); r.head == nil {
+		return lost(r.helper, errUnexpected, r.progress)
+	}
+	return nil
 }
 
 // Status returns the HTTP status.
@@ -49,17 +94,17 @@
 		if r.err != nil {
 			return 0, r.err
 		}
-		r.receive()
+		r.receivePart()
 	}
 	n := copy(p, r.ready)
 	r.ready = r.ready[n:]
 	return n, nil
 }
 
-func (r *response) receive() {
-	var reply vmpb.DetourReply
-	if err := r.exchange.Receive(&reply); err != nil {
-		r.err = lost(r.helper, err, r.progress)
+func (r *response) receivePart() {
+	reply, err := r.receive()
+	if err != nil {
+		r.err = err
 		return
 	}
 	switch k := reply.GetKind().(type) {
@@ -75,5 +120,10 @@
 	}
 }
 
-// Close cancels the request unless its response has ended.
-func (r *response) Close() { r.exchange.Close() }
+// Close cancels the request unless its response has ended; further calls do nothing.
+func (r *response) Close() {
+	r.closed.Do(func() {
+		close(r.stopWatch)
+		r.exchange.Close()
+	})
+}
--- a/internal/vm/peer/client.go
+++ b/internal/vm/peer/client.go
@@ -112,7 +112,7 @@
 	}
 	l.pending.Add(1)
 	c.watch(l)
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	stop := context.AfterFunc(ctx, func() { closeStream(stream) })
 	open.TraceParent = traces.Traceparent(ctx)
 	if err := WriteMessage(stream, open); err != nil {
 		stop()
@@ -132,10 +132,18 @@
 // Close ends the exchange; the other end's context is cancelled.
 func (e *Exchange) Close() {
 	e.stop()
-	_ = e.stream.Close()
+	closeStream(e.stream)
 	e.link.pending.Add(-1)
 }
 
+// closeStream closes a stream and ends its reads, which would otherwise wait until the
+// other end closes it too.
+func closeStream(stream net.Conn) {
+	// Neither fails but on a stream that has ended.
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	_ = stream.Close()
+}
+
 // Invoke sends a request to the VM at an address and reads its single reply; an
 // error that wraps ErrUnsent means that the VM can't have received the request.
 func (c *Client) Invoke(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
