--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -23,6 +23,16 @@
 	return a, nil
 }
 
+// tryForOther sends the request of another VM, which has to find a further one if this
+// VM opens no connection.
+func (d *dispatch) tryForOther(ctx context.Context) (*attempt, error) {
+	if len(d.unreached) >= maxUnreached {
+		err := fmt.Errorf("%w: no connection to %d endpoints", hawthornrail.ErrHelperRefused, len(d.unreached))
+		return nil, hawthornrail.NewFailure(hawthornrail.CodeHelperRefused, hawthornrail.VerdictNotRun, err)
+	}
+	return d.tryEndpoint(ctx)
+}
+
 // failAround returns the failure of an attempt through another VM. One that did not
 // take the request, or was lost, is not tried again for it.
 func (d *dispatch) failAround(helper hawthornrail.VM, err error) error {
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -111,6 +111,8 @@
 	switch hawthornrail.AsFailure(err).Code() {
 	case hawthornrail.CodeNoEndpoint, hawthornrail.CodeQuarantined:
 		return false
+	case hawthornrail.CodeHelperRefused:
+		return !d.forOther
 	}
 	return !d.progress.MayHaveRun() || d.request.Route().Repeatable()
 }
@@ -135,7 +137,7 @@
 // try sends the request once, directly or through another VM.
 func (d *dispatch) try(ctx context.Context) (*attempt, error) {
 	if d.forOther {
-		return d.tryEndpoint(ctx)
+		return d.tryForOther(ctx)
 	}
 	once := !d.request.Route().Repeatable()
 	route, err := d.deps.Contact.Route(ctx, d.service.Name(), d.affinity(), once, d.refusedBy)
--- a/internal/vm/detour/server.go
+++ b/internal/vm/detour/server.go
@@ -153,7 +153,9 @@
 	}
 	err := s.forward(ctx, r, m.GetService(), &progress, stream)
 	// A sender that misses the end takes the response for truncated.
-	_ = stream.Send(endReply(&vmpb.DetourEnd{End: convert.EndToWire(err), Progress: progressToWire(&progress)}))
+	_ = stream.Send(endReply(&vmpb.DetourEnd{
+		End: convert.EndToWire(err), Refused: errors.Is(err, hawthornrail.ErrHelperRefused), Progress: progressToWire(&progress),
+	}))
 	line.Event(events.DetourEnded).Str("verdict", hawthornrail.VerdictOf(err).String()).Err(err).
 		Int("took_ms", int(s.deps.Clock.Since(start).Milliseconds())).Emit()
 	line.Close(err != nil)
