Send requests back from a VM in between that is cut off itself

Found by reading: a VM that took requests of others and then lost the way to the endpoints too went on trying its own way, with up to four sends of seconds each; streams that it had could not go on.

It now returns such requests as soon as it knows, with what their sends have shown, and the VM that took them from their callers finds another one. The check whether an endpoint has crashed is shared by the requests that it had.

--- a/internal/endpoint/contact/service.go
+++ b/internal/endpoint/contact/service.go
@@ -236,8 +236,12 @@
 	}
 	s.helpers.Set(helpers)
 	s.foundAt, s.cutOffAt = now, now
-	s.tracker.deps.Log.Event(events.ServiceUnreachable).Str("service", s.name).Int("helpers", c.Helpers).Int("denials", c.Denials).
-		Int("silent_ms", int(now.Sub(s.lastHeard()).Milliseconds())).Int("in_flight", len(s.attempts)).Emit()
+	line := s.tracker.deps.Log.Event(events.ServiceUnreachable).Str("service", s.name).Int("helpers", c.Helpers).Int("denials", c.Denials).
+		Int("in_flight", len(s.attempts))
+	if s.heardAt.Load() != 0 {
+		line.Int("silent_ms", int(now.Sub(s.lastHeard()).Milliseconds()))
+	}
+	line.Emit()
 	s.abandonLocked(now)
 	s.tracker.deps.Loop(s.probe)
 	s.tracker.deps.Loop(func(context.Context) { s.tracker.doubtOthers(s) })
--- a/internal/endpoint/contact/tracker.go
+++ b/internal/endpoint/contact/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/policy/reach"
@@ -30,7 +31,8 @@
 // Tracker knows, for each service, whether this VM reaches its endpoints; it
 // implements hawthornrail.Contact.
 type Tracker struct {
-	deps Dependencies
+	deps   Dependencies
+	others singleflight.Group
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -85,7 +87,8 @@
 }
 
 // ReachesOther reports whether this VM reaches any endpoint but the given one, of its
-// service first. While none is listed nothing can be told, and it reports true.
+// service first. While none is listed nothing can be told, and it reports true. Calls at
+// the same time, such as those of all requests at an endpoint, share one result.
 func (t *Tracker) ReachesOther(ctx context.Context, name, endpoint string) bool {
 	candidates := endpoints(t.deps.Config.Snapshot(), name, []string{endpoint})
 	if len(candidates) == 0 {
@@ -94,7 +97,10 @@
 	if len(candidates) == 0 {
 		return true
 	}
-	return t.connectAny(ctx, candidates)
+	reached, _, _ := t.others.Do(endpoint, func() (any, error) {
+		return t.connectAny(context.WithoutCancel(ctx), candidates), nil
+	})
+	return reached == true
 }
 
 // Lost records that a connection to an endpoint of a service failed.
--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -23,11 +23,11 @@
 	return a, nil
 }
 
-// tryForOther sends the request of another VM, which has to find a further one if this
-// VM opens no connection.
+// tryForOther sends the request of another VM. That one has to find a further VM if this
+// one reaches no endpoint either, or opens no connection to any.
 func (d *dispatch) tryForOther(ctx context.Context) (*attempt, error) {
-	if len(d.unreached) >= maxUnreached {
-		err := fmt.Errorf("%w: no connection to %d endpoints", hawthornrail.ErrHelperRefused, len(d.unreached))
+	if len(d.unreached) >= maxUnreached || d.deps.Contact.CutOff(d.service.Name()) {
+		err := fmt.Errorf("%w: no endpoint of service %s is reached", hawthornrail.ErrHelperRefused, d.service.Name())
 		return nil, hawthornrail.NewFailure(hawthornrail.CodeHelperRefused, hawthornrail.VerdictNotRun, err)
 	}
 	return d.tryEndpoint(ctx)
