--- a/internal/endpoint/contact/attempt.go
+++ b/internal/endpoint/contact/attempt.go
@@ -58,7 +58,7 @@
 	return a.silentSince(now.Add(-silenceLimit)) && (!a.wasSent() || a.unacknowledged())
 }
 
-// mayAbandon reports whether the request can be sent another way.
+// mayAbandon reports whether the request can be sent on another path.
 func (a *Attempt) mayAbandon() bool { return a.repeatable || !a.wasSent() }
 
 // unacknowledged reports whether the endpoint leaves bytes of the request
--- a/internal/endpoint/contact/route.go
+++ b/internal/endpoint/contact/route.go
@@ -23,13 +23,13 @@
 
 // Route is how a request for a service is sent: directly, or through a helper.
 type Route struct {
-	helper hawthornrail.VM
-	around bool
+	helper   hawthornrail.VM
+	indirect bool
 }
 
 // Helper returns the VM through which the request goes; ok is false if it goes
 // directly.
-func (r Route) Helper() (vm hawthornrail.VM, ok bool) { return r.helper, r.around }
+func (r Route) Helper() (vm hawthornrail.VM, ok bool) { return r.helper, r.indirect }
 
 func (s *service) route(ctx context.Context, key string, once bool, refused []string) (Route, error) {
 	for searched := false; ; {
@@ -38,11 +38,11 @@
 		helper, ok := s.helpers.Choose(key, refused)
 		s.mu.Unlock()
 		switch {
-		case path == reach.Direct && (!once || settled == nil || !s.doubt()):
+		case path == reach.Direct && (!once || settled == nil || !s.suspect()):
 			return Route{}, nil
-		case path == reach.Around && ok:
-			return Route{helper: helper, around: true}, nil
-		case path == reach.Around && !searched:
+		case path == reach.Indirect && ok:
+			return Route{helper: helper, indirect: true}, nil
+		case path == reach.Indirect && !searched:
 			searched = true
 			s.find(ctx)
 		case path == reach.Direct:
@@ -63,7 +63,7 @@
 	case <-settled:
 		return nil
 	case <-ctx.Done():
-		return hawthornrail.NewFailure(hawthornrail.CodeDeadline, hawthornrail.VerdictNotRun, fmt.Errorf("check the way to service %s: %w", s.name, context.Cause(ctx)))
+		return hawthornrail.NewFailure(hawthornrail.CodeDeadline, hawthornrail.VerdictNotRun, fmt.Errorf("check the path to service %s: %w", s.name, context.Cause(ctx)))
 	}
 }
 
@@ -149,7 +149,7 @@
 }
 
 // connectOne reports whether a random endpoint accepts a connection. A service
-// without endpoints needs no way around.
+// without endpoints needs no detour.
 func (s *service) connectOne(ctx context.Context) bool {
 	candidates := endpoints(s.tracker.deps.Config.Snapshot(), s.name, nil)
 	if len(candidates) == 0 {
--- a/internal/endpoint/contact/service.go
+++ b/internal/endpoint/contact/service.go
@@ -22,7 +22,7 @@
 	// maxSilence is how long a request may be silent, while no endpoint is heard, until it
 	// is abandoned although its bytes were acknowledged before the cut.
 	maxSilence = 500 * time.Millisecond
-	// checkTimeout bounds a check of the way to a service.
+	// checkTimeout bounds a check of the path to a service.
 	checkTimeout = 400 * time.Millisecond
 	// findWithin is the time within which another VM must have heard an endpoint to
 	// reach it without a connection of its own.
@@ -36,7 +36,7 @@
 	minRetryAfter = 200 * time.Millisecond
 )
 
-// service is what this VM knows of its way to the endpoints of one service.
+// service is what this VM knows of its path to the endpoints of one service.
 type service struct {
 	tracker *Tracker
 	name    string
@@ -155,7 +155,7 @@
 // abandonLocked abandons the requests at endpoints out of reach, if the service is;
 // s.mu must be held.
 func (s *service) abandonLocked(now time.Time) {
-	if path := s.state.Path(); path != reach.Around && path != reach.None {
+	if path := s.state.Path(); path != reach.Indirect && path != reach.None {
 		return
 	}
 	noneHeard := now.Sub(s.lastHeard()) >= maxSilence
@@ -175,12 +175,12 @@
 	}
 }
 
-// doubt begins a check whether endpoints were lost or not, and reports whether one
+// suspect begins a check whether endpoints were lost or not, and reports whether one
 // begins or runs already.
-func (s *service) doubt() bool {
+func (s *service) suspect() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.Doubt(s.now()) {
+	if s.state.Suspect(s.now()) {
 		s.settleLocked()
 		s.beginLocked()
 	}
@@ -193,7 +193,7 @@
 	s.tracker.deps.Loop(func(ctx context.Context) { s.check(ctx, number) })
 }
 
-// settleLocked lets requests wait while the way is in doubt, and releases them
+// settleLocked lets requests wait while the path is in doubt, and releases them
 // afterwards; s.mu must be held.
 func (s *service) settleLocked() {
 	path := s.state.Path()
@@ -231,7 +231,7 @@
 	now := s.now()
 	s.state.EndCheck(c, now)
 	s.settleLocked()
-	if path := s.state.Path(); path != reach.Around && path != reach.None {
+	if path := s.state.Path(); path != reach.Indirect && path != reach.None {
 		return
 	}
 	s.helpers.Set(helpers)
@@ -244,10 +244,10 @@
 	line.Emit()
 	s.abandonLocked(now)
 	s.tracker.deps.Loop(s.probe)
-	s.tracker.deps.Loop(func(context.Context) { s.tracker.doubtOthers(s) })
+	s.tracker.deps.Loop(func(context.Context) { s.tracker.suspectOthers(s) })
 }
 
-// probe tries the direct way until requests return to it.
+// probe tries the direct path until requests return to it.
 func (s *service) probe(ctx context.Context) {
 	for {
 		s.mu.Lock()
@@ -277,7 +277,7 @@
 	return true
 }
 
-// retryAfter returns the retry delay of a request that no VM can serve: the way is
+// retryAfter returns the retry delay of a request that no VM can serve: the path is
 // tried again by then. A random part spreads the callers.
 func (s *service) retryAfter() time.Duration {
 	s.mu.Lock()
--- a/internal/endpoint/contact/tracker.go
+++ b/internal/endpoint/contact/tracker.go
@@ -54,9 +54,9 @@
 	return s
 }
 
-// doubtOthers checks the way to the other services that this VM sends to, since one is
+// suspectOthers checks the path to the other services that this VM sends to, since one is
 // out of reach.
-func (t *Tracker) doubtOthers(unreachable *service) {
+func (t *Tracker) suspectOthers(unreachable *service) {
 	t.mu.Lock()
 	others := make([]*service, 0, len(t.services))
 	for _, s := range t.services {
@@ -66,14 +66,14 @@
 	}
 	t.mu.Unlock()
 	for _, s := range others {
-		s.doubt()
+		s.suspect()
 	}
 }
 
 // CutOff reports whether a service was found to be out of reach of this VM.
 func (t *Tracker) CutOff(name string) bool {
 	path := t.service(name).currentPath()
-	return path == reach.Around || path == reach.None
+	return path == reach.Indirect || path == reach.None
 }
 
 // Reached reports whether an endpoint of a service was heard within a time, or
--- a/internal/endpoint/contact/tracker_test.go
+++ b/internal/endpoint/contact/tracker_test.go
@@ -84,14 +84,14 @@
 
 func (c conn) Unacknowledged() (int, error) { return c.unacknowledged, nil }
 
-func assertRoute(t *testing.T, tracker *contact.Tracker, once, around bool) {
+func assertRoute(t *testing.T, tracker *contact.Tracker, once, indirect bool) {
 	t.Helper()
 	route, err := tracker.Route(t.Context(), serviceName, "key", once, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, ok := route.Helper(); ok != around {
-		t.Errorf("around %v, want %v", ok, around)
+	if _, ok := route.Helper(); ok != indirect {
+		t.Errorf("indirect %v, want %v", ok, indirect)
 	}
 }
 
--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -11,13 +11,13 @@
 
 // tryHelper sends the request through another VM.
 func (d *dispatch) tryHelper(ctx context.Context, helper hawthornrail.VM) (*attempt, error) {
-	a := &attempt{around: true, helper: helper, sent: d.deps.Clock.Now()}
+	a := &attempt{indirect: true, helper: helper, sent: d.deps.Clock.Now()}
 	d.logEvent(events.ForwardDetoured).Str("through", helper.Name()).Str("service", d.service.Name()).
 		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
 	response, err := d.deps.Detour.Open(ctx, helper, d.service.Name(), d.request, d.progress)
 	if err != nil {
 		d.finish(a, err, 0)
-		return nil, d.failAround(helper, err)
+		return nil, d.failIndirect(helper, err)
 	}
 	a.exchange = detoured{response}
 	return a, nil
@@ -33,9 +33,9 @@
 	return d.tryEndpoint(ctx)
 }
 
-// failAround returns the failure of an attempt through another VM. One that did not
+// failIndirect returns the failure of an attempt through another VM. One that did not
 // take the request, or was lost, is not tried again for it.
-func (d *dispatch) failAround(helper hawthornrail.VM, err error) error {
+func (d *dispatch) failIndirect(helper hawthornrail.VM, err error) error {
 	if errors.Is(err, hawthornrail.ErrHelperRefused) || errors.Is(err, hawthornrail.ErrHelperLost) {
 		d.refusedBy = append(d.refusedBy, helper.Name())
 		d.deps.Contact.HelperFailed(d.service.Name(), helper)
@@ -52,7 +52,7 @@
 func (d *dispatch) failResponse(a *attempt, err error) error {
 	var f *hawthornrail.Failure
 	if errors.As(err, &f) {
-		return d.failAround(a.helper, f)
+		return d.failIndirect(a.helper, f)
 	}
 	d.progress.AddUnknownRun()
 	return hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictMayHaveRun, fmt.Errorf("through another VM: %w", err))
--- /dev/null
+++ b/internal/endpoint/forward/failure.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/endpoint/http"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+)
+
+// errOutOfReach is the cause of an attempt that is abandoned because this VM reaches no
+// endpoint of the service.
+var errOutOfReach = errors.New("service is out of reach of this VM")
+
+// abandoned reports whether the attempt was given up because this VM reaches no
+// endpoint of the service.
+func (a *attempt) abandoned() bool {
+	return a.ctx != nil && errors.Is(context.Cause(a.ctx), errOutOfReach)
+}
+
+// failWithoutResponse ends an attempt that got no response.
+func (d *dispatch) failWithoutResponse(ctx context.Context, a *attempt, err error) error {
+	if !errors.Is(err, http.ErrUnsent) {
+		return d.failMayHaveRun(ctx, a, err)
+	}
+	if !a.abandoned() {
+		d.unreached = append(d.unreached, a.endpoint.Name())
+	}
+	f := hawthornrail.NewFailure(hawthornrail.CodeEndpointFailed, hawthornrail.VerdictNotRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
+	d.recordLoss(ctx, a)
+	d.finish(a, f, 0)
+	d.deps.Transport.Forget(a.endpoint.Address())
+	return f.WithRetryAfter(jitteredRetryAfter())
+}
+
+// recordLoss records that the endpoint of an attempt was lost, unless the request was
+// cancelled.
+func (d *dispatch) recordLoss(ctx context.Context, a *attempt) {
+	if ctx.Err() == nil && !a.abandoned() {
+		d.deps.Contact.Lost(d.service.Name(), a.endpoint.Name())
+	}
+}
+
+// failMayHaveRun ends an attempt that may have run the request.
+func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
+	d.progress.SetMayHaveRun()
+	d.trial = false
+	if a.indirect {
+		d.finish(a, err, 0)
+		return d.failResponse(a, err)
+	}
+	d.recordLoss(ctx, a)
+	if ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
+		d.recordCrash(a.endpoint, err)
+	} else {
+		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
+	}
+	f := hawthornrail.NewFailure(d.lossCode(ctx, a), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
+	d.finish(a, f, 0)
+	return f
+}
+
+// lossCode returns the code of an attempt that ended without a whole response. One that
+// was abandoned says nothing about its endpoint.
+func (d *dispatch) lossCode(ctx context.Context, a *attempt) hawthornrail.Code {
+	switch {
+	case d.timeLeft() <= 0:
+		return hawthornrail.CodeDeadline
+	case ctx.Err() != nil || a.abandoned():
+		return hawthornrail.CodeResponseTruncated
+	default:
+		return hawthornrail.CodeEndpointFailed
+	}
+}
+
+// crashed reports whether the process of an endpoint has ended without draining.
+// Neither a broken connection nor a refused one shows that alone: this VM may have lost
+// the path to all endpoints.
+func (d *dispatch) crashed(ctx context.Context, e hawthornrail.Endpoint) bool {
+	return d.gone(e) && d.deps.Contact.ReachesOther(ctx, d.service.Name(), e.Name())
+}
+
+// gone reports whether an endpoint that is not draining refuses connections.
+func (d *dispatch) gone(e hawthornrail.Endpoint) bool {
+	listed, ok := d.deps.Config.Snapshot().Endpoint(e.Name())
+	if !ok || listed.Draining() || d.deps.Pool.Draining(e) {
+		return false
+	}
+	return d.deps.Transport.Refused(e.Address())
+}
+
+// brokenOff reports whether a response that ends with its connection may be
+// incomplete: its endpoint refuses connections.
+func (d *dispatch) brokenOff(a *attempt) bool {
+	return !a.exchange.Framed() && d.gone(a.endpoint)
+}
+
+// recordCrash records that an endpoint has ended while it had the request.
+func (d *dispatch) recordCrash(e hawthornrail.Endpoint, err error) {
+	digests, team := d.request.Digests(), d.request.Deployment().Team()
+	d.progress.Exclude(e.Name())
+	d.deps.Forwards.Crashed()
+	d.deps.Log.Event(events.EndpointCrashed).Str("endpoint", e.Name()).Str("request", d.request.ID()).
+		Str("content", digests.Content().String()).Str("resource", digests.Resource().String()).Str("team", team).Err(err).Emit()
+	d.deps.Quarantine.RecordCrash(digests, team, e.Name())
+}
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -38,7 +38,7 @@
 	Quarantine hawthornrail.Quarantine
 	// Origins knows which version of a service began a stream.
 	Origins hawthornrail.StreamOrigins
-	// Contact knows whether this VM reaches endpoints, and Detour is the way around
+	// Contact knows whether this VM reaches endpoints, and Detour sends requests
 	// through other VMs.
 	Contact *contact.Tracker
 	Detour  hawthornrail.Detour
--- a/internal/policy/reach/service.go
+++ b/internal/policy/reach/service.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// lossesToCheck is how many endpoints in a row must be lost until the way to a
+	// lossesToCheck is how many endpoints in a row must be lost until the path to a
 	// service is checked at once; a single one may have a fault of its own.
 	lossesToCheck = 2
 	// maxUnchecked is how long fewer losses go unchecked while no endpoint is heard.
 	maxUnchecked = 100 * time.Millisecond
 	// unknownPause is the time without another check after one that showed nothing.
 	unknownPause = time.Second
-	// firstProbePause and maxProbePause bound the pause before the direct way is
+	// firstProbePause and maxProbePause bound the pause before the direct path is
 	// probed again; it doubles with each probe that fails.
 	firstProbePause = 250 * time.Millisecond
 	maxProbePause   = time.Second
@@ -31,13 +31,13 @@
 	Direct Path = iota + 1
 	// Unchecked means that a check runs which decides on the path.
 	Unchecked
-	// Around means that they go through other VMs, since this one reaches no endpoint.
-	Around
+	// Indirect means that they go through other VMs, since this one reaches no endpoint.
+	Indirect
 	// None means that no VM that was asked reaches an endpoint.
 	None
 )
 
-// Check is what a check of the way to a service has shown.
+// Check is what a check of the path to a service has shown.
 type Check struct {
 	// Reached is set if an endpoint accepted a connection.
 	Reached bool
@@ -47,7 +47,7 @@
 	Denials int
 }
 
-// Service is what a VM knows of its way to the endpoints of one service. Its methods
+// Service is what a VM knows of its path to the endpoints of one service. Its methods
 // take the current time as an argument; callers serialise them.
 type Service struct {
 	path Path
@@ -107,9 +107,9 @@
 	return true
 }
 
-// Doubt begins a check although no endpoint was lost, because another service is out of
+// Suspect begins a check although no endpoint was lost, because another service is out of
 // reach; it reports whether one begins.
-func (s *Service) Doubt(now time.Time) bool {
+func (s *Service) Suspect(now time.Time) bool {
 	if s.path != Direct || now.Before(s.quietUntil) {
 		return false
 	}
@@ -127,7 +127,7 @@
 	case c.Reached:
 		s.Heard()
 	case c.Helpers > 0:
-		s.leave(Around, now)
+		s.leave(Indirect, now)
 	case c.Denials > 0:
 		s.leave(None, now)
 	default:
@@ -151,19 +151,19 @@
 func (s *Service) SetHelpers(found bool) {
 	switch {
 	case s.path == None && found:
-		s.path = Around
-	case s.path == Around && !found:
+		s.path = Indirect
+	case s.path == Indirect && !found:
 		s.path = None
 	}
 }
 
-// UntilProbe returns how long to wait before the direct way is probed.
+// UntilProbe returns how long to wait before the direct path is probed.
 func (s *Service) UntilProbe(now time.Time) time.Duration { return max(0, s.nextProbe.Sub(now)) }
 
 // Probed records the result of a probe, and reports whether requests are sent
 // directly again because of it.
 func (s *Service) Probed(reached bool, now time.Time) (returned bool) {
-	if s.path != Around && s.path != None {
+	if s.path != Indirect && s.path != None {
 		return false
 	}
 	if !reached {
--- a/internal/policy/reach/service_test.go
+++ b/internal/policy/reach/service_test.go
@@ -30,7 +30,7 @@
 		t.Fatal("no check is due")
 	}
 	s.EndCheck(reach.Check{Helpers: 1}, now)
-	assertPath(t, s, reach.Around)
+	assertPath(t, s, reach.Indirect)
 }
 
 // Guards against a day on which single endpoints are silent for a second: no check
@@ -65,7 +65,7 @@
 	})
 	t.Run("another service is out of reach", func(t *testing.T) {
 		s := reach.NewService()
-		if !s.Doubt(at(0)) || s.Doubt(at(0)) {
+		if !s.Suspect(at(0)) || s.Suspect(at(0)) {
 			t.Error("not checked once")
 		}
 		s.Heard()
@@ -80,7 +80,7 @@
 	})
 }
 
-// Guards against requests that are refused, or sent around, while only the VM's link
+// Guards against requests that are refused, or sent through other VMs, while only the VM's link
 // is slow: without a reply of any VM they go directly, and checks pause.
 func TestCheckWithoutRepliesKeepsDirectPath(t *testing.T) {
 	s := reach.NewService()
@@ -99,9 +99,9 @@
 	}
 }
 
-// Guards against requests that go around through the fleet for a service that is down
+// Guards against requests that go from VM to VM for a service that is down
 // everywhere.
-func TestDeadServiceIsNotReachedAround(t *testing.T) {
+func TestDeadServiceIsNotReachedIndirectly(t *testing.T) {
 	s := reach.NewService()
 	s.Lost("a", at(0))
 	s.Lost("b", at(0))
@@ -109,7 +109,7 @@
 	s.EndCheck(reach.Check{Denials: 3}, at(0))
 	assertPath(t, s, reach.None)
 	s.SetHelpers(true)
-	assertPath(t, s, reach.Around)
+	assertPath(t, s, reach.Indirect)
 	s.SetHelpers(false)
 	assertPath(t, s, reach.None)
 }
@@ -125,7 +125,7 @@
 		if s.Path() == reach.Direct && !up(now) {
 			cutOff(t, s, at(now))
 		}
-		if s.Path() == reach.Around && s.UntilProbe(at(now)) == 0 && s.Probed(up(now), at(now)) {
+		if s.Path() == reach.Indirect && s.UntilProbe(at(now)) == 0 && s.Probed(up(now), at(now)) {
 			returns++
 		}
 	}
@@ -134,7 +134,7 @@
 	}
 }
 
-// Guards against a VM that stays on the way around after its link is back.
+// Guards against a VM that stays on the indirect path after its link is back.
 func TestReturnAfterCut(t *testing.T) {
 	s := reach.NewService()
 	cutOff(t, s, at(0))
@@ -157,11 +157,11 @@
 
 // Guards against the connection of an old request that makes a VM which is cut off
 // send directly again.
-func TestOnlyProbesEndTheWayAround(t *testing.T) {
+func TestOnlyProbesEndTheIndirectPath(t *testing.T) {
 	s := reach.NewService()
 	cutOff(t, s, at(0))
 	s.Heard()
-	assertPath(t, s, reach.Around)
+	assertPath(t, s, reach.Indirect)
 }
 
 func vms(count int, dataCentre string) []hawthornrail.VM {
--- a/internal/vm/detour/client.go
+++ b/internal/vm/detour/client.go
@@ -68,7 +68,7 @@
 	busy    bool
 }
 
-var errSilent = errors.New("gives no sign of life")
+var errSilent = errors.New("does not reply")
 
 // Find asks a few VMs of this data centre and of the others whether they reach
 // endpoints of a service, and some more if none does.
--- a/internal/vm/detour/detour_test.go
+++ b/internal/vm/detour/detour_test.go
@@ -93,7 +93,7 @@
 	go func() {
 		_ = peers.Serve(func(ctx context.Context, open *vmpb.Open, s *peer.Stream) {
 			if !b.server.Receive(ctx, open, s) {
-				// Any other request, such as the one for a sign of life.
+				// Any other request, such as a probe.
 				_ = s.Send(&vmpb.ObjectsReply{})
 			}
 		})
--- a/internal/vm/detour/response.go
+++ b/internal/vm/detour/response.go
@@ -31,7 +31,7 @@
 }
 
 // newResponse returns the response to a request that was sent to a VM. One that may run
-// again is abandoned if the VM gives no sign of life.
+// again is abandoned if the VM does not reply.
 func (c *Client) newResponse(exchange *peer.Exchange, helper hawthornrail.VM, r *hawthornrail.ForwardRequest, p *hawthornrail.ForwardProgress) *response {
 	response := &response{
 		exchange: exchange, helper: helper, state: c.state(helper.Name()), clock: c.deps.Clock, progress: p, stopWatch: make(chan struct{}),
--- a/internal/vm/detour/watch.go
+++ b/internal/vm/detour/watch.go
@@ -11,18 +11,18 @@
 
 const (
 	// silenceLimit is how long a VM that has a request may send nothing until it is
-	// asked for a sign of life, and replyTimeout how long it may take to give one.
+	// probed, and replyTimeout how long it may take to reply.
 	silenceLimit = 150 * time.Millisecond
 	replyTimeout = 200 * time.Millisecond
 )
 
-// helperState is what is known of a VM that requests go through.
+// helperState records whether a VM that requests go through replies.
 type helperState struct {
 	mu      sync.Mutex
 	heardAt time.Time
-	// asking is set while it is asked for a sign of life, and silent once it gave none.
-	asking bool
-	silent bool
+	// probing is set during a probe, and silent once the VM has not replied.
+	probing bool
+	silent  bool
 }
 
 func (c *Client) state(helper string) *helperState {
@@ -49,21 +49,21 @@
 	return s.silent
 }
 
-// beginAsk reports whether the VM has been heard too long ago and nobody asks it yet.
-func (s *helperState) beginAsk(now time.Time) bool {
+// beginProbe reports whether the VM has been heard too long ago and is not probed yet.
+func (s *helperState) beginProbe(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.asking || s.silent || now.Sub(s.heardAt) < silenceLimit {
+	if s.probing || s.silent || now.Sub(s.heardAt) < silenceLimit {
 		return false
 	}
-	s.asking = true
+	s.probing = true
 	return true
 }
 
-func (s *helperState) endAsk(replied bool, now time.Time) {
+func (s *helperState) endProbe(replied bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asking = false
+	s.probing = false
 	if replied {
 		s.heardAt = now
 		return
@@ -72,7 +72,7 @@
 	s.silent = now.Sub(s.heardAt) >= silenceLimit
 }
 
-// watch calls abandon once a VM that has a request gives no sign of life, until stop is
+// watch calls abandon once a VM that has a request does not reply, until stop is
 // closed. It may be paused or down; its connection tells that only much later.
 func (c *Client) watch(helper hawthornrail.VM, abandon func(), stop <-chan struct{}) {
 	s := c.state(helper.Name())
@@ -82,9 +82,9 @@
 			return
 		case <-c.deps.Clock.After(silenceLimit):
 		}
-		if s.beginAsk(c.deps.Clock.Now()) {
+		if s.beginProbe(c.deps.Clock.Now()) {
 			replied := c.replies(helper)
-			s.endAsk(replied, c.deps.Clock.Now())
+			s.endProbe(replied, c.deps.Clock.Now())
 		}
 		if s.isSilent() {
 			abandon()
