--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -16,7 +16,6 @@
 		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
 	response, err := d.deps.Detour.Open(ctx, helper, d.service.Name(), d.request, d.progress)
 	if err != nil {
-		d.finish(a, err, 0)
 		return nil, d.failIndirect(helper, err)
 	}
 	a.exchange = detoured{response}
