Do not refuse for good by a configuration of unknown age

Callers of a VM that had just started got 401 and 404 for keys and routes that exist, as a version up to 36 behind the newest says.

Cause: a new process listed the configuration from the store's cache, which may be seconds old, and decided by it at once. The watch that brings it up to date came 0.15 s later, or not while the store turned the VM away. The class: data whose age is unknown is taken for current. The same in general: a VM that knew that nobody had confirmed its configuration for longer than the bound still refused for good.

Change: a new process catches up with one call at once, after a start as after a failed call (instead of a full list); it answers 503 until its configuration has been confirmed since its start, by the store, by a followed VM or by any VM that was asked, for a second at most. Later it refuses for good (401, 403, 404) only while its configuration is confirmed recently, and with 503 otherwise. A reply of another VM confirms only if it covers every kind.

Conclusion: whatever makes a VM late, it no longer turns into a final refusal.

--- a/interfaces.go
+++ b/interfaces.go
@@ -57,6 +57,16 @@
 	Age() time.Duration
 }
 
+// ConfigFreshness tells how far the configuration in force can be relied on.
+type ConfigFreshness interface {
+	// Usable reports whether requests may be handled as the configuration says. It
+	// may not be while it is unknown how old the configuration of a new process is.
+	Usable() bool
+	// Current reports whether the configuration is so recent that what it does not
+	// allow can be refused for good.
+	Current() bool
+}
+
 // Admitter enforces the teams' rate limits across the fleet.
 type Admitter interface {
 	// Admit takes one token for a deployment, or returns the delay before a retry.
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// startRetryAfter is the retry delay of a VM that has no configuration yet.
-	startRetryAfter = 300 * time.Millisecond
+	// confirmRetryAfter is the retry delay of a VM whose configuration is not confirmed.
+	confirmRetryAfter = 300 * time.Millisecond
 	// minStartLevel is the fraction of a team's burst that must be available for a
 	// program to start.
 	minStartLevel = 0.45
@@ -44,33 +44,53 @@
 
 // Identify finds the route of a request and the team of its key.
 type Identify struct {
-	config hawthornrail.Configuration
+	config    hawthornrail.Configuration
+	freshness hawthornrail.ConfigFreshness
 }
 
 // NewIdentify returns the filter over a configuration.
-func NewIdentify(config hawthornrail.Configuration) *Identify { return &Identify{config: config} }
+func NewIdentify(config hawthornrail.Configuration, freshness hawthornrail.ConfigFreshness) *Identify {
+	return &Identify{config: config, freshness: freshness}
+}
 
 // Filter refuses a request that has no route or no valid key for its route.
 func (f *Identify) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
 	snapshot := f.config.Snapshot()
-	if snapshot.Revision() == 0 {
-		return nil, hawthornrail.NotRun(hawthornrail.CodeConfigStale, "no configuration is loaded yet").WithRetryAfter(startRetryAfter)
+	if snapshot.Revision() == 0 || !f.freshness.Usable() {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeConfigStale, "no confirmed configuration is loaded yet").WithRetryAfter(confirmRetryAfter)
+	}
+	if err := f.identify(snapshot, r); err != nil {
+		return nil, f.asTemporary(err)
 	}
+	return next.Forward(ctx, r)
+}
+
+// asTemporary returns a failure after which the caller may retry if a later version
+// than the one held may allow the request.
+func (f *Identify) asTemporary(err error) error {
+	if f.freshness.Current() {
+		return err
+	}
+	return hawthornrail.NotRun(hawthornrail.CodeConfigStale, "a later version may allow the request: %w", err).WithRetryAfter(confirmRetryAfter)
+}
+
+// identify sets the route and the team of a request.
+func (f *Identify) identify(snapshot *hawthornrail.Snapshot, r *hawthornrail.ForwardRequest) error {
 	route, ok := snapshot.Route(r.Host(), r.Path())
 	if !ok {
-		return nil, hawthornrail.NotRun(hawthornrail.CodeUnknownRoute, "no route for the path in version %d", snapshot.Revision())
+		return hawthornrail.NotRun(hawthornrail.CodeUnknownRoute, "no route for the path in version %d", snapshot.Revision())
 	}
 	if !route.Public() && snapshot.HasTeams() {
 		d, err := keyring.CheckOpaque(snapshot, r.Credential())
 		if err != nil {
-			return nil, err
+			return err
 		}
 		r.Identify(d)
 	} else {
 		r.Identify(hawthornrail.Deployment{})
 	}
 	r.Match(route, snapshot.Revision())
-	return next.Forward(ctx, r)
+	return nil
 }
 
 // Quarantine refuses requests like those that have crashed endpoints.
--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -132,7 +132,12 @@
 	// its way.
 	status.confirmed = sent.Add(time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
 	report(from.DataCentre(), status, e.clock.Now())
-	status.applied = e.applyAll(address, reply.GetKinds())
+	applied := e.applyAll(address, reply.GetKinds())
+	// A kind that was not requested may be missing here.
+	status.applied = applied && len(request.GetHeld()) == len(e.kinds)
+	if status.applied {
+		e.storeHealth.Heard(status.confirmed)
+	}
 	return status, nil
 }
 
--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -35,6 +35,7 @@
 	revision uint64
 	changed  chan struct{}
 	calls    int
+	lists    int
 }
 
 func newSimStore() *simStore { return &simStore{revision: 1, changed: make(chan struct{})} }
@@ -67,6 +68,18 @@
 	return s.calls
 }
 
+func (s *simStore) countList() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+}
+
+func (s *simStore) listCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
 func objectAt(revision uint64) hawthornrail.ObjectChanges {
 	object := hawthornrail.NewObject("object", []byte(strconv.FormatUint(revision, 10)))
 	return hawthornrail.NewObjectChanges(revision, []hawthornrail.Object{object}, nil)
@@ -81,6 +94,10 @@
 	storeHealth *mirror.StoreHealth
 	watchRole   *mirror.WatchRole
 	exchange    *mirror.Exchange
+	// cachedRevision is the revision of cached lists if it is not the newest one.
+	cachedRevision uint64
+	// turnedAway is set if the store refuses all calls of the VM but cached lists.
+	turnedAway bool
 
 	mu sync.Mutex
 	// dark is set if no message reaches or leaves the VM, and storeSilent if
@@ -94,8 +111,10 @@
 	store *simStore
 	// inForce is how long a change may take until it is in force.
 	inForce time.Duration
-	vms     map[string]*simVM
 	running sync.WaitGroup
+
+	mu  sync.Mutex
+	vms map[string]*simVM
 }
 
 // newSimFleet starts VMs with the given addresses; the first letter of an
@@ -111,6 +130,18 @@
 	return f
 }
 
+func (f *simFleet) vm(address string) *simVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[address]
+}
+
+func (f *simFleet) add(v *simVM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[v.address] = v
+}
+
 func (v *simVM) start(ctx context.Context, addresses []string) {
 	dataCentre := v.address[:1]
 	v.storeHealth = mirror.NewStoreHealth(dataCentre, v.fleet.inForce)
@@ -164,7 +195,11 @@
 // List returns the object, or fails after its timeout if the store is silent.
 func (v *simVM) List(ctx context.Context, _ string) (hawthornrail.ObjectChanges, error) {
 	v.fleet.store.countCall()
+	v.fleet.store.countList()
 	time.Sleep(2 * hop)
+	if v.turnedAway {
+		return hawthornrail.ObjectChanges{}, errNoResponse
+	}
 	if !v.storeResponds() {
 		return hawthornrail.ObjectChanges{}, waitOut(ctx, listTimeout)
 	}
@@ -172,15 +207,23 @@
 	return objectAt(revision), nil
 }
 
-// ListCached is like List.
+// ListCached is like List, but may return an older revision.
 func (v *simVM) ListCached(ctx context.Context, kind string) (hawthornrail.ObjectChanges, error) {
-	return v.List(ctx, kind)
+	if v.cachedRevision == 0 {
+		return v.List(ctx, kind)
+	}
+	time.Sleep(2 * hop)
+	return objectAt(v.cachedRevision), nil
 }
 
 // Watch waits for a change. If the store falls silent meanwhile, nothing shows
 // it before the timeout.
 func (v *simVM) Watch(ctx context.Context, _ string, since uint64, timeout time.Duration) (hawthornrail.ObjectChanges, error) {
 	v.fleet.store.countCall()
+	if v.turnedAway {
+		time.Sleep(2 * hop)
+		return hawthornrail.ObjectChanges{}, errNoResponse
+	}
 	start := time.Now()
 	deadline := time.After(timeout)
 	for {
@@ -213,7 +256,7 @@
 
 // Invoke sends a request to another VM.
 func (v *simVM) Invoke(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
-	to := v.fleet.vms[address]
+	to := v.fleet.vm(address)
 	time.Sleep(hop)
 	if v.isDark() || to.isDark() {
 		<-ctx.Done()
@@ -241,13 +284,13 @@
 }
 
 // simulate runs a fleet in simulated time.
-func simulate(t *testing.T, addresses []string, run func(fleet *simFleet)) {
+func simulate(t *testing.T, addresses []string, run func(ctx context.Context, fleet *simFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		fleet := newSimFleet(ctx, addresses)
 		defer fleet.running.Wait()
 		defer cancel()
-		run(fleet)
+		run(ctx, fleet)
 	})
 }
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -21,6 +21,8 @@
 	heartbeatShare = 0.375
 	// minHeartbeatTimeout keeps the number of calls to the store low.
 	minHeartbeatTimeout = 100 * time.Millisecond
+	// catchUpTimeout is the wait of a watch that only fetches what was missed.
+	catchUpTimeout = time.Millisecond
 	// watchInterval is the pause between two watches; changes in quick
 	// succession are then fetched with one call.
 	watchInterval = 150 * time.Millisecond
@@ -73,28 +75,34 @@
 // watches it while this VM has to watch the store.
 func (f *Follower) Follow(ctx context.Context, kind string) {
 	backoff := firstBackoff
-	// The first list may be stale, since the watch after it catches up.
-	list := f.source.ListCached
-	listed := false
+	// A cached list may be some seconds old; the next step catches up with the store.
+	err := f.list(ctx, kind, f.source.ListCached)
+	caughtUp := false
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			f.awaitWatchRole(ctx, kind)
-			err = f.watch(ctx, kind)
-		} else {
-			err = f.list(ctx, kind, list)
-			list = f.source.List
-		}
-		// After any failure only a list is certain to miss nothing.
-		listed = err == nil
-		pause := watchInterval
-		if err == nil || errors.Is(err, hawthornrail.ErrHistoryCompacted) {
-			backoff = firstBackoff
-		} else {
-			pause = backoff/2 + rand.N(backoff)
+		switch {
+		case err != nil && !errors.Is(err, hawthornrail.ErrHistoryCompacted):
+			clock.Wait(ctx, f.clock, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
+		case caughtUp:
+			backoff = firstBackoff
+			clock.Wait(ctx, f.clock, watchInterval)
 		}
-		clock.Wait(ctx, f.clock, pause)
+		err = f.step(ctx, kind, caughtUp, err)
+		caughtUp = err == nil
+	}
+}
+
+// step makes the next call to the store. Before this VM waits for changes, it
+// catches up with those that it missed: by a list if the store has discarded them.
+func (f *Follower) step(ctx context.Context, kind string, caughtUp bool, previous error) error {
+	switch {
+	case f.mirror.Revision(kind) == 0 || errors.Is(previous, hawthornrail.ErrHistoryCompacted):
+		return f.listCurrent(ctx, kind)
+	case !caughtUp:
+		return f.watch(ctx, kind, catchUpTimeout)
+	default:
+		f.awaitWatchRole(ctx, kind)
+		return f.watch(ctx, kind, f.watchTimeout(kind))
 	}
 }
 
@@ -110,6 +118,16 @@
 	return nil
 }
 
+// listCurrent lists the kind as the store holds it now.
+func (f *Follower) listCurrent(ctx context.Context, kind string) error {
+	sent := f.clock.Now()
+	if err := f.list(ctx, kind, f.source.List); err != nil {
+		return err
+	}
+	f.confirm(kind, sent)
+	return nil
+}
+
 type listFunc func(ctx context.Context, kind string) (hawthornrail.ObjectChanges, error)
 
 // awaitWatchRole returns once this VM has to watch the store.
@@ -131,8 +149,8 @@
 	f.log.Event(events.WatchStarted).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
 }
 
-func (f *Follower) watch(ctx context.Context, kind string) error {
-	since, timeout, sent := f.mirror.Revision(kind), f.watchTimeout(kind), f.clock.Now()
+func (f *Follower) watch(ctx context.Context, kind string, timeout time.Duration) error {
+	since, sent := f.mirror.Revision(kind), f.clock.Now()
 	changes, err := f.source.Watch(ctx, kind, since, timeout)
 	f.recordResult(kind, err)
 	if err != nil {
@@ -141,20 +159,20 @@
 	if !f.mirror.ApplyChanges(kind, since, changes.WithSource(storeSource)) {
 		return hawthornrail.ErrHistoryCompacted
 	}
-	if kind == f.heartbeatKind {
-		f.storeHealth.Confirmed(f.confirmedAt(changes, sent.Add(timeout)))
+	// The store waits no longer than asked; the response may have been held up since.
+	waited := sent.Add(timeout)
+	if now := f.clock.Now(); now.Before(waited) {
+		waited = now
 	}
+	f.confirm(kind, waited)
 	return nil
 }
 
-// confirmedAt returns when the store sent the response to a watch whose wait ended
-// at waited: one without changes may have been held up on its way since then.
-func (f *Follower) confirmedAt(changes hawthornrail.ObjectChanges, waited time.Time) time.Time {
-	now := f.clock.Now()
-	if len(changes.Set())+len(changes.Removed()) == 0 && waited.Before(now) {
-		return waited
+// confirm records that the store confirmed at a time that this VM is up to date.
+func (f *Follower) confirm(kind string, at time.Time) {
+	if kind == f.heartbeatKind {
+		f.storeHealth.Confirmed(at)
 	}
-	return now
 }
 
 func (f *Follower) watchTimeout(kind string) time.Duration {
--- a/internal/config/mirror/late_change_test.go
+++ b/internal/config/mirror/late_change_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"context"
 	"testing"
 	"time"
 )
@@ -37,7 +38,7 @@
 			// The faults begin at different times within the polls.
 			for offset := time.Duration(0); offset < 2500*time.Millisecond; offset += 100 * time.Millisecond {
 				var took time.Duration
-				simulate(t, []string{"a1", "a2", "a3", "b1", "b2"}, func(fleet *simFleet) {
+				simulate(t, []string{"a1", "a2", "a3", "b1", "b2"}, func(_ context.Context, fleet *simFleet) {
 					time.Sleep(20 * time.Second)
 					fleet.store.change()
 					time.Sleep(offset)
@@ -60,7 +61,7 @@
 func TestChangeArrivesThroughOneOfManyVMs(t *testing.T) {
 	for i := range 40 {
 		var took time.Duration
-		simulate(t, []string{"a1", "a2", "b1", "b2", "b3", "c1", "c2"}, func(fleet *simFleet) {
+		simulate(t, []string{"a1", "a2", "b1", "b2", "b3", "c1", "c2"}, func(_ context.Context, fleet *simFleet) {
 			time.Sleep(10*time.Second + time.Duration(i)*50*time.Millisecond)
 			for _, address := range []string{"a2", "b1", "b3", "c1", "c2"} {
 				goDark(fleet.vms[address])
@@ -86,7 +87,7 @@
 func TestFollowingVMsDoNotCallTheStore(t *testing.T) {
 	const seconds = 60
 	var calls int
-	simulate(t, []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}, func(fleet *simFleet) {
+	simulate(t, []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"}, func(_ context.Context, fleet *simFleet) {
 		time.Sleep(10 * time.Second)
 		before := fleet.store.callCount()
 		time.Sleep(seconds * time.Second)
--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -64,6 +64,8 @@
 	// relayed is the same for the VMs that this VM follows.
 	confirmed time.Time
 	relayed   time.Time
+	// heard is the same for any VM that this VM has asked.
+	heard time.Time
 	// nextConfirmation is closed at the next confirmation by the store.
 	nextConfirmation chan struct{}
 	lost             map[string]bool
@@ -123,6 +125,14 @@
 	h.relayed = later(h.relayed, confirmed)
 }
 
+// Heard records when the store confirmed that some VM is up to date, all of whose
+// objects this VM holds.
+func (h *StoreHealth) Heard(confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = later(h.heard, confirmed)
+}
+
 // SourcesExpireIn returns how much longer this VM may rely on the VMs that it
 // follows. It is 0 if none of them has been up to date recently.
 func (h *StoreHealth) SourcesExpireIn(now time.Time) time.Duration {
@@ -222,9 +232,16 @@
 	return max(0, h.settledAt.Sub(now))
 }
 
-// LastConfirmed returns when this VM was last known to be up to date.
+// LastConfirmed returns when this VM was last known to be up to date, whoever
+// confirmed it.
 func (h *StoreHealth) LastConfirmed() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return later(h.confirmed, h.relayed)
+	return later(h.heard, later(h.confirmed, h.relayed))
+}
+
+// Current reports whether this VM was up to date so recently that it can't have
+// missed a change that has to be in force.
+func (h *StoreHealth) Current(now time.Time) bool {
+	return h.expiresIn(h.LastConfirmed(), now) > 0
 }
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -162,7 +162,7 @@
 
 func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, q hawthornrail.Quarantine, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
 	chain := proxy.Chain(f,
-		proxy.NewIdentify(n.Config()),
+		proxy.NewIdentify(n.Config(), n.Freshness()),
 		proxy.NewQuarantine(q),
 		proxy.NewBudget(a, n.Config()),
 		proxy.NewAdmit(n.Rates(), n.Clock(), m),
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -87,6 +87,7 @@
 	mirror      *mirror.Mirror
 	storeHealth *mirror.StoreHealth
 	watchRole   *mirror.WatchRole
+	freshness   *mirror.Freshness
 	follower    *mirror.Follower
 	exchange    *mirror.Exchange
 	subscriber  *mirror.Subscriber
@@ -122,6 +123,7 @@
 	n.server = peer.NewServer(self, nil, nil, n.clock, n.log.Layer("peer"))
 	n.mirror = mirror.New(n.applyObjects)
 	n.storeHealth = mirror.NewStoreHealth(s.DataCentre(), s.ConfigInForce())
+	n.freshness = mirror.NewFreshness(n.storeHealth, n.clock)
 	n.watchRole = mirror.NewWatchRole()
 	n.follower = mirror.NewFollower(mirror.FollowerDependencies{
 		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config, InForce: s.ConfigInForce(),
@@ -291,10 +293,13 @@
 // Adapter returns the interfaces to the platform.
 func (n *Node) Adapter() Adapter { return n.adapter }
 
+// Freshness returns how far the configuration in force can be relied on.
+func (n *Node) Freshness() *mirror.Freshness { return n.freshness }
+
 // Ready reports whether a configuration is in force, a holder is known and the
 // rates are ready.
 func (n *Node) Ready() bool {
-	return n.catalogue.Snapshot().Revision() > 0 && n.hasHolder() && n.rates.Ready()
+	return n.catalogue.Snapshot().Revision() > 0 && n.freshness.Usable() && n.hasHolder() && n.rates.Ready()
 }
 
 func (n *Node) hasHolder() bool {
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -23,6 +23,10 @@
 	compactedRevision uint64
 	changed           chan struct{}
 	down              bool
+	// cached are the lists that cached reads get instead of the current ones, and
+	// onlyCached is set if all other calls fail.
+	cached     map[string]any
+	onlyCached bool
 }
 
 type storedObject struct {
@@ -59,6 +63,25 @@
 	s.notifyWatchers()
 }
 
+// FreezeCache keeps the lists of cached reads as they are now.
+func (s *Store) FreezeCache() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cached = make(map[string]any)
+	for kind := range s.kinds {
+		s.cached[kind] = s.listLocked(kind)
+	}
+}
+
+// ServeOnlyCache sets whether every HTTP request but cached reads fails with status
+// 503.
+func (s *Store) ServeOnlyCache(only bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onlyCached = only
+	s.notifyWatchers()
+}
+
 // Forget removes the event history, so that watches from an earlier revision fail
 // and have to be started again.
 func (s *Store) Forget() {
@@ -112,8 +135,9 @@
 }
 
 func (s *Store) handle(w http.ResponseWriter, r *http.Request) {
+	cachedRead := r.URL.Query().Has("serializable")
 	s.mu.Lock()
-	down := s.down
+	down := s.down || s.onlyCached && !cachedRead
 	s.mu.Unlock()
 	segments := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	switch {
@@ -122,7 +146,7 @@
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, segments[0])
 	case r.Method == http.MethodGet && len(segments) == 1:
-		s.list(w, segments[0])
+		s.list(w, segments[0], cachedRead)
 	case r.Method == http.MethodGet:
 		s.get(w, segments[0], segments[1])
 	default:
@@ -136,15 +160,23 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *Store) list(w http.ResponseWriter, kind string) {
+func (s *Store) list(w http.ResponseWriter, kind string, cachedRead bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if list, ok := s.cached[kind]; ok && cachedRead {
+		writeJSON(w, http.StatusOK, list)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.listLocked(kind))
+}
+
+func (s *Store) listLocked(kind string) any {
 	items := []storedObject{}
 	for _, o := range s.kinds[kind] {
 		items = append(items, o)
 	}
 	slices.SortFunc(items, func(a, b storedObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "store_revision": s.revision})
+	return map[string]any{"items": items, "has_more": false, "store_revision": s.revision}
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
@@ -187,7 +219,7 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, compacted, down, revision, changed := s.eventsAfter(kind, since), since < s.compactedRevision, s.down, s.revision, s.changed
+		events, compacted, down, revision, changed := s.eventsAfter(kind, since), since < s.compactedRevision, s.down || s.onlyCached, s.revision, s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
