Bound what is held of endpoints' responses, each and together

Callers of a VM lost their requests when one endpoint sent bytes without end: the VM kept them (198 MB for one body of 32 MiB), and handed out the first 32 MiB as a whole response. An event without end was kept without any bound and searched from its start for each part.

Cause: three separate bounds of 32 MiB a response, none of which looked at what else the process held; a reader that took its own limit for the end of the body; none for events, for the report of an engine's memory, and for bytes that hold nothing to use (extensions of chunk sizes, interim responses).

Change: what responses in flight hold counts in one place. A body and an event have a limit each in the settings, all together an eighth of the VM's memory. Beyond it the connection is closed, the endpoint has failed, the request may have run (event 2121, forwards_oversized). A connection on which two heads' worth of bytes arrive without anything to use is given up. A refusal's body is read only if it is short and there. An incomplete event is searched from where the search ended.

Conclusion: endpoints that send without end cost their own requests. The bodies that callers send are still bounded one by one only.

--- a/internal/endpoint/engine/engine.go
+++ b/internal/endpoint/engine/engine.go
@@ -90,6 +90,9 @@
 	chunk := make([]byte, copyBufferSize)
 	for !a.done {
 		n, readErr := exchange.Read(chunk)
+		if err := exchange.Hold(a.body.Len() + n); err != nil {
+			return err
+		}
 		used, err := a.add(chunk[:n])
 		if err != nil {
 			return err
--- a/internal/endpoint/engine/memory.go
+++ b/internal/endpoint/engine/memory.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	nethttp "net/http"
 	"net/url"
 
@@ -59,7 +58,7 @@
 		return nil, fmt.Errorf("%s %s at %s: %w", method, path, e.Name(), err)
 	}
 	defer exchange.Close()
-	body, err := io.ReadAll(exchange)
+	body, err := exchange.ReadAll()
 	if err != nil {
 		return nil, fmt.Errorf("%s %s at %s: %w", method, path, e.Name(), err)
 	}
--- a/internal/endpoint/engine/response.go
+++ b/internal/endpoint/engine/response.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	dataPrefix       = "data: "
-	endMarker        = "[DONE]"
-	maxResponseBytes = 32 << 20
+	dataPrefix = "data: "
+	endMarker  = "[DONE]"
 )
 
 // assembler collects a response and extracts the assistant's message and the
@@ -62,9 +61,6 @@
 func (a *assembler) add(chunk []byte) (int, error) {
 	before := a.body.Len()
 	a.body.Write(chunk)
-	if a.body.Len() > maxResponseBytes {
-		return 0, fmt.Errorf("more than %d bytes: %w", maxResponseBytes, errIncomplete)
-	}
 	for a.stream && !a.done {
 		line, ok := a.nextLine()
 		if !ok {
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -10,14 +10,14 @@
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
+	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
 )
 
 const (
-	statusOK         = nethttp.StatusOK
-	maxResponseBytes = 32 << 20
+	statusOK = nethttp.StatusOK
 	// maxUnreached is how many endpoints may refuse a connection until the request goes
 	// through another VM.
 	maxUnreached = 2
@@ -169,7 +169,7 @@
 		return nil, d.failWithoutResponse(ctx, a, err)
 	}
 	a.exchange = direct{response}
-	return d.checkHead(a, response.Header())
+	return d.checkHead(a, response)
 }
 
 // track tracks whether the endpoint of an attempt is reached. Once this VM reaches none,
@@ -236,7 +236,8 @@
 
 // checkHead evaluates the head of a response; an endpoint that did not run the
 // request is not tried again for it.
-func (d *dispatch) checkHead(a *attempt, h *fasthttp.ResponseHeader) (*attempt, error) {
+func (d *dispatch) checkHead(a *attempt, response *http.Exchange) (*attempt, error) {
+	h := response.Header()
 	reading := d.deps.Codec.Read(h.StatusCode(), h)
 	if reading.Load {
 		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()))
@@ -251,7 +252,7 @@
 		return a, nil
 	}
 	d.progress.Exclude(a.endpoint.Name())
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.exchange, maxResponseBytes))
+	response.Discard()
 	code := hawthornrail.CodeOverload
 	if reading.WrongInstance {
 		code = hawthornrail.CodeEndpointFailed
@@ -295,8 +296,10 @@
 
 // readWhole reads a response to its end before any of it reaches the caller.
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
+	buffer := d.deps.Buffers.Body()
+	defer buffer.Release()
 	for {
-		body, err := io.ReadAll(io.LimitReader(a.exchange, maxResponseBytes))
+		body, err := buffer.ReadAll(a.exchange)
 		if err == nil && d.brokenOff(a) {
 			err = io.ErrUnexpectedEOF
 		}
--- a/internal/endpoint/forward/events.go
+++ b/internal/endpoint/forward/events.go
@@ -11,8 +11,10 @@
 // caller has already received.
 type eventSplitter struct {
 	partial []byte
-	lastID  string
-	count   int
+	// searched is how much of partial holds no end of an event.
+	searched int
+	lastID   string
+	count    int
 	// resumed is set once the events come from a response that goes on with those
 	// of an earlier one.
 	resumed bool
@@ -26,16 +28,21 @@
 func (s *eventSplitter) add(out, data []byte) []byte {
 	s.partial = append(s.partial, data...)
 	start := 0
+	// The end may be split between two parts.
+	from := max(0, s.searched-len(eventEnd)+1)
 	for {
-		length := bytes.Index(s.partial[start:], eventEnd)
+		length := bytes.Index(s.partial[from:], eventEnd)
 		if length < 0 {
 			break
 		}
-		end := start + length + len(eventEnd)
+		end := from + length + len(eventEnd)
 		out = s.appendEvent(out, s.partial[start:end])
-		start = end
+		start, from = end, end
 	}
-	s.partial = append(s.partial[:0], s.partial[start:]...)
+	if start > 0 {
+		s.partial = append(s.partial[:0], s.partial[start:]...)
+	}
+	s.searched = len(s.partial)
 	return out
 }
 
@@ -61,7 +68,7 @@
 // resume prepares for the events of another response. It drops the incomplete
 // event, which that one sends again.
 func (s *eventSplitter) resume() {
-	s.partial = s.partial[:0]
+	s.partial, s.searched = s.partial[:0], 0
 	s.resumed, s.foreign = true, false
 }
 
--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -47,6 +47,7 @@
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
 	d.progress.SetMayHaveRun()
 	d.trial = false
+	d.recordOversized(a, err)
 	if a.indirect {
 		d.finish(a, err, 0)
 		return d.failResponse(a, err)
@@ -97,6 +98,17 @@
 	return !a.exchange.Framed() && d.gone(a.endpoint)
 }
 
+// recordOversized records that a response was given up because it is too long, or
+// because all responses hold too much.
+func (d *dispatch) recordOversized(a *attempt, err error) {
+	if !errors.Is(err, http.ErrOversized) && !errors.Is(err, http.ErrBuffersFull) {
+		return
+	}
+	d.deps.Forwards.Oversized()
+	d.deps.Log.Event(events.ResponseOversized).Str("endpoint", a.endpoint.Name()).Str("helper", a.helper.Name()).
+		Str("request", d.request.ID()).Int("held_bytes", int(d.deps.Buffers.Held())).Err(err).Emit()
+}
+
 // recordCrash records that an endpoint has ended while it had the request.
 func (d *dispatch) recordCrash(e hawthornrail.Endpoint, err error) {
 	digests, team := d.request.Digests(), d.request.Deployment().Team()
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -31,9 +31,11 @@
 	Config    hawthornrail.Configuration
 	Pool      *pool.Pool
 	Transport *http.Transport
-	Codec     hawthornrail.EndpointCodec
-	Clock     hawthornrail.Clock
-	Forwards  *metrics.Forwards
+	// Buffers count what is held of responses.
+	Buffers  *http.Buffers
+	Codec    hawthornrail.EndpointCodec
+	Clock    hawthornrail.Clock
+	Forwards *metrics.Forwards
 	// Quarantine decides which requests are sent to endpoints.
 	Quarantine hawthornrail.Quarantine
 	// Origins knows which version of a service began a stream.
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -38,6 +38,8 @@
 	splitter eventSplitter
 	ready    []byte
 	buffer   []byte
+	// held counts the bytes of the incomplete event.
+	held *http.Buffer
 	// recorded is set once the origin of the stream is recorded.
 	recorded bool
 	err      error
@@ -45,7 +47,7 @@
 
 // stream returns a response whose events are forwarded as they arrive.
 func (d *dispatch) stream(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
-	s := &eventStream{ctx: ctx, dispatch: d, attempt: a}
+	s := &eventStream{ctx: ctx, dispatch: d, attempt: a, held: d.deps.Buffers.Event()}
 	s.splitter.lastID = d.progress.LastEvent()
 	return hawthornrail.NewForwardStream(a.exchange.Status(), a.exchange.EndToEnd(), s).WithVersion(d.versionOf(a)), nil
 }
@@ -76,6 +78,10 @@
 		s.resume(errForeignEvent)
 		return
 	}
+	if err := s.held.Hold(len(s.splitter.partial)); err != nil {
+		s.resume(err)
+		return
+	}
 	if err == nil {
 		return
 	}
@@ -144,6 +150,8 @@
 	if err != nil {
 		s.err = interrupted(err)
 	}
+	s.splitter.partial = nil
+	s.held.Release()
 	s.dispatch.finish(s.attempt, err, s.splitter.count*s.dispatch.service.TokensPerEvent())
 }
 
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -24,6 +24,15 @@
 	keepAliveMargin = 500 * time.Millisecond
 	maxIdleConns    = 64
 
+	// maxDiscardBytes and discardTimeout bound what is read to keep a connection: a
+	// new one costs less.
+	maxDiscardBytes = 4 << 10
+	discardTimeout  = 20 * time.Millisecond
+
+	// unusedHeads is how many of the longest heads may arrive in a row without one that
+	// is used.
+	unusedHeads = 2
+
 	// closeDelimited is the content length that fasthttp reports for a body that
 	// ends when its connection is closed.
 	closeDelimited = -2
@@ -47,8 +56,10 @@
 	clock  hawthornrail.Clock
 	dialer hawthornrail.Dialer
 
-	// maxHeadBytes bounds a response's status line and header fields.
+	// maxHeadBytes bounds a response's status line and header fields, and buffers
+	// what is collected of bodies.
 	maxHeadBytes int
+	buffers      *Buffers
 
 	dialed atomic.Int64
 
@@ -65,17 +76,37 @@
 	used bool
 	// observer is told of the bytes that arrive for the current request, if any.
 	observer Observer
+	// unused counts the bytes that have arrived since the last part of a head or a body
+	// was used, and maxUnused bounds them: an endpoint may send without end where a
+	// response holds nothing to use, such as interim responses.
+	unused    int
+	maxUnused int
 }
 
 // Read reads from the connection and tells the observer that the endpoint was heard.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.flooded() {
+		return 0, ErrOversized
+	}
 	n, err := c.Conn.Read(p)
+	c.unused += n
 	if n > 0 && c.observer != nil {
 		c.observer.Heard()
 	}
 	return n, err
 }
 
+// flooded reports whether the endpoint has sent too many bytes that can't be used.
+func (c *conn) flooded() bool { return c.unused > c.maxUnused }
+
+// explain returns err with its reason if it comes from a flooded connection.
+func (c *conn) explain(err error) error {
+	if c.flooded() && !errors.Is(err, ErrOversized) {
+		return fmt.Errorf("%w: %w", ErrOversized, err)
+	}
+	return err
+}
+
 // Observer is told what shows whether an endpoint is reached while it has a request.
 type Observer interface {
 	// Sent is told the connection that the request is sent on.
@@ -86,7 +117,7 @@
 
 // New returns a transport with an empty pool.
 func New(clock hawthornrail.Clock, dialer hawthornrail.Dialer) *Transport {
-	return &Transport{clock: clock, dialer: dialer, maxHeadBytes: defaultMaxHeadBytes, idle: make(map[string][]idleConn)}
+	return &Transport{clock: clock, dialer: dialer, maxHeadBytes: defaultMaxHeadBytes, buffers: defaultBuffers(), idle: make(map[string][]idleConn)}
 }
 
 // LimitHeads bounds the status line and header fields of responses in bytes, and returns
@@ -96,6 +127,13 @@
 	return t
 }
 
+// WithBuffers sets the buffers that collected bodies count in, and returns the
+// transport.
+func (t *Transport) WithBuffers(b *Buffers) *Transport {
+	t.buffers = b
+	return t
+}
+
 // Exchange is a response whose body is still arriving.
 type Exchange struct {
 	transport  *Transport
@@ -105,6 +143,7 @@
 	accept     Accept
 	stopCancel func() bool
 	finished   bool
+	buffer     *Buffer
 }
 
 // Accept reports whether a response belongs to the request that was sent; a
@@ -136,7 +175,7 @@
 		_ = c.Close()
 		return nil, errors.Join(ErrUnsent, err)
 	}
-	c.observer = observer
+	c.observer, c.unused = observer, 0
 	if observer != nil {
 		if dialed {
 			observer.Heard()
@@ -144,7 +183,7 @@
 		observer.Sent(c.Conn)
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = c.Close() })
-	e := &Exchange{transport: t, address: address, conn: c, stopCancel: stopCancel, accept: accept}
+	e := &Exchange{transport: t, address: address, conn: c, stopCancel: stopCancel, accept: accept, buffer: t.buffers.Body()}
 	if err := e.roundTrip(request); err != nil {
 		e.Close()
 		return nil, err
@@ -183,8 +222,9 @@
 		err = e.response.ReadLimitBody(e.conn.reader, 0)
 	}
 	if err != nil {
-		return fmt.Errorf("read response: %w", err)
+		return fmt.Errorf("read response: %w", e.conn.explain(err))
 	}
+	e.conn.unused = 0
 	return nil
 }
 
@@ -208,16 +248,21 @@
 	return true
 }
 
-// discardBody reads a response that belongs to another request to its end.
+// discardBody reads a response that belongs to another request to its end, which has
+// to come before as many bytes as a body may have.
 func (e *Exchange) discardBody() error {
 	if !e.Framed() {
 		return errStrayResponses
 	}
-	if body := e.response.BodyStream(); body != nil {
-		if _, err := io.Copy(io.Discard, body); err != nil {
-			return fmt.Errorf("read stray response: %w", err)
-		}
+	limit := int64(e.transport.buffers.limits.BodyBytes)
+	n, err := io.Copy(io.Discard, io.LimitReader(e, limit+1))
+	if err != nil {
+		return fmt.Errorf("read stray response: %w", err)
 	}
+	if n > limit {
+		return fmt.Errorf("read stray response: %w", ErrOversized)
+	}
+	e.finished = false
 	_ = e.response.CloseBodyStream()
 	return nil
 }
@@ -246,15 +291,43 @@
 		return 0, io.EOF
 	}
 	n, err := body.Read(p)
+	if n > 0 {
+		e.conn.unused = 0
+	}
 	if errors.Is(err, io.EOF) {
 		e.finished = true
+		return n, err
+	}
+	if err != nil {
+		err = e.conn.explain(err)
 	}
 	return n, err
 }
 
+// Hold records that the caller holds a number of bytes of the body until Close; it
+// returns ErrOversized or ErrBuffersFull if it may not.
+func (e *Exchange) Hold(bytes int) error { return e.buffer.Hold(bytes) }
+
+// ReadAll reads the body to its end.
+func (e *Exchange) ReadAll() ([]byte, error) { return e.buffer.ReadAll(e) }
+
+// Discard reads a short body, so that the connection can be used again. It gives up a
+// body that is long or does not arrive.
+func (e *Exchange) Discard() {
+	if e.response.Header.ContentLength() > maxDiscardBytes || e.conn.SetReadDeadline(e.transport.clock.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	// What can't be read leaves the connection unfinished, and Close closes it.
+	_, _ = io.Copy(io.Discard, io.LimitReader(e, maxDiscardBytes))
+	if e.conn.SetReadDeadline(time.Time{}) != nil {
+		e.finished = false
+	}
+}
+
 // Close returns the connection to the pool if the body was read to its end, and
 // closes it otherwise.
 func (e *Exchange) Close() {
+	e.buffer.Release()
 	notCancelled := e.stopCancel()
 	reusable := notCancelled && e.finished && e.response != nil && !e.response.ConnectionClose() && e.Framed() && e.conn.reader.Buffered() == 0
 	keepFor := idleTimeout
@@ -282,7 +355,7 @@
 		return nil, false, fmt.Errorf("dial endpoint: %w", err)
 	}
 	t.dialed.Add(1)
-	c = &conn{Conn: netConn}
+	c = &conn{Conn: netConn, maxUnused: unusedHeads * t.maxHeadBytes}
 	c.reader = bufio.NewReader(c)
 	return c, true, nil
 }
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -13,10 +13,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
 )
 
-const (
-	copyBufferSize   = 16 << 10
-	maxResponseBytes = 32 << 20
-)
+const copyBufferSize = 16 << 10
 
 // errIncomplete means that a complete response can't be distinguished from a
 // truncated one.
@@ -79,6 +76,9 @@
 	chunk := make([]byte, copyBufferSize)
 	for {
 		n, err := exchange.Read(chunk)
+		if err := exchange.Hold(body.Len() + n); err != nil {
+			return nil, err
+		}
 		body.Write(chunk[:n])
 		if n > 0 {
 			// A request in flight does not end when the caller disconnects: its
@@ -91,8 +91,5 @@
 		if err != nil {
 			return nil, err
 		}
-		if body.Len() > maxResponseBytes {
-			return nil, fmt.Errorf("more than %d bytes: %w", maxResponseBytes, errIncomplete)
-		}
 	}
 }
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -50,6 +50,7 @@
 	ForwardDetoured    = register(2118, zerolog.InfoLevel, "request sent through another VM, since this one reaches no endpoint", "")
 	DetourReceived     = register(2119, zerolog.InfoLevel, "request of another VM received for an endpoint", "")
 	DetourEnded        = register(2120, zerolog.InfoLevel, "request of another VM ended", "")
+	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 )
 
 // The events of programs.
--- a/internal/observe/metrics/forwards.go
+++ b/internal/observe/metrics/forwards.go
@@ -12,6 +12,7 @@
 	nameRetried   = "forwards.retried"
 	nameResumed   = "forwards.resumed"
 	nameCrashed   = "forwards.endpoint_crashed"
+	nameOversized = "forwards.oversized"
 	nameDetoured  = "forwards.detoured"
 	nameDetour    = "forwards.detour_us"
 	nameFirstByte = "forwards.first_byte_us"
@@ -37,6 +38,7 @@
 	resumed   metrics.Counter
 	detoured  metrics.Counter
 	crashed   metrics.Counter
+	oversized metrics.Counter
 	teams     *capped
 	services  *capped
 	endpoints *lru
@@ -50,6 +52,7 @@
 		resumed:   metrics.NewRegisteredCounter(nameResumed, registry),
 		detoured:  metrics.NewRegisteredCounter(nameDetoured, registry),
 		crashed:   metrics.NewRegisteredCounter(nameCrashed, registry),
+		oversized: metrics.NewRegisteredCounter(nameOversized, registry),
 		teams:     newCapped(maxTeams),
 		services:  newCapped(maxServices),
 		endpoints: newLRU(maxEndpoints),
@@ -65,6 +68,9 @@
 // Crashed counts a request whose endpoint ended while it had the request.
 func (f *Forwards) Crashed() { f.crashed.Inc(1) }
 
+// Oversized counts a response that was given up because it is too long.
+func (f *Forwards) Oversized() { f.oversized.Inc(1) }
+
 // Detoured records the duration of a request that went through another VM.
 func (f *Forwards) Detoured(duration time.Duration) {
 	f.detoured.Inc(1)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -78,8 +78,9 @@
 		func() *trail.Recorder {
 			return trail.NewRecorder(n.Output(), n.Settings().VM(), n.Settings().LogSample())
 		},
-		func() *endpointhttp.Transport {
-			return endpointhttp.New(n.Clock(), n.Adapter().Dialer).LimitHeads(n.Settings().MaxResponseHeaderBytes())
+		func() *endpointhttp.Buffers { return newBuffers(n.Settings()) },
+		func(b *endpointhttp.Buffers) *endpointhttp.Transport {
+			return endpointhttp.New(n.Clock(), n.Adapter().Dialer).LimitHeads(n.Settings().MaxResponseHeaderBytes()).WithBuffers(b)
 		},
 		func() *pool.Pool {
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
@@ -105,6 +106,12 @@
 	return c, nil
 }
 
+func newBuffers(s machine.Settings) *endpointhttp.Buffers {
+	return endpointhttp.NewBuffers(endpointhttp.BufferLimits{
+		BodyBytes: s.MaxResponseBodyBytes(), EventBytes: s.MaxEventBytes(), TotalBytes: s.ResponseBytes(),
+	})
+}
+
 func newAccounts(n *node.Node) hawthornrail.Accounts {
 	return account.NewClient(account.ClientDependencies{
 		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(),
@@ -138,6 +145,7 @@
 	Node       *node.Node
 	Pool       *pool.Pool
 	Transport  *endpointhttp.Transport
+	Buffers    *endpointhttp.Buffers
 	Forwards   *metrics.Forwards
 	Quarantine hawthornrail.Quarantine
 	Origins    hawthornrail.StreamOrigins
@@ -148,8 +156,9 @@
 func newForwarder(in forwarderIn) *forward.Forwarder {
 	n := in.Node
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", in.Transport.Dialed)
+	metrics.Gauge(n.Metrics(), "endpoints.held_bytes", in.Buffers.Held)
 	return forward.New(forward.Dependencies{
-		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
+		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Buffers: in.Buffers, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
 		Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
 	})
 }
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -16,10 +16,15 @@
 	defaultMaxBodyBytes   = 4 << 20
 
 	defaultMaxResponseHeaderBytes = 64 << 10
-	defaultGrace                  = 8 * time.Second
-	defaultSample                 = 100
-	defaultMemoryMB               = 128
-	defaultInForce                = 2 * time.Second
+	defaultMaxResponseBodyBytes   = 4 << 20
+	defaultMaxEventBytes          = 256 << 10
+	// responseShare is the fraction of the memory limit that responses in flight may
+	// hold.
+	responseShare   = 8
+	defaultGrace    = 8 * time.Second
+	defaultSample   = 100
+	defaultMemoryMB = 128
+	defaultInForce  = 2 * time.Second
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -70,6 +75,8 @@
 	MemoryMB       int `toml:"memory_mb"`
 
 	MaxResponseHeaderBytes int `toml:"max_response_header_bytes"`
+	MaxResponseBodyBytes   int `toml:"max_response_body_bytes"`
+	MaxEventBytes          int `toml:"max_event_bytes"`
 }
 
 type configSection struct {
@@ -120,6 +127,7 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	f.Limits.setDefaults(meta)
 	problems := f.check()
 	for _, key := range meta.Undecoded() {
 		problems = append(problems, fmt.Errorf("%s: unknown key", key))
@@ -148,6 +156,9 @@
 	require(f.Limits.MaxBodyBytes > 0, "limits.max_body_bytes", "a positive number")
 	require(f.Limits.MaxResponseHeaderBytes > 0, "limits.max_response_header_bytes", "a positive number")
 	require(f.Limits.MemoryMB > 0, "limits.memory_mb", "a positive number")
+	share := f.Limits.responseBytes()
+	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
+	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
 	require(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
@@ -157,6 +168,19 @@
 	return problems
 }
 
+// setDefaults sets the limits whose defaults depend on the memory limit.
+func (l *limitsSection) setDefaults(meta toml.MetaData) {
+	if !meta.IsDefined("limits", "max_response_body_bytes") {
+		l.MaxResponseBodyBytes = min(defaultMaxResponseBodyBytes, l.responseBytes())
+	}
+	if !meta.IsDefined("limits", "max_event_bytes") {
+		l.MaxEventBytes = min(defaultMaxEventBytes, l.responseBytes())
+	}
+}
+
+// responseBytes returns how many bytes responses in flight may hold.
+func (l limitsSection) responseBytes() int { return l.MemoryMB << 20 / responseShare }
+
 func address(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
@@ -203,6 +227,16 @@
 // header fields.
 func (s Settings) MaxResponseHeaderBytes() int { return s.file.Limits.MaxResponseHeaderBytes }
 
+// MaxResponseBodyBytes returns the maximum size of a response's body that is not a
+// stream.
+func (s Settings) MaxResponseBodyBytes() int { return s.file.Limits.MaxResponseBodyBytes }
+
+// MaxEventBytes returns the maximum size of one event of a stream.
+func (s Settings) MaxEventBytes() int { return s.file.Limits.MaxEventBytes }
+
+// ResponseBytes returns how many bytes responses in flight may hold together.
+func (s Settings) ResponseBytes() int64 { return int64(s.file.Limits.responseBytes()) }
+
 // MaxBodyBytes returns the maximum size of a request's body.
 func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
 
--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -44,6 +44,14 @@
 		}
 		assertProblem(t, valid+"[config]\nin_force_ms = 0\n", "config.in_force_ms: want a positive number")
 	})
+	t.Run("size of responses", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[limits]\nmemory_mb = 16\n")
+		if err != nil || s.MaxResponseBodyBytes() != 2<<20 || s.ResponseBytes() != 2<<20 || s.MaxEventBytes() != 256<<10 {
+			t.Errorf("body %d, event %d, all %d bytes, error %v", s.MaxResponseBodyBytes(), s.MaxEventBytes(), s.ResponseBytes(), err)
+		}
+		assertProblem(t, valid+"[limits]\nmax_response_body_bytes = 20000000\n", "limits.max_response_body_bytes")
+		assertProblem(t, valid+"[limits]\nmax_event_bytes = 0\n", "limits.max_event_bytes")
+	})
 	t.Run("unknown key", func(t *testing.T) { assertProblem(t, valid+"[log]\nsamples = 1\n", "log.samples: unknown key") })
 	t.Run("wrong type", func(t *testing.T) { assertProblem(t, valid+"[log]\nsample = \"x\"\n", "sample") })
 	t.Run("address without a port", func(t *testing.T) { assertProblem(t, valid+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -71,6 +71,8 @@
 	faults       []Fault
 	headCuts     []headCut
 	headPadding  int
+	floodPath    string
+	flood        Flood
 	runs         []Run
 	disconnected []string
 	dials        int
@@ -349,6 +351,10 @@
 	if fault == RefuseAgain {
 		_, _ = fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
+	if flood, ok := w.floodFor(r.URL.Path); ok {
+		w.sendFlood(c, id, flood)
+		return false
+	}
 	switch {
 	case fault == Lose:
 		return false
