Keep the rate limit of an endpoint whose entry lapses

Cause: VMs dropped an endpoint's state with its entry, and with it the limit that it had told them.

Change: limits are kept by name while the endpoint is not listed, as is its draining.

Conclusion: ruled out were the store as a carrier of the limit, and VMs that take it whole: those that knew it kept to it at all other endpoints.

--- a/internal/policy/endpoint/limit.go
+++ b/internal/policy/endpoint/limit.go
@@ -8,6 +8,9 @@
 	timeSlotLifetime = time.Second
 	// minPeriod bounds the time between two time slots of a VM from below.
 	minPeriod = time.Microsecond
+	// maxUnlisted is the maximum number of limits that are kept of endpoints that are
+	// not listed.
+	maxUnlisted = 4096
 )
 
 // TimeSlots is the position of a VM among the VMs that send to the same endpoints,
@@ -69,3 +72,28 @@
 		l.lastTimeSlot = l.nextTimeSlot(slots, now)
 	}
 }
+
+// unlistedLimits are the rate limits of endpoints that are not listed, by name. The
+// entry of a running endpoint may lapse and come back; the limit holds all the while.
+type unlistedLimits map[string]rateLimit
+
+// keep keeps a limit, if it is one, and drops another one if there are too many.
+func (u unlistedLimits) keep(name string, l rateLimit) {
+	if l.perSecond <= 0 {
+		return
+	}
+	for other := range u {
+		if len(u) < maxUnlisted {
+			break
+		}
+		delete(u, other)
+	}
+	u[name] = l
+}
+
+// take removes the limit of an endpoint and returns it.
+func (u unlistedLimits) take(name string) rateLimit {
+	l := u[name]
+	delete(u, name)
+	return l
+}
--- a/internal/policy/endpoint/limit_test.go
+++ b/internal/policy/endpoint/limit_test.go
@@ -46,9 +46,14 @@
 func (f *limitedFleet) restart(vm int) {
 	t := endpoint.NewTable(endpoint.ForwardParams(), "dc1", f.random)
 	t.SetTimeSlots(endpoint.NewTimeSlots(vm, len(f.tables)))
-	t.Set([]hawthornrail.Endpoint{hawthornrail.NewEndpoint(limitedName, hawthornrail.EngineEndpoint, "dc1", "10.0.0.1:1", []string{"m"}).WithSlots(8)})
-	t.SetRateLimit(limitedName, f.perSecond, f.now)
 	f.tables[vm] = t
+	f.list(vm)
+	t.SetRateLimit(limitedName, f.perSecond, f.now)
+}
+
+// list lists the endpoint at a VM.
+func (f *limitedFleet) list(vm int) {
+	f.tables[vm].Set([]hawthornrail.Endpoint{hawthornrail.NewEndpoint(limitedName, hawthornrail.EngineEndpoint, "dc1", "10.0.0.1:1", []string{"m"}).WithSlots(8)})
 }
 
 // offer lets a VM choose an endpoint for a request.
@@ -154,6 +159,42 @@
 	}
 }
 
+// Guards against LIMIT: the entry of an endpoint lapses and comes back while the store
+// loses writes, and VMs that had been told of its limit have forgotten it.
+func TestRateLimitOutlivesEntry(t *testing.T) {
+	for _, vms := range []int{9, 62} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			f := newLimitedFleet(1, vms, 2.2)
+			for range 5 {
+				f.run(3*time.Second, f.all)
+				for vm := range f.tables {
+					f.tables[vm].Set(nil)
+				}
+				f.run(time.Second, f.all)
+				for vm := range f.tables {
+					f.list(vm)
+				}
+			}
+			f.assertKept(t)
+		})
+	}
+	t.Run("told while it is not listed", func(t *testing.T) {
+		f := newLimitedFleet(1, 2, 1)
+		f.tables[0].Set(nil)
+		f.tables[0].SetRateLimit(limitedName, 0, f.now)
+		f.list(0)
+		if changed := f.tables[0].SetRateLimit(limitedName, 0, f.now); changed {
+			t.Error("the limit has not ended")
+		}
+		f.tables[0].Set(nil)
+		f.tables[0].SetRateLimit(limitedName, 1, f.now)
+		f.list(0)
+		if changed := f.tables[0].SetRateLimit(limitedName, 0, f.now); !changed {
+			t.Error("the limit has not begun")
+		}
+	})
+}
+
 func TestRateLimit(t *testing.T) {
 	query := func(excluded ...string) hawthornrail.PickQuery {
 		return hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, "m", "", 100).Excluding(excluded)
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -93,6 +93,7 @@
 	states       map[string]*endpointState
 	listed       []hawthornrail.Endpoint
 	draining     *drainingSet
+	unlisted     unlistedLimits
 	local        []*endpointState
 	remote       []*endpointState
 	hints        map[string]hint
@@ -119,7 +120,7 @@
 func NewTable(params Params, dataCentre string, random *rand.Rand) *Table {
 	return &Table{
 		params: params, dataCentre: dataCentre, random: random, senders: 1, timeSlots: NewTimeSlots(0, 1),
-		states: make(map[string]*endpointState), draining: newDrainingSet(), hints: make(map[string]hint),
+		states: make(map[string]*endpointState), draining: newDrainingSet(), unlisted: make(unlistedLimits), hints: make(map[string]hint),
 	}
 }
 
@@ -142,8 +143,9 @@
 		}
 		s, ok := old[e.Name()]
 		if !ok {
-			s = &endpointState{}
+			s = &endpointState{limit: t.unlisted.take(e.Name())}
 		}
+		delete(old, e.Name())
 		s.endpoint, s.slots = e, e.Slots()
 		if s.slots <= 0 {
 			t.withoutSlots++
@@ -159,6 +161,9 @@
 			t.remote = append(t.remote, s)
 		}
 	}
+	for name, s := range old {
+		t.unlisted.keep(name, s.limit)
+	}
 	t.recount()
 }
 
@@ -179,8 +184,13 @@
 // SetRateLimit records how many requests a second an endpoint accepts from all
 // VMs together, or 0 for no limit; it reports whether a limit starts or ends.
 func (t *Table) SetRateLimit(name string, perSecond float64, now time.Time) (changed bool) {
-	s, ok := t.states[name]
-	return ok && s.limit.set(perSecond, now)
+	if s, ok := t.states[name]; ok {
+		return s.limit.set(perSecond, now)
+	}
+	limit := t.unlisted.take(name)
+	changed = limit.set(perSecond, now)
+	t.unlisted.keep(name, limit)
+	return changed
 }
 
 // ExhaustedRate returns the requests a second that the endpoints accept from all
