Catch up by a list where it is smaller than the changes, or they can't be read

Cause: each change of the store holds a whole object, and the configuration is a single one. A process that catches up with eleven versions of it, as after a cached list of 5.5 s at two changes a second, would get eleven whole configurations. And changes that can't be read would be asked for again and again, where a list had ended that before.

Change: kinds with few objects are listed; so is a kind whose changes can't be read or are too long (ErrChangesUnreadable).

--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"sync"
@@ -25,11 +26,13 @@
 	watchMargin = 1500 * time.Millisecond
 	// hop is the time that a message takes in one direction.
 	hop = 2 * time.Millisecond
+	// unchangedObjects is how many objects of the simulated store never change.
+	unchangedObjects = 20
 )
 
 var errNoResponse = errors.New("no response")
 
-// simStore is a store with one object.
+// simStore is a store with one object that changes.
 type simStore struct {
 	mu       sync.Mutex
 	revision uint64
@@ -80,9 +83,13 @@
 	return s.lists
 }
 
-func objectAt(revision uint64) hawthornrail.ObjectChanges {
-	object := hawthornrail.NewObject("object", []byte(strconv.FormatUint(revision, 10)))
-	return hawthornrail.NewObjectChanges(revision, []hawthornrail.Object{object}, nil)
+// objectsAt returns an object that changes and many that do not.
+func objectsAt(revision uint64) hawthornrail.ObjectChanges {
+	objects := []hawthornrail.Object{hawthornrail.NewObject("object", []byte(strconv.FormatUint(revision, 10)))}
+	for n := range unchangedObjects {
+		objects = append(objects, hawthornrail.NewObject(fmt.Sprintf("other%d", n), nil))
+	}
+	return hawthornrail.NewObjectChanges(revision, objects, nil)
 }
 
 // simVM is a VM whose processes run in a simulated fleet; it implements the
@@ -104,6 +111,8 @@
 	// the store does not respond to it.
 	dark        bool
 	storeSilent bool
+	// unreadable is set if the VM can't read the changes that the store sends.
+	unreadable bool
 }
 
 // simFleet is a fleet of VMs in two data centres, without a network.
@@ -180,6 +189,18 @@
 	v.dark, v.storeSilent = dark, storeSilent
 }
 
+func (v *simVM) setUnreadable(unreadable bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.unreadable = unreadable
+}
+
+func (v *simVM) canRead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.unreadable
+}
+
 func (v *simVM) isDark() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -204,7 +225,7 @@
 		return hawthornrail.ObjectChanges{}, waitOut(ctx, listTimeout)
 	}
 	revision, _ := v.fleet.store.state()
-	return objectAt(revision), nil
+	return objectsAt(revision), nil
 }
 
 // ListCached is like List, but may return an older revision.
@@ -213,7 +234,7 @@
 		return v.List(ctx, kind)
 	}
 	time.Sleep(2 * hop)
-	return objectAt(v.cachedRevision), nil
+	return objectsAt(v.cachedRevision), nil
 }
 
 // Watch waits for a change. If the store falls silent meanwhile, nothing shows
@@ -244,7 +265,10 @@
 		if revision <= since {
 			return hawthornrail.NewObjectChanges(revision, nil, nil), nil
 		}
-		return objectAt(revision), nil
+		if !v.canRead() {
+			return hawthornrail.ObjectChanges{}, hawthornrail.ErrChangesUnreadable
+		}
+		return objectsAt(revision), nil
 	}
 }
 
@@ -272,12 +296,12 @@
 	return hawthornrail.NewInstance(address, address[:1], 1), nil
 }
 
-// awaitRevision waits until the VM holds a revision, limit at most, and returns
+// awaitRevision waits until the VM holds a revision, giveUp at most, and returns
 // how long that took.
-func (v *simVM) awaitRevision(revision uint64, limit time.Duration) time.Duration {
+func (v *simVM) awaitRevision(revision uint64) time.Duration {
 	const step = 10 * time.Millisecond
 	start := time.Now()
-	for v.mirror.Revision(kind) < revision && time.Since(start) < limit {
+	for v.mirror.Revision(kind) < revision && time.Since(start) < giveUp {
 		time.Sleep(step)
 	}
 	return time.Since(start)
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -23,6 +23,9 @@
 	minHeartbeatTimeout = 100 * time.Millisecond
 	// catchUpTimeout is the wait of a watch that only fetches what was missed.
 	catchUpTimeout = time.Millisecond
+	// maxListed is the number of objects up to which a list is smaller than the changes
+	// that were missed, each of which holds a whole object.
+	maxListed = 8
 	// watchInterval is the pause between two watches; changes in quick
 	// succession are then fetched with one call.
 	watchInterval = 150 * time.Millisecond
@@ -83,7 +86,7 @@
 		case err != nil && !errors.Is(err, hawthornrail.ErrHistoryCompacted):
 			clock.Wait(ctx, f.clock, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
-		case caughtUp:
+		case err != nil || caughtUp:
 			backoff = firstBackoff
 			clock.Wait(ctx, f.clock, watchInterval)
 		}
@@ -93,10 +96,10 @@
 }
 
 // step makes the next call to the store. Before this VM waits for changes, it
-// catches up with those that it missed: by a list if the store has discarded them.
+// catches up with those that it missed.
 func (f *Follower) step(ctx context.Context, kind string, caughtUp bool, previous error) error {
 	switch {
-	case f.mirror.Revision(kind) == 0 || errors.Is(previous, hawthornrail.ErrHistoryCompacted):
+	case !caughtUp && (f.mirror.Size(kind) <= maxListed || needsList(previous)):
 		return f.listCurrent(ctx, kind)
 	case !caughtUp:
 		return f.watch(ctx, kind, catchUpTimeout)
@@ -106,6 +109,11 @@
 	}
 }
 
+// needsList reports whether the changes since the held revision can't be had.
+func needsList(err error) bool {
+	return errors.Is(err, hawthornrail.ErrHistoryCompacted) || errors.Is(err, hawthornrail.ErrChangesUnreadable)
+}
+
 // list and watch record the response before they apply its objects, because the
 // settling period decides whether missing objects are kept.
 func (f *Follower) list(ctx context.Context, kind string, list listFunc) error {
--- a/internal/config/mirror/late_change_test.go
+++ b/internal/config/mirror/late_change_test.go
@@ -48,7 +48,7 @@
 					goDark(fleet.vms["b1"])
 					goDark(fleet.vms["b2"])
 					time.Sleep(faultDelay)
-					took = fleet.vms["a3"].awaitRevision(fleet.store.change(), giveUp)
+					took = fleet.vms["a3"].awaitRevision(fleet.store.change())
 				})
 				assertInTime(t, took, "fault %v after the previous change", offset)
 			}
@@ -69,7 +69,7 @@
 			loseStore(fleet.vms["a1"])
 			// After this time the VM has noticed that the store is silent.
 			time.Sleep(3 * time.Second)
-			took = fleet.vms["a1"].awaitRevision(fleet.store.change(), giveUp)
+			took = fleet.vms["a1"].awaitRevision(fleet.store.change())
 		})
 		assertInTime(t, took, "run %d", i)
 	}
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -64,6 +64,16 @@
 	return 0
 }
 
+// Size returns the number of objects of a kind.
+func (m *Mirror) Size(kind string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.collections[kind]; ok {
+		return len(c.objects)
+	}
+	return 0
+}
+
 // NextChange returns a channel that is closed when an object changes.
 func (m *Mirror) NextChange() <-chan struct{} {
 	m.mu.Lock()
--- a/internal/config/mirror/start_test.go
+++ b/internal/config/mirror/start_test.go
@@ -43,7 +43,7 @@
 		simulate(t, []string{"a1", "b1"}, func(ctx context.Context, fleet *simFleet) {
 			v, freshness := startLate(ctx, fleet, "c1", false)
 			newest, _ := fleet.store.state()
-			if took := v.awaitRevision(newest, giveUp); took > calls {
+			if took := v.awaitRevision(newest); took > calls {
 				t.Errorf("caught up after %v, want %v", took, calls)
 			}
 			if !freshness.Usable() || !freshness.Current() {
@@ -90,7 +90,7 @@
 		time.Sleep(10 * time.Second)
 		v.fail(false, false)
 		time.Sleep(3 * time.Second)
-		if took := v.awaitRevision(fleet.store.change(), giveUp); took > inForceTimeout {
+		if took := v.awaitRevision(fleet.store.change()); took > inForceTimeout {
 			t.Errorf("the change takes %v", took)
 		}
 		if got := fleet.store.listCount() - lists; got > 0 {
@@ -98,3 +98,15 @@
 		}
 	})
 }
+
+// Guards against a VM that asks again and again for changes that it can't read.
+func TestUnreadableChangesAreListed(t *testing.T) {
+	simulate(t, []string{"a1"}, func(_ context.Context, fleet *simFleet) {
+		v := fleet.vms["a1"]
+		time.Sleep(10 * time.Second)
+		v.setUnreadable(true)
+		if took := v.awaitRevision(fleet.store.change()); took > inForceTimeout {
+			t.Errorf("the change takes %v", took)
+		}
+	})
+}
--- a/internal/platform/client/json_client.go
+++ b/internal/platform/client/json_client.go
@@ -30,6 +30,8 @@
 	ErrUnavailable = errors.New("platform is unavailable")
 	// ErrConflict means that the object has another version than expected.
 	ErrConflict = errors.New("object was changed meanwhile")
+	// ErrTooLarge means that a response is too long to be read.
+	ErrTooLarge = errors.New("response is too large")
 	// ErrNotFound means that there is no such object.
 	ErrNotFound = errors.New("no such object")
 )
@@ -80,7 +82,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
-	if err := c.client.DoTimeout(request, response, timeout); err != nil {
+	err := c.client.DoTimeout(request, response, timeout)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, ErrTooLarge)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
 	}
 	responseBody := response.Body()
--- a/objects.go
+++ b/objects.go
@@ -10,6 +10,10 @@
 // revision.
 var ErrHistoryCompacted = errors.New("history since the revision is gone")
 
+// ErrChangesUnreadable means that the store's changes since a revision came in a form
+// that can't be read, or are too many.
+var ErrChangesUnreadable = errors.New("changes since the revision are unreadable")
+
 // Object is an object of the platform's store in its encoded form.
 type Object struct {
 	name  string
@@ -65,6 +69,7 @@
 	// ListCached is like List but cheaper; its revision may be some seconds old.
 	ListCached(ctx context.Context, kind string) (ObjectChanges, error)
 	// Watch waits up to timeout for changes of a kind after a revision; it returns
-	// ErrHistoryCompacted if the store has discarded them.
+	// ErrHistoryCompacted if the store has discarded them, and
+	// ErrChangesUnreadable if it sends them in a form that can't be read.
 	Watch(ctx context.Context, kind string, revision uint64, timeout time.Duration) (ObjectChanges, error)
 }
