Do not take the bytes of a large chunk for bytes that hold nothing

Callers would have got a 502 for a response with a chunk of over 128 KB, and a check of the way to all endpoints would have begun for each response that is too long.

A large part of a chunk was read at once and counted as unused until the end of the chunk was read, which could need another read. A response given up for its size counted as a lost endpoint as well; with full buffers, as a failure of an endpoint that is sound.

A response given up for its size is no lost endpoint; full buffers say nothing about the endpoint.

--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -47,29 +47,31 @@
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
 	d.progress.SetMayHaveRun()
 	d.trial = false
-	d.recordOversized(a, err)
+	oversized := d.recordOversized(a, err)
 	if a.indirect {
 		d.finish(a, err, 0)
 		return d.failResponse(a, err)
 	}
-	d.recordLoss(ctx, a)
-	if ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
+	if !oversized {
+		d.recordLoss(ctx, a)
+	}
+	if !oversized && ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
 		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
 	}
-	f := hawthornrail.NewFailure(d.lossCode(ctx, a), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
+	f := hawthornrail.NewFailure(d.lossCode(ctx, a, err), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
 	d.finish(a, f, 0)
 	return f
 }
 
 // lossCode returns the code of an attempt that ended without a whole response. One that
-// was abandoned says nothing about its endpoint.
-func (d *dispatch) lossCode(ctx context.Context, a *attempt) hawthornrail.Code {
+// was abandoned, or that found the buffers full, says nothing about its endpoint.
+func (d *dispatch) lossCode(ctx context.Context, a *attempt, err error) hawthornrail.Code {
 	switch {
 	case d.timeLeft() <= 0:
 		return hawthornrail.CodeDeadline
-	case ctx.Err() != nil || a.abandoned():
+	case ctx.Err() != nil || a.abandoned() || errors.Is(err, http.ErrBuffersFull):
 		return hawthornrail.CodeResponseTruncated
 	default:
 		return hawthornrail.CodeEndpointFailed
@@ -98,15 +100,16 @@
 	return !a.exchange.Framed() && d.gone(a.endpoint)
 }
 
-// recordOversized records that a response was given up because it is too long, or
-// because all responses hold too much.
-func (d *dispatch) recordOversized(a *attempt, err error) {
+// recordOversized reports whether a response was given up because it is too long, or
+// because all responses hold too much, and records that.
+func (d *dispatch) recordOversized(a *attempt, err error) bool {
 	if !errors.Is(err, http.ErrOversized) && !errors.Is(err, http.ErrBuffersFull) {
-		return
+		return false
 	}
 	d.deps.Forwards.Oversized()
 	d.deps.Log.Event(events.ResponseOversized).Str("endpoint", a.endpoint.Name()).Str("helper", a.helper.Name()).
 		Str("request", d.request.ID()).Int("held_bytes", int(d.deps.Buffers.Held())).Err(err).Emit()
+	return true
 }
 
 // recordCrash records that an endpoint has ended while it had the request.
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -88,7 +88,9 @@
 	if c.flooded() {
 		return 0, ErrOversized
 	}
-	n, err := c.Conn.Read(p)
+	// One part must not use up the bound: the end of a chunk may be read before the chunk
+	// counts as used.
+	n, err := c.Conn.Read(p[:min(len(p), c.maxUnused/unusedHeads)])
 	c.unused += n
 	if n > 0 && c.observer != nil {
 		c.observer.Heard()
