Show that streams are cut 30 s after their first byte

Cause: the time that a caller may leave a response unread is one deadline for the whole response, so that a stream which lasts longer is cut at a sound worker (LOST).

Tried: streams of 2 s under the usual time-out.

--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -26,6 +26,11 @@
 	return &caller{names: n, record: r, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: 0}}}
 }
 
+// newKeptCaller returns a caller that keeps its channels for further requests.
+func newKeptCaller(n names, r *record) *caller {
+	return &caller{names: n, record: r, client: &http.Client{Transport: &http.Transport{}}}
+}
+
 // answer is what a caller gets for a request.
 type answer struct {
 	id         string
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,6 +36,7 @@
 	"budget":   budgetCase,
 	"deadly":   deadlyCase,
 	"drain":    drainCase,
+	"long":     longCase,
 	"memory":   memoryCase,
 	"resume":   resumeCase,
 	"unframed": unframedCase,
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -39,6 +39,8 @@
 const (
 	callersHost = "a.example"
 	callersKey  = "key-of-team"
+	// firstVersion is the version of the first configuration.
+	firstVersion = 7
 )
 
 func loadNames() (n names, err error) {
@@ -48,6 +50,8 @@
 
 // configValues are the values of the operator's configuration that cases choose.
 type configValues struct {
+	// Version is 7 if it is not set.
+	Version         int
 	Rate            float64
 	Burst           float64
 	StreamTimeoutMS int
@@ -58,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if v.Version == 0 {
+		v.Version = firstVersion
+	}
 	var out bytes.Buffer
 	if err := t.Execute(&out, v); err != nil {
 		return nil, err
