--- a/review/standin/body.go
+++ b/review/standin/body.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	f.store.Put("config", "main", config)
-	workers, err := startWorkers(f, 3)
+	workers, err := startWorkers(f)
 	if err != nil {
 		return err
 	}
--- a/review/standin/budget.go
+++ b/review/standin/budget.go
@@ -17,6 +17,8 @@
 	turnTimeout   = 3 * time.Second
 	// warmUpTurns are served in each zone before the case begins.
 	warmUpTurns = 20
+	// workersPerService are the workers of each service.
+	workersPerService = 3
 	// catchUpTime is catch_up_s.
 	catchUpTime = 4 * time.Second
 	// cutTime is how long the zone is cut off.
@@ -48,7 +50,7 @@
 		return err
 	}
 	f.store.Put("config", "main", config)
-	if _, err := startWorkers(f, 3); err != nil {
+	if _, err := startWorkers(f); err != nil {
 		return err
 	}
 	edges, storages, err := startThreeZones(f)
@@ -176,9 +178,9 @@
 	return nil
 }
 
-func startWorkers(f *fleet, count int) ([]*worker, error) {
+func startWorkers(f *fleet) ([]*worker, error) {
 	var workers []*worker
-	for i := range count {
+	for i := range workersPerService {
 		for _, service := range []string{"engine", "desk"} {
 			w, err := startWorker(fmt.Sprintf("%s-%d", service, i), f.names, f.record, 5*time.Millisecond, 20*time.Millisecond)
 			if err != nil {
--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -19,16 +19,18 @@
 	names  names
 	record *record
 	client *http.Client
-	sent   atomic.Int64
+	// key is the requester's key.
+	key  string
+	sent atomic.Int64
 }
 
 func newCaller(n names, r *record) *caller {
-	return &caller{names: n, record: r, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: 0}}}
+	return &caller{names: n, record: r, key: callersKey, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: 0}}}
 }
 
 // newKeptCaller returns a caller that keeps its channels for further requests.
 func newKeptCaller(n names, r *record) *caller {
-	return &caller{names: n, record: r, client: &http.Client{Transport: &http.Transport{}}}
+	return &caller{names: n, record: r, key: callersKey, client: &http.Client{Transport: &http.Transport{}}}
 }
 
 // answer is what a caller gets for a request.
@@ -67,7 +69,7 @@
 	}
 	r.Host = callersHost
 	r.Header.Set(c.names.RequestID, a.id)
-	r.Header.Set(c.names.Key, callersKey)
+	r.Header.Set(c.names.Key, c.key)
 	r.Header.Set(c.names.Deadline, strconv.FormatInt(timeout.Milliseconds(), 10))
 	for name, value := range fields {
 		r.Header.Set(name, value)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -59,6 +59,8 @@
 
 	machines []*machine
 	memoryMB int
+	// gates are the proxies in front of the store of the machines of some zones.
+	gates map[string]*gate
 }
 
 func newFleet(n names, r *record, zones []string) (*fleet, error) {
@@ -171,7 +173,7 @@
 	if !m.storage {
 		_, _ = fmt.Fprintf(&s, "callers = %q\nreadiness = %q\n", m.callers, m.readiness)
 	}
-	_, _ = fmt.Fprintf(&s, "peers = %q\nmetrics = %q\n[peer]\nseeds = [%s]\n[store]\naddress = %q\n[disk]\n", m.peers, m.metrics, f.seeds(), f.address)
+	_, _ = fmt.Fprintf(&s, "peers = %q\nmetrics = %q\n[peer]\nseeds = [%s]\n[store]\naddress = %q\n[disk]\n", m.peers, m.metrics, f.seeds(), f.storeOf(m))
 	if m.storage {
 		_, _ = fmt.Fprintf(&s, "folder = %q\n", m.folder)
 	}
@@ -179,6 +181,14 @@
 	return s.String()
 }
 
+// storeOf returns the address at which a machine finds the store.
+func (f *fleet) storeOf(m *machine) string {
+	if g, ok := f.gates[m.zone]; ok {
+		return g.address()
+	}
+	return f.address
+}
+
 // seeds returns the addresses of the first edge machines.
 func (f *fleet) seeds() string {
 	var seeds []string
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -36,9 +36,11 @@
 	"budget":   budgetCase,
 	"deadly":   deadlyCase,
 	"drain":    drainCase,
+	"isolated": isolatedCase,
 	"long":     longCase,
 	"memory":   memoryCase,
 	"resume":   resumeCase,
+	"tenants":  tenantsCase,
 	"unframed": unframedCase,
 }
 
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -42,7 +42,7 @@
 		return err
 	}
 	f.store.Put("config", "main", config)
-	if _, err := startWorkers(f, 3); err != nil {
+	if _, err := startWorkers(f); err != nil {
 		return err
 	}
 	edges, err := startTwoEdges(f)
--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -39,6 +39,7 @@
 const (
 	callersHost = "a.example"
 	callersKey  = "key-of-team"
+	otherKey    = "key-of-other-team"
 	// firstVersion is the version of the first configuration.
 	firstVersion = 7
 )
