Carry a target in absolute form unchanged

A target of another scheme ran as if it were http.

Cause: for a target that is not a path, the server took the URI that the library had parsed, which joins slashes and resolves dots.

Change: host and URI are cut from the target as it was sent; a target that is neither a path nor an http URL is refused with 400.

--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -133,9 +133,9 @@
 	if s.draining.Load() {
 		c.SetConnectionClose()
 	}
-	r := s.readRequest(c)
+	r, err := s.readRequest(c)
 	e := &exchange{server: s, request: r}
-	if err := s.deps.Codec.Read(&c.Request.Header, r); err != nil {
+	if err != nil {
 		e.trail = s.deps.Recorder.Start(r.ID())
 		s.writeFailure(c, err)
 		e.trail.Event(events.ForwardRefused).Err(err).Emit()
@@ -153,16 +153,19 @@
 	s.writeResponse(c, e, response)
 }
 
-// readRequest copies the parts of a request that are forwarded unchanged.
-func (s *Server) readRequest(c *fasthttp.RequestCtx) *hawthornrail.ForwardRequest {
-	uri := string(c.RequestURI())
-	if !strings.HasPrefix(uri, "/") {
-		// The request target is in absolute form.
-		uri = string(c.URI().RequestURI())
-	}
+// readRequest returns a request with the parts that are forwarded unchanged, and a
+// Failure if it is malformed.
+func (s *Server) readRequest(c *fasthttp.RequestCtx) (*hawthornrail.ForwardRequest, error) {
+	host, uri, err := target(&c.Request.Header)
 	path, _, _ := strings.Cut(uri, "?")
 	body := append([]byte{}, c.PostBody()...)
-	r := hawthornrail.NewForwardRequest(string(c.Method()), string(c.Host()), uri, path, body, s.deps.Clock.Now())
+	r := hawthornrail.NewForwardRequest(string(c.Method()), host, uri, path, body, s.deps.Clock.Now())
+	r.SetHeaders(s.forwardedHeaders(c))
+	return r, errors.Join(err, s.deps.Codec.Read(&c.Request.Header, r))
+}
+
+// forwardedHeaders returns the fields that are forwarded.
+func (s *Server) forwardedHeaders(c *fasthttp.RequestCtx) []hawthornrail.Header {
 	var headers []hawthornrail.Header
 	connectionOnly := connectionHeaders(c)
 	for key, value := range c.Request.Header.All() {
@@ -172,8 +175,7 @@
 		}
 		headers = append(headers, hawthornrail.NewHeader(name, string(value)))
 	}
-	r.SetHeaders(headers)
-	return r
+	return headers
 }
 
 // connectionHeaders returns the names of the fields that the Connection field
