Refuse requests whose length is given in two ways

Callers saw: a request with both a length and a transfer encoding ran (the chunks won).

Cause: the library accepts both, and the encoding "identity", which gives no length.

Change: such a request is refused with 400, as not run, and its connection closed. Conforming callers send one of the two.

--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -130,10 +130,12 @@
 }
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
-	if s.draining.Load() {
+	framingErr := checkFraming(&c.Request.Header)
+	if s.draining.Load() || framingErr != nil {
 		c.SetConnectionClose()
 	}
 	r, err := s.readRequest(c)
+	err = errors.Join(framingErr, err)
 	e := &exchange{server: s, request: r}
 	if err != nil {
 		e.trail = s.deps.Recorder.Start(r.ID())
--- a/internal/caller/proxy/target.go
+++ b/internal/caller/proxy/target.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -28,3 +29,28 @@
 	}
 	return host, uri, nil
 }
+
+// chunked is the only transfer encoding that a request may have.
+const chunked = "chunked"
+
+// checkFraming returns a failure unless the length of a request is given in one way only:
+// a VM in between could read another length, and take the rest for a request of its own.
+func checkFraming(h *fasthttp.RequestHeader) error {
+	lengths, encodings := 0, 0
+	for line := range bytes.SplitSeq(h.RawHeaders(), []byte{'\n'}) {
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		switch {
+		case strings.EqualFold(string(name), fasthttp.HeaderContentLength):
+			lengths++
+		case strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding):
+			encodings++
+			if encoding := string(bytes.TrimSpace(value)); !strings.EqualFold(encoding, chunked) {
+				return hawthornrail.NotRun(hawthornrail.CodeBadRequest, "transfer encoding %q is not supported", encoding)
+			}
+		}
+	}
+	if lengths > 0 && encodings > 0 {
+		return hawthornrail.NotRun(hawthornrail.CodeBadRequest, "the request has both a length and a transfer encoding")
+	}
+	return nil
+}
