Carry calls of services unchanged over the own interface

Cause: the query was parsed to remove keys and written anew, the path went through a parsed URL, and the server parsed forms while it read them.

Change: parameters that contain a key are cut out of the query as it was sent; the path goes to the endpoint as it is, with the host beside it; forms are not parsed.

--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -70,6 +70,8 @@
 		WriteTimeout:          options.RequestTimeout,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 		ErrorHandler: s.connectionError,
+		// A parsed form is written anew, which changes the body.
+		DisablePreParseMultipartForm: true,
 	}
 	return s
 }
@@ -160,7 +162,7 @@
 func (s *Server) callService(ctx *fasthttp.RequestCtx) {
 	name, _ := ctx.UserValue("service").(string)
 	path, _ := ctx.UserValue("path").(string)
-	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path+queryWithoutKeys(ctx),
+	r := hawthornrail.NewServiceRequest(name, string(ctx.Method()), "/"+path+queryWithoutKeys(string(ctx.RequestURI())),
 		string(ctx.Request.Header.ContentType()), append([]byte{}, ctx.PostBody()...))
 	idempotent := ctx.IsGet() || ctx.IsHead() || string(ctx.Request.Header.Peek(HeaderIdempotent)) == "true"
 	r.SetIdempotency(string(ctx.Request.Header.Peek(headerIdempotencyKey)), idempotent)
--- a/internal/endpoint/service/service.go
+++ b/internal/endpoint/service/service.go
@@ -38,7 +38,10 @@
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(r.Method())
-	request.SetRequestURI("http://" + e.Address() + r.Path())
+	// With a host of its own, the path is sent as it is; a URL would be parsed.
+	request.Header.SetHost(e.Address())
+	request.SetRequestURI(r.Path())
+	request.Header.SetNoDefaultContentType(true)
 	request.Header.SetContentType(r.ContentType())
 	request.Header.Set("X-Request-Id", requestID)
 	request.Header.Set("Idempotency-Key", requestID)
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -37,8 +38,12 @@
 
 // Arrival is a request that the service received.
 type Arrival struct {
-	ID string
-	At time.Time
+	ID     string
+	Method string
+	// URI and Body are as the service received them.
+	URI  string
+	Body []byte
+	At   time.Time
 }
 
 // Arrivals returns the received requests in the order of their arrival.
@@ -48,10 +53,12 @@
 	return append([]Arrival{}, s.arrivals...)
 }
 
-func (s *Server) recordArrival(id string) {
+func (s *Server) recordArrival(id string, ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{ID: id, At: time.Now()})
+	s.arrivals = append(s.arrivals, Arrival{
+		ID: id, Method: string(ctx.Method()), URI: string(ctx.RequestURI()), Body: bytes.Clone(ctx.PostBody()), At: time.Now(),
+	})
 }
 
 // NewServer returns a server that takes delay to execute a request.
@@ -73,7 +80,7 @@
 	s.mu.Lock()
 	s.arrivalCount++
 	s.mu.Unlock()
-	s.recordArrival(id)
+	s.recordArrival(id, ctx)
 	time.Sleep(s.delay)
 	s.mu.Lock()
 	s.executions[id]++
--- a/internal/standin/testbed/bed.go
+++ b/internal/standin/testbed/bed.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: handler, MaxRequestBodySize: 64 << 20}
+	server := &fasthttp.Server{Handler: handler, MaxRequestBodySize: 64 << 20, DisablePreParseMultipartForm: true}
 	go func() { _ = server.Serve(listener) }()
 	b.t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
