Record the version of every stream, also while its service has one

Cause: while a service has one version, no VM records the version of a stream. What the list showed when it began is known then, and to nobody once the list has two versions. The class: something is written down only once it is known to be needed.

Change: the origin of every stream is recorded and told to its keepers, with at most two messages a stream as before in a release. The messages are those that older builds send and accept. Weighed: telling others only once a second version is listed (the streams of a VM that is killed or cut off before are lost), and a history of the list (nothing says when a stream that is taken up began).

--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -96,17 +96,13 @@
 	c.history.Observe(snapshot.Endpoints(), c.deps.Clock.Now())
 }
 
-// Record records where a stream began. Other VMs are told only if the service has
-// had another version recently: otherwise any VM can tell.
+// Record records where a stream began and tells other VMs, also while its service has one
+// version: once it has two, what began before can't be told from the list of endpoints,
+// and this VM may be gone.
 func (c *Controller) Record(stream string, origin hawthornrail.StreamOrigin) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.observeLocked()
-	now := c.deps.Clock.Now()
-	if c.history.Recent(origin.Service(), retention, now) <= 1 {
-		return
-	}
-	c.origins.add(stream, origin, now)
+	c.origins.add(stream, origin, c.deps.Clock.Now())
 	if len(c.unreported) == maxUnreported {
 		return
 	}
