Count crashes that no other endpoint of the service confirms

Cause: a crash counted only while another endpoint of the same service accepted a connection, to tell it from a cut of the VM's own link. In a small service the others are down from the same request. The class: evidence is asked of the very things that the fault takes away.

Change: endpoints of other services show as well that the link is sound. What nothing shows at once, since all others are down or the endpoint is back before anyone connects, waits as a loss: it counts as a crash, at its own time, once the endpoint's entry is gone from the list, since an endpoint behind a cut link renews its entry. What VMs tell each other stays as it was.

--- a/forward.go
+++ b/forward.go
@@ -355,6 +355,9 @@
 	Admit(ctx context.Context, digests RequestDigests) (trial bool, err error)
 	// RecordCrash records that an endpoint crashed while it had a team's request.
 	RecordCrash(digests RequestDigests, team, endpoint string)
+	// RecordLoss records that an endpoint broke off a team's request while nothing told
+	// a crash from a cut link; it counts as a crash once the endpoint is gone.
+	RecordLoss(digests RequestDigests, team, endpoint string)
 	// RecordCompletion records that an endpoint has run a request to its end.
 	RecordCompletion(digests RequestDigests)
 }
--- a/internal/endpoint/contact/tracker.go
+++ b/internal/endpoint/contact/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,18 +88,20 @@
 }
 
 // ReachesOther reports whether this VM reaches any endpoint but the given one, of its
-// service first. While none is listed nothing can be told, and it reports true. Calls at
-// the same time, such as those of all requests at an endpoint, share one result.
+// service or else of another: those of its own may be down for the same reason. While none
+// is listed nothing can be told, and it reports true. Calls at the same time, such as those
+// of all requests at an endpoint, share one result.
 func (t *Tracker) ReachesOther(ctx context.Context, name, endpoint string) bool {
-	candidates := endpoints(t.deps.Config.Snapshot(), name, []string{endpoint})
-	if len(candidates) == 0 {
-		candidates = endpoints(t.deps.Config.Snapshot(), "", []string{endpoint})
-	}
-	if len(candidates) == 0 {
+	snapshot := t.deps.Config.Snapshot()
+	all := endpoints(snapshot, "", []string{endpoint})
+	if len(all) == 0 {
 		return true
 	}
 	reached, _, _ := t.others.Do(endpoint, func() (any, error) {
-		return t.connectAny(context.WithoutCancel(ctx), candidates), nil
+		ctx := context.WithoutCancel(ctx)
+		own := endpoints(snapshot, name, []string{endpoint})
+		others := slices.DeleteFunc(all, func(e hawthornrail.Endpoint) bool { return slices.Contains(e.Serves(), name) })
+		return t.connectAny(ctx, own) || t.connectAny(ctx, others), nil
 	})
 	return reached == true
 }
--- a/internal/endpoint/contact/tracker_test.go
+++ b/internal/endpoint/contact/tracker_test.go
@@ -216,3 +216,40 @@
 		t.Errorf("%d searches and %d connections in 2 s", n.searches.Load(), n.connects.Load())
 	}
 }
+
+// oneReached is a network on which a single endpoint accepts connections.
+type oneReached struct {
+	*network
+	address string
+}
+
+func (n oneReached) Connect(_ context.Context, address string) error {
+	if address != n.address {
+		return errUnreachable
+	}
+	return nil
+}
+
+// Guards against review case 5: while all endpoints of a service are down, those of other
+// services are not asked whether this VM's link is sound.
+func TestOtherServiceShowsThatTheLinkIsSound(t *testing.T) {
+	endpoint := func(name, service string) hawthornrail.Endpoint {
+		return hawthornrail.NewEndpoint(name, hawthornrail.ServiceEndpoint, "dc1", name, []string{service})
+	}
+	endpoints := []hawthornrail.Endpoint{endpoint("e0", serviceName), endpoint("e1", serviceName), endpoint("e2", serviceName), endpoint("o0", "other")}
+	for _, c := range []struct {
+		reached string
+		want    bool
+	}{{"o0", true}, {"e1", true}, {"e0", false}, {"", false}} {
+		t.Run("reaches "+c.reached, func(t *testing.T) {
+			n := oneReached{&network{}, c.reached}
+			tracker := contact.New(contact.Dependencies{
+				DataCentre: "dc1", Config: fixedConfig{hawthornrail.NewSnapshot(1, nil, nil, endpoints, nil)},
+				Connector: n, Detour: n, Clock: clock.Real(), Log: events.NewLogger(io.Discard, zerolog.InfoLevel),
+			})
+			if got := tracker.ReachesOther(t.Context(), serviceName, "e0"); got != c.want {
+				t.Errorf("another endpoint is reached: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -55,9 +55,13 @@
 	if !oversized {
 		d.recordLoss(ctx, a)
 	}
-	if !oversized && ctx.Err() == nil && !a.abandoned() && d.crashed(ctx, a.endpoint) {
+	switch broken := !oversized && ctx.Err() == nil && !a.abandoned(); {
+	case broken && d.crashed(ctx, a.endpoint):
 		d.recordCrash(a.endpoint, err)
-	} else {
+	case broken:
+		d.recordUnexplained(a.endpoint)
+		fallthrough
+	default:
 		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
 	}
 	f := hawthornrail.NewFailure(d.lossCode(ctx, a, err), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
@@ -87,11 +91,21 @@
 
 // gone reports whether an endpoint that is not draining refuses connections.
 func (d *dispatch) gone(e hawthornrail.Endpoint) bool {
+	return d.inService(e) && d.deps.Transport.Refused(e.Address())
+}
+
+// inService reports whether an endpoint is listed and not draining.
+func (d *dispatch) inService(e hawthornrail.Endpoint) bool {
 	listed, ok := d.deps.Config.Snapshot().Endpoint(e.Name())
-	if !ok || listed.Draining() || d.deps.Pool.Draining(e) {
-		return false
+	return ok && !listed.Draining() && !d.deps.Pool.Draining(e)
+}
+
+// recordUnexplained records that an endpoint broke off the request, whether it has crashed
+// or not: it may be back already, or this VM may reach no other one that shows which.
+func (d *dispatch) recordUnexplained(e hawthornrail.Endpoint) {
+	if d.inService(e) {
+		d.deps.Quarantine.RecordLoss(d.request.Digests(), d.request.Deployment().Team(), e.Name())
 	}
-	return d.deps.Transport.Refused(e.Address())
 }
 
 // brokenOff reports whether a response that ends with its connection may be
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -51,6 +51,7 @@
 	DetourReceived     = register(2119, zerolog.InfoLevel, "request of another VM received for an endpoint", "")
 	DetourEnded        = register(2120, zerolog.InfoLevel, "request of another VM ended", "")
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
+	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 )
 
 // The events of programs.
--- a/internal/vm/suspects/controller.go
+++ b/internal/vm/suspects/controller.go
@@ -9,6 +9,7 @@
 
 	gometrics "github.com/rcrowley/go-metrics"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/policy/quarantine"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -16,6 +17,9 @@
 
 const nameRefused = "quarantine.refused"
 
+// explainInterval is the interval at which losses are compared with the list of endpoints.
+const explainInterval = 250 * time.Millisecond
+
 // Dependencies are the dependencies of a Controller.
 type Dependencies struct {
 	// VM is the name of this VM, and Address its address for other VMs.
@@ -42,6 +46,8 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
+	// losses are the requests that were broken off without a known cause.
+	losses *quarantine.Losses
 	// unreported are the digests that have changed since the last report to all
 	// VMs.
 	unreported map[hawthornrail.RequestDigest]bool
@@ -53,7 +59,7 @@
 func New(deps Dependencies) *Controller {
 	c := &Controller{
 		deps: deps, refused: gometrics.NewRegisteredCounter(nameRefused, deps.Registry),
-		table: quarantine.NewTable(), unreported: make(map[hawthornrail.RequestDigest]bool), changed: make(chan struct{}, 1),
+		table: quarantine.NewTable(), losses: quarantine.NewLosses(), unreported: make(map[hawthornrail.RequestDigest]bool), changed: make(chan struct{}, 1),
 	}
 	return c
 }
@@ -113,19 +119,48 @@
 func (c *Controller) RecordCrash(digests hawthornrail.RequestDigests, team, endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, digest := range digests.All() {
+	c.recordCrashLocked(quarantine.Loss{Digests: digests, Team: team, Endpoint: endpoint, At: c.deps.Clock.Now()})
+}
+
+// recordCrashLocked records a crash and reports it to all VMs if it was unknown; c.mu must
+// be held.
+func (c *Controller) recordCrashLocked(crash quarantine.Loss) {
+	for _, digest := range crash.Suspects() {
 		before := c.table.Crashes(digest)
-		if c.table.RecordCrash(digest, team, endpoint, c.deps.Clock.Now()) {
+		if c.table.RecordCrash(digest, crash.Team, crash.Endpoint, crash.At) {
 			c.logIfQuarantinedLocked(digest, before)
 			c.reportLocked(digest)
 		}
 	}
 }
 
+// RecordLoss records that an endpoint broke off a team's request while nothing told a
+// crash from a cut link.
+func (c *Controller) RecordLoss(digests hawthornrail.RequestDigests, team, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.losses.Add(quarantine.Loss{Digests: digests, Team: team, Endpoint: endpoint, At: c.deps.Clock.Now()})
+}
+
+// explainLosses records the losses whose endpoint turns out to be gone as crashes, until
+// ctx ends.
+func (c *Controller) explainLosses(ctx context.Context) {
+	for clock.Wait(ctx, c.deps.Clock, explainInterval) {
+		c.mu.Lock()
+		for _, crash := range c.losses.TakeCrashes(c.deps.Config.Snapshot().Endpoint, c.deps.Clock.Now()) {
+			c.deps.Log.Event(events.LossExplained).Str("endpoint", crash.Endpoint).Str("team", crash.Team).
+				Str("content", crash.Digests.Content().String()).Str("resource", crash.Digests.Resource().String()).Emit()
+			c.recordCrashLocked(crash)
+		}
+		c.mu.Unlock()
+	}
+}
+
 // RecordCompletion records that an endpoint has run a request to its end.
 func (c *Controller) RecordCompletion(digests hawthornrail.RequestDigests) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.losses.RecordCompletion(digests)
 	for _, digest := range digests.All() {
 		quarantined := c.table.IsQuarantined(digest)
 		if c.table.RecordCompletion(digest, c.deps.Clock.Now()) && quarantined {
--- a/internal/vm/suspects/fleet_test.go
+++ b/internal/vm/suspects/fleet_test.go
@@ -246,3 +246,15 @@
 		t.Errorf("%d trials within 5 s, want 1", got)
 	}
 }
+
+// Guards against review case 5: crashes that nothing confirmed at once are never counted.
+func TestLossesOfEndpointsThatAreGone(t *testing.T) {
+	n := newNetwork(t, 3)
+	deadly := requestOf("team", "/deadly", "body")
+	for crash := range 3 {
+		// None of the endpoints is listed any more.
+		n.vms[crash].RecordLoss(deadly, "team", fmt.Sprintf("e%d", crash))
+	}
+	n.assertChecked(t, deadly, true)
+	n.assertChecked(t, requestOf("team", "/other", "body"), false)
+}
--- a/internal/vm/suspects/report.go
+++ b/internal/vm/suspects/report.go
@@ -37,6 +37,7 @@
 	defer pending.Wait()
 	pending.Go(func() { c.learn(ctx) })
 	pending.Go(func() { c.compareWithPeers(ctx) })
+	pending.Go(func() { c.explainLosses(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
