List the programs again after a holder has taken over

Cause: a new holder lists the programs of the others when it starts and counted as complete for good. Until it has the role, programs are announced to its predecessor, so it missed those that began meanwhile; cut off, it took them for unknown and created their budget anew. The class: "complete" is said once and believed for good, whoever has the role.

"Isolated share twice" is not ended by it: that share was seen by nobody else before the disk was lost, so no list can bring it back.

--- /dev/null
+++ b/internal/operator/holder/role.go
@@ -0,0 +1,56 @@
+package holder
+
+import (
+	"sync"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+const (
+	// tickInterval is the interval at which a process shows that it runs, and maxPause how
+	// long it may not run until it has to find out whether it was replaced meanwhile. It is
+	// shorter than failoverTimeout.
+	tickInterval = 200 * time.Millisecond
+	maxPause     = time.Second
+)
+
+// role is whether this VM is the holder of its data centre, as far as it knows. The
+// platform decides on that; a process that did not run for a while may have been replaced.
+type role struct {
+	clock hawthornrail.Clock
+
+	mu       sync.Mutex
+	held     bool
+	tickedAt time.Time
+}
+
+// newRole returns a role that is held until something shows otherwise, or not held.
+func newRole(clock hawthornrail.Clock, held bool) *role {
+	return &role{clock: clock, held: held, tickedAt: clock.Now()}
+}
+
+// isHeld reports whether the role is held and the process has run without a pause since.
+func (r *role) isHeld() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held && r.clock.Since(r.tickedAt) <= maxPause
+}
+
+func (r *role) set(held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = held
+}
+
+// tick records that the process runs. After a pause the role counts as not held until it
+// is confirmed.
+func (r *role) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if now.Sub(r.tickedAt) > maxPause {
+		r.held = false
+	}
+	r.tickedAt = now
+}
--- /dev/null
+++ b/internal/operator/holder/role_test.go
@@ -0,0 +1,33 @@
+package holder
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Guards against a holder that was suspended, was replaced meanwhile, and goes on as if
+// all programs were announced to it.
+func TestRoleIsInDoubtAfterAPause(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRole(clock, true)
+	assertHeld := func(t *testing.T, want bool) {
+		t.Helper()
+		if got := r.isHeld(); got != want {
+			t.Errorf("role is held: %t, want %t", got, want)
+		}
+	}
+	for range 20 {
+		clock.Advance(tickInterval)
+		r.tick()
+		assertHeld(t, true)
+	}
+	clock.Advance(failoverTimeout)
+	t.Run("before the first tick", func(t *testing.T) { assertHeld(t, false) })
+	r.tick()
+	t.Run("after it", func(t *testing.T) { assertHeld(t, false) })
+	r.set(true)
+	t.Run("once it is confirmed", func(t *testing.T) { assertHeld(t, true) })
+	r.set(false)
+	t.Run("once another VM is registered", func(t *testing.T) { assertHeld(t, false) })
+}
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -41,6 +41,9 @@
 	Invoker    peer.Invoker
 	Clock      hawthornrail.Clock
 	Log        events.Logger
+	// HoldsRole reports whether this VM is, as far as it knows, the holder to which the
+	// others announce programs.
+	HoldsRole func() bool
 	// Tasks measures the waits for the disk and for the platform.
 	Tasks *metrics.Tasks
 }
@@ -62,6 +65,8 @@
 	pendingGrants map[string]chan struct{}
 	// collections are the programs for whose calls tokens are collected.
 	collections map[string]*collection
+	// takeovers counts how often this VM has begun to take the role of another one.
+	takeovers int
 	// platformRetryAt is the time before which the platform is not contacted
 	// again after a failure.
 	platformRetryAt time.Time
--- a/internal/program/account/home.go
+++ b/internal/program/account/home.go
@@ -172,7 +172,7 @@
 			reply.Busy = true
 			return nil
 		}
-		reply.Whole = h.balances.Complete()
+		reply.Whole = h.completeLocked()
 		home, known := h.balances.Home(m.GetProgram())
 		switch {
 		case !known:
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -16,7 +16,9 @@
 // the platform decides: the home claims the program there. A complete holder has
 // an account for every program that was announced to all holders, so at least one
 // complete holder must take part. It also has one for every program that it has
-// claimed itself, so no claim is needed while all holders are complete.
+// claimed itself, so no claim is needed while all holders are complete. A holder that takes
+// over from another VM is incomplete until it has listed the programs anew, and one that
+// was suspended until it knows that it was not replaced.
 //
 // A holder that reaches neither another holder nor the platform opens an unknown
 // program with its isolated share, an equal part of the budget. A home deducts
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -36,7 +36,9 @@
 	lossy        bool
 	claims       map[string]string
 	platformDown bool
-	random       *rand.Rand
+	// roleLost are the data centres whose holder was replaced and does not know by whom.
+	roleLost map[string]bool
+	random   *rand.Rand
 	// transfers counts the transfer requests.
 	transfers int
 
@@ -49,7 +51,7 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	f := &fleet{
 		folder: t.TempDir(), centres: []string{"dc1", "dc2", "dc3"},
-		holders: make(map[string]*account.Holder), partitioned: make(map[string]bool), claims: make(map[string]string),
+		holders: make(map[string]*account.Holder), partitioned: make(map[string]bool), claims: make(map[string]string), roleLost: make(map[string]bool),
 		random: rand.New(rand.NewPCG(seed, 1)), used: make(map[string]map[string]uint64), budgets: make(map[string]uint64),
 	}
 	for _, dc := range f.centres {
@@ -59,17 +61,30 @@
 }
 
 func (f *fleet) start(t interface{ Fatal(...any) }, dc string, first bool) {
+	h := f.open(t, dc, dc, first)
+	f.mu.Lock()
+	f.holders[dc] = h
+	f.mu.Unlock()
+}
+
+// open opens a holder of a data centre with its journal in a folder; the others do not
+// send to it yet.
+func (f *fleet) open(t interface{ Fatal(...any) }, dc, folder string, first bool) *account.Holder {
 	h, err := account.OpenHolder(account.HolderDependencies{
-		DataCentre: dc, DataCentres: f.centres, FirstStart: first, Folder: filepath.Join(f.folder, dc),
+		DataCentre: dc, DataCentres: f.centres, FirstStart: first, Folder: filepath.Join(f.folder, folder),
 		Config: f, Claims: f, ClaimList: f, Invoker: f.invokerFor(dc), Clock: clock.Real(), Log: events.Discard(),
-		Tasks: metrics.NewTasks(gometrics.NewRegistry()),
+		HoldsRole: func() bool { return f.holdsRole(dc) }, Tasks: metrics.NewTasks(gometrics.NewRegistry()),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return h
+}
+
+func (f *fleet) holdsRole(dc string) bool {
 	f.mu.Lock()
-	f.holders[dc] = h
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	return !f.roleLost[dc]
 }
 
 // Snapshot returns each holder with its data centre's name as the address.
--- a/internal/program/account/recover.go
+++ b/internal/program/account/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,20 +20,53 @@
 	syncPageSize = 1000
 )
 
+// errTakeoverBegun means that programs were listed which are not all, since this VM has
+// begun to take over meanwhile.
+var errTakeoverBegun = errors.New("a takeover has begun")
+
 // Complete reports whether the holder has an account for every program that was
-// announced to all holders.
+// announced to all holders. That is known only while it holds its role: what is announced
+// to another VM in its place, it does not learn.
 func (h *Holder) Complete() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.balances.Complete()
+	return h.completeLocked()
+}
+
+func (h *Holder) completeLocked() bool { return h.balances.Complete() && h.deps.HoldsRole() }
+
+// BeginTakeover records, before this VM takes the role of another one, that programs may
+// have been announced to that one only. Recover lists them.
+func (h *Holder) BeginTakeover() error {
+	return h.commitDecision(func() *vmpb.AccountRecord {
+		h.takeovers++
+		if !h.balances.Complete() {
+			return nil
+		}
+		return originRecord(h.id, false)
+	})
+}
+
+// mustRecover reports whether the programs have to be listed, and how many takeovers have
+// begun.
+func (h *Holder) mustRecover() (must bool, takeovers int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.balances.Complete(), h.takeovers
 }
 
 // Recover restores the list of programs with an account after the loss of a
-// disk, from the other holders, of which one must be complete, and from the
-// claims at the platform. It returns when the holder is complete or ctx is done.
+// disk or a takeover, from the other holders, of which one must be complete, and from the
+// claims at the platform. It returns when they are listed, when a takeover begins, since it
+// could miss what is announced until then, or when ctx is done.
 func (h *Holder) Recover(ctx context.Context) {
-	for ctx.Err() == nil && !h.Complete() {
-		err := h.recoverPrograms(ctx)
+	_, begun := h.mustRecover()
+	for ctx.Err() == nil {
+		must, takeovers := h.mustRecover()
+		if !must || takeovers != begun {
+			return
+		}
+		err := h.recoverPrograms(ctx, begun)
 		if err == nil {
 			h.deps.Log.Event(events.AccountsRecovered).Int("programs", h.programCount()).Emit()
 			return
@@ -48,7 +82,7 @@
 	return h.balances.ProgramCount()
 }
 
-func (h *Holder) recoverPrograms(ctx context.Context) error {
+func (h *Holder) recoverPrograms(ctx context.Context, takeovers int) error {
 	if err := h.syncFromOthers(ctx); err != nil {
 		return err
 	}
@@ -61,7 +95,16 @@
 			return err
 		}
 	}
-	return h.commit(originRecord(h.id, true))
+	err = h.commitDecision(func() *vmpb.AccountRecord {
+		if h.takeovers != takeovers {
+			return nil
+		}
+		return originRecord(h.id, true)
+	})
+	if must, _ := h.mustRecover(); err == nil && must {
+		return errTakeoverBegun
+	}
+	return err
 }
 
 // syncFromOthers syncs from all other holders concurrently, since some may be
@@ -137,5 +180,5 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	programs, more := h.balances.ListPrograms(m.GetAfter(), syncPageSize)
-	return &vmpb.AccountSyncReply{Whole: h.balances.Complete(), Programs: programs, More: more}
+	return &vmpb.AccountSyncReply{Whole: h.completeLocked(), Programs: programs, More: more}
 }
