Carry bytes that are not text through another VM

Callers saw: while a VM reaches no endpoint itself, a request with a header field, path or query that is not UTF-8 (such as "X-Other: \xe9t\xe9") is refused; directly it is served.

Cause: the message between the VMs held these as text, which its library refuses to encode unless it is UTF-8.

Change: what the caller or the endpoint sent is bytes in the message. On the wire both are the same, so builds of either kind read each other; an older one refuses such a request as before.

--- a/internal/vm/detour/response.go
+++ b/internal/vm/detour/response.go
@@ -78,8 +78,8 @@
 // ContentType returns the media type.
 func (r *response) ContentType() string {
 	for _, f := range r.head.GetHeaders() {
-		if strings.EqualFold(f.GetName(), fasthttp.HeaderContentType) {
-			return f.GetValue()
+		if strings.EqualFold(string(f.GetName()), fasthttp.HeaderContentType) {
+			return string(f.GetValue())
 		}
 	}
 	return ""
--- a/internal/vm/detour/server.go
+++ b/internal/vm/detour/server.go
@@ -137,10 +137,10 @@
 	}
 	defer s.end(bytes)
 	start := s.deps.Clock.Now()
-	line := s.deps.Recorder.Start(m.GetRequestId())
+	line := s.deps.Recorder.Start(string(m.GetRequestId()))
 	line.Event(events.DetourReceived).Str("from", stream.From().VM()).Str("service", m.GetService()).Int("left_ms", int(m.GetLeftMs())).Emit()
 	r := requestFromWire(m, start)
-	progress := hawthornrail.NewForwardProgress(m.GetProgress().GetLastEvent())
+	progress := hawthornrail.NewForwardProgress(string(m.GetProgress().GetLastEvent()))
 	progressFromWire(m.GetProgress(), &progress)
 	ctx = trail.With(ctx, line)
 	if !r.Deadline().IsZero() {
