--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -65,6 +65,8 @@
 	pendingGrants map[string]chan struct{}
 	// collections are the programs for whose calls tokens are collected.
 	collections map[string]*collection
+	// recovering is held while the programs are listed.
+	recovering sync.Mutex
 	// takeovers counts how often this VM has begun to take the role of another one.
 	takeovers int
 	// platformRetryAt is the time before which the platform is not contacted
--- a/internal/program/account/recover.go
+++ b/internal/program/account/recover.go
@@ -60,6 +60,8 @@
 // claims at the platform. It returns when they are listed, when a takeover begins, since it
 // could miss what is announced until then, or when ctx is done.
 func (h *Holder) Recover(ctx context.Context) {
+	h.recovering.Lock()
+	defer h.recovering.Unlock()
 	_, begun := h.mustRecover()
 	for ctx.Err() == nil {
 		must, takeovers := h.mustRecover()
