Choose entry VMs and their order in one place each

The filter of entry VMs stood in four packages and the order by a hash in three.

No change of behaviour.

--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -55,14 +55,14 @@
 	if !oversized {
 		d.recordLoss(ctx, a)
 	}
-	switch broken := !oversized && ctx.Err() == nil && !a.abandoned(); {
-	case broken && d.crashed(ctx, a.endpoint):
+	brokenOff := !oversized && ctx.Err() == nil && !a.abandoned()
+	if brokenOff && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
-	case broken:
-		d.recordUnexplained(a.endpoint)
-		fallthrough
-	default:
+	} else {
 		d.progress.AddPossibleRun(a.endpoint.Name(), d.request.Route().Attempts())
+		if brokenOff {
+			d.recordUnexplained(a.endpoint)
+		}
 	}
 	f := hawthornrail.NewFailure(d.lossCode(ctx, a, err), hawthornrail.VerdictMayHaveRun, fmt.Errorf("endpoint %s: %w", a.endpoint.Name(), err))
 	d.finish(a, f, 0)
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -238,8 +238,8 @@
 // VM is known.
 func (n *Node) peers() []string {
 	var addresses []string
-	for _, v := range n.catalogue.Snapshot().VMs() {
-		if v.Address() != "" && v.Address() != n.settings.PeerAddress() && !v.HoldsRates() {
+	for _, v := range n.catalogue.Snapshot().EntryVMs() {
+		if v.Address() != n.settings.PeerAddress() {
 			addresses = append(addresses, v.Address())
 		}
 	}
--- a/internal/vm/detour/client.go
+++ b/internal/vm/detour/client.go
@@ -73,7 +73,7 @@
 // Find asks a few VMs of this data centre and of the others whether they reach
 // endpoints of a service, and some more if none does.
 func (c *Client) Find(ctx context.Context, service string, within time.Duration) (helpers []hawthornrail.VM, denials int) {
-	remaining := c.entryVMs()
+	remaining := c.candidates()
 	for range maxRounds {
 		asked := reach.Sample(remaining, c.deps.DataCentre, askedVMs, rand.Shuffle)
 		found, denied := c.ask(ctx, asked, service, within)
@@ -125,14 +125,11 @@
 	return reachReply{vm: vm, known: true, reached: reply.GetReached(), busy: reply.GetBusy()}
 }
 
-func (c *Client) entryVMs() []hawthornrail.VM {
-	var vms []hawthornrail.VM
-	for _, v := range c.deps.Config.Snapshot().VMs() {
-		if !v.HoldsRates() && v.Address() != "" && v.Name() != c.deps.VM && !v.Draining() {
-			vms = append(vms, v)
-		}
-	}
-	return vms
+// candidates returns the other entry VMs that are not draining.
+func (c *Client) candidates() []hawthornrail.VM {
+	return slices.DeleteFunc(c.deps.Config.Snapshot().EntryVMs(), func(v hawthornrail.VM) bool {
+		return v.Name() == c.deps.VM || v.Draining()
+	})
 }
 
 // Open sends a request through a VM.
--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -121,7 +121,7 @@
 	c.unreported = nil
 	c.mu.Unlock()
 	messages := make(map[string][]*vmpb.StreamOrigin)
-	vms := c.entryVMs()
+	vms := c.otherVMs()
 	for _, s := range streams {
 		for _, address := range c.keepers(vms, s.GetStream()) {
 			messages[address] = append(messages[address], s)
--- a/internal/vm/streams/find.go
+++ b/internal/vm/streams/find.go
@@ -1,13 +1,12 @@
 package streams
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/vm/ranking"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -64,7 +63,7 @@
 func (c *Controller) ask(ctx context.Context, ask *vmpb.StreamAsk, own *vmpb.StreamReply) (hawthornrail.StreamOrigin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	addresses := c.candidates(c.entryVMs(), ask.GetStream())
+	addresses := c.candidates(c.otherVMs(), ask.GetStream())
 	replies := make(chan *vmpb.StreamReply, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -97,14 +96,9 @@
 	return originFromWire(sole), true
 }
 
-func (c *Controller) entryVMs() []hawthornrail.VM {
-	var vms []hawthornrail.VM
-	for _, v := range c.deps.Config.Snapshot().VMs() {
-		if !v.HoldsRates() && v.Address() != "" && v.Name() != c.deps.VM {
-			vms = append(vms, v)
-		}
-	}
-	return vms
+// otherVMs returns the other entry VMs.
+func (c *Controller) otherVMs() []hawthornrail.VM {
+	return slices.DeleteFunc(c.deps.Config.Snapshot().EntryVMs(), func(v hawthornrail.VM) bool { return v.Name() == c.deps.VM })
 }
 
 // keepers returns the addresses of the VMs that are told where a stream began:
@@ -141,8 +135,5 @@
 
 // ranked returns the VMs in the order in which they keep the origin of a stream.
 func ranked(vms []hawthornrail.VM, stream string) []hawthornrail.VM {
-	rank := func(v hawthornrail.VM) uint64 { return xxhash.Sum64String(v.Name() + " " + stream) }
-	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, func(a, b hawthornrail.VM) int { return cmp.Compare(rank(a), rank(b)) })
-	return sorted
+	return ranking.ByHash(vms, " "+stream)
 }
--- a/internal/vm/suspects/trial.go
+++ b/internal/vm/suspects/trial.go
@@ -1,14 +1,12 @@
 package suspects
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/policy/quarantine"
+	"hawthornrail.example/hawthornrail/internal/vm/ranking"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -75,13 +73,6 @@
 // arbiters returns the entry VMs that decide on the trials of a digest, in the
 // order in which they are asked.
 func (c *Controller) arbiters(digest hawthornrail.RequestDigest) []hawthornrail.VM {
-	var vms []hawthornrail.VM
-	for _, v := range c.deps.Config.Snapshot().VMs() {
-		if !v.HoldsRates() && v.Address() != "" {
-			vms = append(vms, v)
-		}
-	}
-	rank := func(v hawthornrail.VM) uint64 { return xxhash.Sum64String(v.Name() + string(digest[:])) }
-	slices.SortFunc(vms, func(a, b hawthornrail.VM) int { return cmp.Compare(rank(a), rank(b)) })
+	vms := ranking.ByHash(c.deps.Config.Snapshot().EntryVMs(), string(digest[:]))
 	return vms[:min(len(vms), maxArbiters)]
 }
--- a/snapshot.go
+++ b/snapshot.go
@@ -148,6 +148,11 @@
 	return v, ok
 }
 
+// EntryVMs returns the VMs that serve callers and have an address, sorted by name.
+func (s *Snapshot) EntryVMs() []VM {
+	return slices.DeleteFunc(s.VMs(), func(v VM) bool { return v.HoldsRates() || v.Address() == "" })
+}
+
 // VMs returns all VMs sorted by name.
 func (s *Snapshot) VMs() []VM {
 	names := slices.Sorted(maps.Keys(s.vms))
