Do not confirm a holder's role by an old answer

A holder that is suspended after the platform has named it, and before it notes that, could count as the holder although it was replaced meanwhile. An answer that is as old as a replacement takes confirms nothing now; TestRoleIsInDoubtAfterAPause holds it. Found by reading.

--- a/internal/operator/holder/claim.go
+++ b/internal/operator/holder/claim.go
@@ -44,7 +44,8 @@
 	own := p.self()
 	var registered outage
 	for ctx.Err() == nil {
-		if p.claimOnce(ctx, own, &registered) {
+		askedAt := p.node.Clock().Now()
+		if p.claimOnce(ctx, own, &registered) && p.role.confirm(askedAt) {
 			p.recordClaimed(own)
 			return
 		}
@@ -53,7 +54,6 @@
 }
 
 func (p *process) recordClaimed(own hawthornrail.Holder) {
-	p.role.set(true)
 	if p.registered {
 		return
 	}
@@ -93,7 +93,7 @@
 // mayTakeOver reports whether the role of another VM may be claimed. From before the claim
 // on, the accounts are incomplete until they are listed again.
 func (p *process) mayTakeOver(ctx context.Context, current hawthornrail.Holder, registered *outage) bool {
-	p.role.set(false)
+	p.role.lose()
 	p.registered = false
 	probedAt := p.node.Clock().Now()
 	if !registered.update(p.responds(ctx, current), probedAt, p.node.Clock().Now()) {
--- a/internal/operator/holder/role.go
+++ b/internal/operator/holder/role.go
@@ -37,10 +37,23 @@
 	return r.held && r.clock.Since(r.tickedAt) <= maxPause
 }
 
-func (r *role) set(held bool) {
+// lose records that another VM has the role.
+func (r *role) lose() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.held = held
+	r.held = false
+}
+
+// confirm records that the platform, which was asked at a time, has named this VM. It
+// reports false if that was so long ago that the VM may have been replaced since.
+func (r *role) confirm(askedAt time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clock.Since(askedAt) >= failoverTimeout {
+		return false
+	}
+	r.held = true
+	return true
 }
 
 // tick records that the process runs. After a pause the role counts as not held until it
--- a/internal/operator/holder/role_test.go
+++ b/internal/operator/holder/role_test.go
@@ -26,8 +26,14 @@
 	t.Run("before the first tick", func(t *testing.T) { assertHeld(t, false) })
 	r.tick()
 	t.Run("after it", func(t *testing.T) { assertHeld(t, false) })
-	r.set(true)
+	t.Run("with an old answer of the platform", func(t *testing.T) {
+		if r.confirm(clock.Now().Add(-failoverTimeout)) {
+			t.Error("the role is confirmed")
+		}
+		assertHeld(t, false)
+	})
+	r.confirm(clock.Now())
 	t.Run("once it is confirmed", func(t *testing.T) { assertHeld(t, true) })
-	r.set(false)
+	r.lose()
 	t.Run("once another VM is registered", func(t *testing.T) { assertHeld(t, false) })
 }
