Drop explained losses in place

Each completion copied all losses that wait; now it copies none. The role of a holder always starts as held, so its constructor has no parameter for that. No change of behaviour; tests of both packages and of the takeover with -race pass.

--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -30,7 +30,7 @@
 		return errNoFolder
 	}
 	n := node.New(s, a, s.DataCentre(), []string{a.Kinds.Config, a.Kinds.VMs})
-	r := newRole(n.Clock(), true)
+	r := newRole(n.Clock())
 	h, err := account.OpenHolder(account.HolderDependencies{
 		DataCentre: s.DataCentre(), DataCentres: s.DataCentres(), FirstStart: s.FirstStart(), Folder: s.Folder(),
 		Config: n.Config(), Claims: a.Claims, ClaimList: a.ClaimList, Invoker: n.RelayClient(), Clock: n.Clock(), Log: n.Log().Layer("account"), Tasks: n.Tasks(), HoldsRole: r.isHeld,
--- a/internal/operator/holder/role.go
+++ b/internal/operator/holder/role.go
@@ -25,9 +25,9 @@
 	tickedAt time.Time
 }
 
-// newRole returns a role that is held until something shows otherwise, or not held.
-func newRole(clock hawthornrail.Clock, held bool) *role {
-	return &role{clock: clock, held: held, tickedAt: clock.Now()}
+// newRole returns a role that is held until something shows otherwise.
+func newRole(clock hawthornrail.Clock) *role {
+	return &role{clock: clock, held: true, tickedAt: clock.Now()}
 }
 
 // isHeld reports whether the role is held and the process has run without a pause since.
--- a/internal/operator/holder/role_test.go
+++ b/internal/operator/holder/role_test.go
@@ -10,7 +10,7 @@
 // all programs were announced to it.
 func TestRoleIsInDoubtAfterAPause(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	r := newRole(clock, true)
+	r := newRole(clock)
 	assertHeld := func(t *testing.T, want bool) {
 		t.Helper()
 		if got := r.isHeld(); got != want {
--- a/internal/policy/quarantine/losses.go
+++ b/internal/policy/quarantine/losses.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -62,9 +63,9 @@
 	}
 	switch {
 	case ofTeam >= maxLossesOfTeam:
-		l.waiting = append(l.waiting[:oldestOfTeam], l.waiting[oldestOfTeam+1:]...)
+		l.waiting = slices.Delete(l.waiting, oldestOfTeam, oldestOfTeam+1)
 	case len(l.waiting) >= maxLosses:
-		l.waiting = l.waiting[1:]
+		l.waiting = slices.Delete(l.waiting, 0, 1)
 	}
 	l.waiting = append(l.waiting, loss)
 }
@@ -72,15 +73,12 @@
 // RecordCompletion drops the losses of requests like one that an endpoint has run to its
 // end: it did not crash the endpoint.
 func (l *Losses) RecordCompletion(digests hawthornrail.RequestDigests) {
-	var waiting []Loss
-	for _, loss := range l.waiting {
-		if loss.Digests.Content() == digests.Content() {
-			continue
+	l.waiting = slices.DeleteFunc(l.waiting, func(loss Loss) bool { return loss.Digests.Content() == digests.Content() })
+	for n := range l.waiting {
+		if l.waiting[n].Digests.Resource() == digests.Resource() {
+			l.waiting[n].ResourceCleared = true
 		}
-		loss.ResourceCleared = loss.ResourceCleared || loss.Digests.Resource() == digests.Resource()
-		waiting = append(waiting, loss)
 	}
-	l.waiting = waiting
 }
 
 // TakeCrashes removes and returns the losses whose endpoint is gone. It drops those of
