Read load reports that have a fourth figure

Some services report, beside running and waiting requests and slots, how long work takes at the endpoint now. The whole report was dropped then, so that a VM knew the load of no endpoint of such a service. Three or four figures are read now; any other report is logged (event 2123) and dropped. The pace is decoded and not used yet.

TestLoadReports fails before (four figures).

--- a/forward.go
+++ b/forward.go
@@ -322,6 +322,11 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is the factor by which work takes longer than usual at the endpoint now, or
+	// 0 if it reports none.
+	Pace float64
+	// InvalidLoad is a load report that can't be read, or empty.
+	InvalidLoad string
 }
 
 // EndpointCodec translates between forwarded requests and the headers of
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -242,6 +242,9 @@
 	if reading.Load {
 		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()))
 	}
+	if reading.InvalidLoad != "" {
+		d.logEvent(events.LoadUnreadable).Str("endpoint", a.endpoint.Name()).Str("load", reading.InvalidLoad).Emit()
+	}
 	if reading.Draining && d.deps.Pool.MarkDraining(a.endpoint) {
 		d.logEvent(events.EndpointDraining).Str("endpoint", a.endpoint.Name()).Emit()
 	}
