--- a/accepted.go
+++ b/accepted.go
@@ -68,6 +68,8 @@
 type VMRegistry interface {
 	// Register stores the entry of a VM under its name.
 	Register(ctx context.Context, vm VM) error
+	// RegisterDisk stores the entry of a VM that stores turns of conversations.
+	RegisterDisk(ctx context.Context, vm VM) error
 	// Holder returns the holder of a data centre and the revision of its entry,
 	// which is 0 if there is none.
 	Holder(ctx context.Context, dataCentre string) (Holder, uint64, error)
@@ -85,4 +87,6 @@
 	Endpoints(objects []Object) ([]Endpoint, []error)
 	// VMs decodes the list of VMs and returns an error for each malformed object.
 	VMs(objects []Object) ([]VM, []error)
+	// DiskVMs decodes the VMs that store turns of conversations.
+	DiskVMs(objects []Object) []VM
 }
--- /dev/null
+++ b/conversation.go
@@ -0,0 +1,113 @@
+package hawthornrail
+
+import (
+	"context"
+	"time"
+)
+
+// TurnRef identifies a turn of a conversation by its team and the id of the request that
+// brought its response.
+type TurnRef struct {
+	team string
+	id   string
+}
+
+// NewTurnRef returns the identity of a turn.
+func NewTurnRef(team, id string) TurnRef { return TurnRef{team: team, id: id} }
+
+// Team returns the team of the turn.
+func (r TurnRef) Team() string { return r.team }
+
+// ID returns the id of the request that brought the turn's response.
+func (r TurnRef) ID() string { return r.id }
+
+// Turn is a turn of a conversation: what its caller sent and what the endpoint
+// responded.
+type Turn struct {
+	ref          TurnRef
+	parent       string
+	placementKey string
+	input        []byte
+	output       []byte
+	completedAt  time.Time
+	retention    time.Duration
+}
+
+// NewTurn returns a turn without a parent; output is the data of each event of its
+// response, each followed by a line feed.
+func NewTurn(ref TurnRef, input, output []byte) Turn {
+	return Turn{ref: ref, input: input, output: output}
+}
+
+// WithParent returns a copy that continues from the turn with an id.
+func (t Turn) WithParent(parent string) Turn {
+	t.parent = parent
+	return t
+}
+
+// WithPlacementKey returns a copy with the key that determines which VMs store it.
+func (t Turn) WithPlacementKey(key string) Turn {
+	t.placementKey = key
+	return t
+}
+
+// WithRetention returns a copy that was completed at a time and is kept for a while from
+// then on.
+func (t Turn) WithRetention(completedAt time.Time, retention time.Duration) Turn {
+	t.completedAt, t.retention = completedAt, retention
+	return t
+}
+
+// Ref returns the identity of the turn.
+func (t Turn) Ref() TurnRef { return t.ref }
+
+// Parent returns the id of the turn that it continues from, or the empty string.
+func (t Turn) Parent() string { return t.parent }
+
+// PlacementKey returns the key that determines which VMs store the turn; a turn has the
+// key of its parent.
+func (t Turn) PlacementKey() string { return t.placementKey }
+
+// Input returns what the caller sent.
+func (t Turn) Input() []byte { return t.input }
+
+// Output returns the data of each event of the response, each followed by a line feed.
+func (t Turn) Output() []byte { return t.output }
+
+// CompletedAt returns when the response ended.
+func (t Turn) CompletedAt() time.Time { return t.completedAt }
+
+// Retention returns how long the turn is kept after its response.
+func (t Turn) Retention() time.Duration { return t.retention }
+
+// Chain is the content of a turn and all its ancestors.
+type Chain struct {
+	content      []byte
+	placementKey string
+	turns        int
+}
+
+// NewChain returns a chain of turns whose content is the input and output of each, the
+// oldest first.
+func NewChain(content []byte, placementKey string, turns int) Chain {
+	return Chain{content: content, placementKey: placementKey, turns: turns}
+}
+
+// Content returns the input and output of each turn, the oldest first.
+func (c Chain) Content() []byte { return c.content }
+
+// PlacementKey returns the key that determines which VMs store the chain.
+func (c Chain) PlacementKey() string { return c.placementKey }
+
+// Turns returns the number of turns.
+func (c Chain) Turns() int { return c.turns }
+
+// Conversations stores the turns of conversations on the disks of VMs.
+type Conversations interface {
+	// Chain returns a turn and its ancestors; program is the id of the program that
+	// continues from it. It returns a Failure with CodeUnknownTurn only if it is certain
+	// that the team has no such turn.
+	Chain(ctx context.Context, ref TurnRef, program string) (Chain, error)
+	// Save stores a completed turn and returns once enough copies are on disk.
+	Save(ctx context.Context, t Turn) error
+}
--- a/forward.go
+++ b/forward.go
@@ -48,6 +48,7 @@
 	session  string
 	timeLeft time.Duration
 	budget   uint64
+	parent   string
 }
 
 // NewProgramCall returns a call of a session in a program that should finish
@@ -57,6 +58,16 @@
 	return ProgramCall{program: program, session: session, timeLeft: timeLeft, budget: budget}
 }
 
+// WithParent returns a copy that continues from the turn with an id.
+func (c ProgramCall) WithParent(parent string) ProgramCall {
+	c.parent = parent
+	return c
+}
+
+// Parent returns the id of the turn that the request continues from, or the empty
+// string.
+func (c ProgramCall) Parent() string { return c.parent }
+
 // Program returns the id of the program, or the empty string.
 func (c ProgramCall) Program() string { return c.program }
 
@@ -144,6 +155,9 @@
 // SetCall sets the program information of the request.
 func (r *ForwardRequest) SetCall(c ProgramCall) { r.call = c }
 
+// SetBody replaces the body, before the request is sent for the first time.
+func (r *ForwardRequest) SetBody(body []byte) { r.body = body }
+
 // SetPrompt sets the prompt information of the request.
 func (r *ForwardRequest) SetPrompt(p Prompt) { r.prompt = p }
 
--- a/internal/config/catalogue/catalogue.go
+++ b/internal/config/catalogue/catalogue.go
@@ -96,9 +96,9 @@
 	return list
 }
 
-// SetVMs replaces the VMs.
-func (c *Catalogue) SetVMs(vms []hawthornrail.VM) {
+// SetVMs replaces the VMs and those among them that store turns of conversations.
+func (c *Catalogue) SetVMs(vms, diskVMs []hawthornrail.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.snapshot.Store(c.Snapshot().WithVMs(vms))
+	c.snapshot.Store(c.Snapshot().WithVMs(vms).WithDiskVMs(diskVMs))
 }
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -25,6 +25,8 @@
 	defaultSample   = 100
 	defaultMemoryMB = 128
 	defaultInForce  = 2 * time.Second
+	// defaultToleratedDisks is the number of disks that may be lost at once.
+	defaultToleratedDisks = 1
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -32,13 +34,16 @@
 
 // file is the TOML form of the settings.
 type file struct {
-	VM       vmSection       `toml:"vm"`
-	Listen   listenSection   `toml:"listen"`
-	Peer     peerSection     `toml:"peer"`
-	Store    storeSection    `toml:"store"`
-	Disk     diskSection     `toml:"disk"`
-	Limits   limitsSection   `toml:"limits"`
-	Config   configSection   `toml:"config"`
+	VM     vmSection     `toml:"vm"`
+	Listen listenSection `toml:"listen"`
+	Peer   peerSection   `toml:"peer"`
+	Store  storeSection  `toml:"store"`
+	Disk   diskSection   `toml:"disk"`
+	Limits limitsSection `toml:"limits"`
+	Config configSection `toml:"config"`
+
+	FaultTolerance faultToleranceSection `toml:"fault_tolerance"`
+
 	Log      logSection      `toml:"log"`
 	Shutdown shutdownSection `toml:"shutdown"`
 }
@@ -83,6 +88,10 @@
 	InForceMS float64 `toml:"in_force_ms"`
 }
 
+type faultToleranceSection struct {
+	Disks int `toml:"disks"`
+}
+
 type logSection struct {
 	Sample int `toml:"sample"`
 }
@@ -119,9 +128,10 @@
 			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB,
 			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes,
 		},
-		Config:   configSection{InForceMS: float64(defaultInForce.Milliseconds())},
-		Log:      logSection{Sample: defaultSample},
-		Shutdown: shutdownSection{GraceMS: int(defaultGrace.Milliseconds())},
+		FaultTolerance: faultToleranceSection{Disks: defaultToleratedDisks},
+		Config:         configSection{InForceMS: float64(defaultInForce.Milliseconds())},
+		Log:            logSection{Sample: defaultSample},
+		Shutdown:       shutdownSection{GraceMS: int(defaultGrace.Milliseconds())},
 	}
 	meta, err := toml.Decode(text, &f)
 	if err != nil {
@@ -160,6 +170,7 @@
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
+	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
 	require(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
 	for _, seed := range f.Peer.Seeds {
@@ -249,6 +260,9 @@
 	return time.Duration(s.file.Config.InForceMS * float64(time.Millisecond))
 }
 
+// ToleratedDiskLosses returns how many disks may be lost at once without a loss of data.
+func (s Settings) ToleratedDiskLosses() int { return s.file.FaultTolerance.Disks }
+
 // LogSample returns n if one in n successful requests is logged.
 func (s Settings) LogSample() int { return s.file.Log.Sample }
 
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -160,7 +160,7 @@
 	case n.adapter.Kinds.VMs:
 		vms, problems := n.adapter.Decoder.VMs(objects)
 		n.logMalformed(problems)
-		n.catalogue.SetVMs(n.addMissingHolders(vms))
+		n.catalogue.SetVMs(n.addMissingHolders(vms), n.adapter.Decoder.DiskVMs(objects))
 		n.watchRole.SetPredecessors(n.precedingWatchers(vms), n.clock.Now())
 		n.log.Event(events.VMsChanged).Int("vms", len(vms)).Emit()
 	}
--- a/route.go
+++ b/route.go
@@ -47,6 +47,9 @@
 	attempts  int
 	timeout   time.Duration
 	objective time.Duration
+	// retention is how long the turns of a conversation are kept, or 0 if the route has
+	// no conversations.
+	retention time.Duration
 	targets   []Target
 }
 
@@ -87,6 +90,13 @@
 	return r
 }
 
+// WithConversations returns a copy whose requests are turns of conversations that are
+// kept for retention after their response.
+func (r Route) WithConversations(retention time.Duration) Route {
+	r.retention = retention
+	return r
+}
+
 // Name returns the name of the route.
 func (r Route) Name() string { return r.name }
 
@@ -122,6 +132,12 @@
 // Objective returns the objective for the response time.
 func (r Route) Objective() time.Duration { return r.objective }
 
+// Conversations reports whether requests are turns of conversations, which the VMs
+// store, and how long a turn is kept.
+func (r Route) Conversations() (retention time.Duration, ok bool) {
+	return r.retention, r.retention > 0
+}
+
 // Targets returns the services that receive the route's requests.
 func (r Route) Targets() []Target { return r.targets }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Snapshot is an immutable view of the configuration in force at a revision.
@@ -12,9 +13,12 @@
 	keys         map[string]Key
 	endpoints    map[string]Endpoint
 	vms          map[string]VM
+	diskVMs      []VM
 	publicRoutes map[string]string
 	routes       *RouteTable
 	services     map[string]Service
+	// conversations is set if a route has conversations.
+	conversations bool
 }
 
 // NewSnapshot returns a snapshot of the given objects at a revision.
@@ -63,6 +67,13 @@
 	return &c
 }
 
+// WithDiskVMs returns a copy with the given VMs that store turns of conversations.
+func (s *Snapshot) WithDiskVMs(vms []VM) *Snapshot {
+	c := *s
+	c.diskVMs = slices.SortedFunc(slices.Values(vms), func(a, b VM) int { return strings.Compare(a.Name(), b.Name()) })
+	return &c
+}
+
 // WithPublicRoutes returns a copy in which each path is accessible without a key
 // and runs under a deployment. The keys of routes are the service name followed
 // by the path, the values are deployment names.
@@ -77,6 +88,7 @@
 func (s *Snapshot) WithRoutes(routes []Route, services []Service) *Snapshot {
 	c := *s
 	c.routes = NewRouteTable(routes)
+	c.conversations = slices.ContainsFunc(routes, func(r Route) bool { return r.retention > 0 })
 	c.services = make(map[string]Service, len(services))
 	for _, v := range services {
 		c.services[v.Name()] = v
@@ -163,6 +175,12 @@
 	return list
 }
 
+// DiskVMs returns the VMs that store turns of conversations, sorted by name.
+func (s *Snapshot) DiskVMs() []VM { return s.diskVMs }
+
+// HasConversations reports whether a route has conversations.
+func (s *Snapshot) HasConversations() bool { return s.conversations }
+
 // PublicRoute returns the name of the deployment of a service's path that is
 // accessible without a key.
 func (s *Snapshot) PublicRoute(service, path string) (string, bool) {
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,8 @@
 	CodeNoEndpoint         Code = "no_endpoint"
 	CodeQuarantined        Code = "quarantined"
 	CodeStreamUnknown      Code = "stream_unknown"
+	CodeUnknownTurn        Code = "unknown_turn"
+	CodeTurnUncertain      Code = "turn_uncertain"
 	CodeEndpointFailed     Code = "endpoint_failed"
 	CodeResponseTruncated  Code = "answer_cut"
 	CodeHomeUnreachable    Code = "home_unreachable"
