Keep the tokens that holders send each other in late replies

Cause: a lost TCP segment stalls the connection between two holders for 200 ms or more, several times a second over all pairs. Transfers, announcements and grants gave up after 120 to 150 ms. The tokens in the reply were deducted at the sender and never added, a grant that had arrived counted as lost, and the holder counted as unresponsive, so that other calls were refused with "other holders do not answer". A transfer that was also relayed was deducted twice.

Change: a call waits 400 ms, longer than a retransmission takes, and the reply itself is awaited for 2 s; its tokens are added whenever it comes. Transfer requests have an ID; a copy of one gets the same reply.

--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"time"
@@ -9,10 +10,21 @@
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-// transferTimeout is the timeout of a transfer request to another holder.
-const transferTimeout = 150 * time.Millisecond
+const (
+	// transferTimeout is how long a call waits for the reply to a transfer request. It is
+	// longer than the retransmission of a lost TCP segment takes, 200 ms at least.
+	transferTimeout = 400 * time.Millisecond
+	// lateTransferTimeout is how long the reply itself is awaited: the other holder has
+	// given up the tokens that it brings.
+	lateTransferTimeout = 2 * time.Second
+)
 
-var errNoAccount = errors.New("program has no account at the holder")
+var (
+	errNoAccount = errors.New("program has no account at the holder")
+	errNoReply   = errors.New("holder has not replied in time")
+	// errNotRecorded means that tokens were received and could not be recorded.
+	errNotRecorded = errors.New("received tokens could not be recorded")
+)
 
 // collectResult is the result of requesting tokens from other holders.
 type collectResult struct {
@@ -130,35 +142,56 @@
 	total := collectResult{allReplied: true}
 	for range dataCentres {
 		r := <-results
-		if r.err != nil {
-			total.allReplied = false
-			continue
-		}
-		if r.tokens == 0 {
-			continue
-		}
-		if err := h.commit(h.balances.TransferIn(m.GetProgram(), r.tokens)); err != nil {
-			return total, err
-		}
 		total.tokens += r.tokens
+		total.allReplied = total.allReplied && r.err == nil
+		if errors.Is(r.err, errNotRecorded) {
+			return total, r.err
+		}
 	}
 	return total, nil
 }
 
-// transferFrom requests tokens of a program from one holder.
+// transferFrom requests tokens of a program from one holder and adds them to the
+// program's account. Tokens in a late reply are added too, for later calls.
 func (h *Holder) transferFrom(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) (uint64, error) {
 	if h.holders.unresponsive(dataCentre) {
 		return 0, errSuspected
 	}
-	transfer := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: wanted}
+	type result struct {
+		tokens uint64
+		err    error
+	}
+	replied := make(chan result, 1)
+	go func() {
+		tokens, err := h.requestTransfer(context.WithoutCancel(ctx), dataCentre, m, wanted)
+		replied <- result{tokens, err}
+	}()
+	select {
+	case r := <-replied:
+		return r.tokens, r.err
+	case <-h.deps.Clock.After(transferTimeout):
+		h.holders.suspect(dataCentre, errNoReply)
+		return 0, errNoReply
+	case <-ctx.Done():
+		return 0, fmt.Errorf("wait for tokens of program %s: %w", m.GetProgram(), ctx.Err())
+	}
+}
+
+func (h *Holder) requestTransfer(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) (uint64, error) {
+	transfer := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: wanted, Id: rand.Text()}
 	var reply vmpb.AccountTransferReply
-	err := h.holders.request(ctx, transferTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: transfer}}, &reply)
+	err := h.holders.requestWithin(ctx, lateTransferTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: transfer}}, &reply)
 	if err != nil {
 		return 0, err
 	}
+	if reply.GetMoved() > 0 {
+		if err := h.commit(h.balances.TransferIn(m.GetProgram(), reply.GetMoved())); err != nil {
+			return 0, fmt.Errorf("%w: %w", errNotRecorded, err)
+		}
+	}
 	if !reply.GetKnown() {
 		// The holder may be about to become the program's home.
-		return 0, errNoAccount
+		return reply.GetMoved(), errNoAccount
 	}
 	return reply.GetMoved(), nil
 }
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -65,6 +65,7 @@
 	pendingGrants map[string]chan struct{}
 	// collections are the programs for whose calls tokens are collected.
 	collections map[string]*collection
+	transfers   *transferLog
 	// recovering is held while the programs are listed.
 	recovering sync.Mutex
 	// takeovers counts how often this VM has begun to take the role of another one.
@@ -80,7 +81,7 @@
 	h := &Holder{
 		deps: deps, holders: newHolderClient(deps.Config, deps.Invoker, deps.Clock, deps.Log),
 		balances: NewBalances(), opening: make(map[string]chan struct{}), pendingGrants: make(map[string]chan struct{}),
-		collections: make(map[string]*collection),
+		collections: make(map[string]*collection), transfers: newTransferLog(),
 	}
 	now := deps.Clock.Now()
 	journal, created, err := OpenJournal(deps.Folder, func(r *vmpb.AccountRecord) { h.balances.Apply(r, now) })
@@ -234,22 +235,34 @@
 }
 
 // Transfer transfers tokens to another holder. The deduction is on disk before
-// the reply is sent, so a lost reply loses tokens but never duplicates them.
+// the reply is sent, so a lost reply loses tokens but never duplicates them. A request
+// that arrives again, directly and through a relay, gets the same reply.
 func (h *Holder) Transfer(m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
+	h.mu.Lock()
+	if t, repeated := h.transfers.find(m.GetId()); repeated {
+		h.mu.Unlock()
+		return t.reply, h.awaitSync(t.seq)
+	}
 	reply := &vmpb.AccountTransferReply{}
-	err := h.commitDecision(func() *vmpb.AccountRecord {
-		_, known := h.balances.Home(m.GetProgram())
-		_, grantsPending := h.pendingGrants[m.GetProgram()]
-		// While grants are in flight, the other holders' tokens are not known.
-		reply.Known = known && !grantsPending
-		record, tokens := h.balances.TransferOut(m.GetProgram(), m.GetWanted())
-		reply.Moved = tokens
-		return record
-	})
+	_, known := h.balances.Home(m.GetProgram())
+	_, grantsPending := h.pendingGrants[m.GetProgram()]
+	// While grants are in flight, the other holders' tokens are not known.
+	reply.Known = known && !grantsPending
+	record, tokens := h.balances.TransferOut(m.GetProgram(), m.GetWanted())
+	if record == nil {
+		h.mu.Unlock()
+		return reply, nil
+	}
+	reply.Moved = tokens
+	seq, err := h.append(record)
+	if err == nil {
+		h.transfers.add(m.GetId(), transfer{reply: reply, seq: seq, at: h.deps.Clock.Now()})
+	}
+	h.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
-	return reply, nil
+	return reply, h.awaitSync(seq)
 }
 
 // Settle replaces a reservation by the tokens used. It does not wait for the
@@ -279,6 +292,7 @@
 func (h *Holder) maintain() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.transfers.expire(h.deps.Clock.Now())
 	since := h.deps.Clock.Now().Add(-retention)
 	h.balances.Expire(since)
 	if !h.journal.NeedsCompaction() {
--- a/internal/program/account/holder_client.go
+++ b/internal/program/account/holder_client.go
@@ -22,6 +22,9 @@
 	// probeTimeout is the timeout of a probe, which a holder replies to without its
 	// disk or the platform.
 	probeTimeout = 150 * time.Millisecond
+	// minProbedTimeout is the shortest timeout of a request during which the holder is
+	// probed; a shorter one ends soon anyway.
+	minProbedTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -55,15 +58,28 @@
 // request sends a request to the holder of a data centre. It fails before the
 // timeout if the holder does not reply to a probe either.
 func (h *holderClient) request(ctx context.Context, timeout time.Duration, dataCentre string, open *vmpb.Open, reply proto.Message) error {
-	address, err := h.address(dataCentre)
-	if err != nil {
-		return err
-	}
 	requestCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if timeout > probeDelay+probeTimeout {
+	if address, err := h.address(dataCentre); err == nil && timeout >= minProbedTimeout {
 		go h.cancelIfUnresponsive(requestCtx, cancel, address)
 	}
+	return h.send(ctx, requestCtx, dataCentre, open, reply)
+}
+
+// requestWithin is like request and waits for the whole timeout.
+func (h *holderClient) requestWithin(ctx context.Context, timeout time.Duration, dataCentre string, open *vmpb.Open, reply proto.Message) error {
+	requestCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return h.send(ctx, requestCtx, dataCentre, open, reply)
+}
+
+// send sends a request within requestCtx and records whether the holder replies, unless
+// ctx, that of the caller, has ended.
+func (h *holderClient) send(ctx, requestCtx context.Context, dataCentre string, open *vmpb.Open, reply proto.Message) error {
+	address, err := h.address(dataCentre)
+	if err != nil {
+		return err
+	}
 	sentAt := h.clock.Now()
 	_, err = h.invoker.Invoke(requestCtx, address, open, reply)
 	if err == nil {
@@ -82,6 +98,13 @@
 	return fmt.Errorf("holder of %s: %w", dataCentre, err)
 }
 
+// suspect records that the holder of a data centre did not reply to a request in time.
+func (h *holderClient) suspect(dataCentre string, err error) {
+	if address, addressErr := h.address(dataCentre); addressErr == nil {
+		h.recordFailure(dataCentre, address, err)
+	}
+}
+
 // cancelIfUnresponsive cancels a request to a holder that does not reply to a
 // probe.
 func (h *holderClient) cancelIfUnresponsive(requestCtx context.Context, cancel context.CancelFunc, address string) {
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -25,9 +25,10 @@
 // that share for each holder that did not reply.
 
 const (
-	// announceTimeout is the timeout of an announcement or grant to another
-	// holder.
-	announceTimeout = 120 * time.Millisecond
+	// announceTimeout is the timeout of an announcement or grant to another holder. It is
+	// longer than the retransmission of a lost TCP segment takes, 200 ms at least: the
+	// tokens of a grant that counts as lost can't be used any more.
+	announceTimeout = 400 * time.Millisecond
 	// claimTimeout is the timeout of a claim at the platform.
 	claimTimeout = time.Second
 	// platformBackoff is how long no claim is tried after one failed.
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -41,6 +41,8 @@
 	random   *rand.Rand
 	// transfers counts the transfer requests.
 	transfers int
+	// transferReplyDelay is how long the replies to transfer requests take.
+	transferReplyDelay time.Duration
 
 	// used is the maximum of tokens that each call of a program may have
 	// generated.
@@ -139,8 +141,10 @@
 	requestLost := f.partitioned[a.from] || f.partitioned[to] || h == nil || f.lossy && f.random.IntN(6) == 0
 	replyLost := f.lossy && f.random.IntN(6) == 0
 	duplicated := f.lossy && f.random.IntN(6) == 0
+	delay := time.Duration(0)
 	if open.GetAccountTransfer() != nil {
 		f.transfers++
+		delay = f.transferReplyDelay
 	}
 	f.mu.Unlock()
 	if requestLost {
@@ -154,6 +158,9 @@
 	if err != nil || replyLost {
 		return hawthornrail.Instance{}, errors.Join(errUnreachable, err)
 	}
+	if !clock.Wait(ctx, clock.Real(), delay) {
+		return hawthornrail.Instance{}, errors.Join(errUnreachable, ctx.Err())
+	}
 	proto.Merge(reply, served)
 	return hawthornrail.Instance{}, nil
 }
