Choose endpoints by their own speed and pace

The fourth figure of load reports was decoded and dropped, and the time expected at an endpoint was the larger of its own mean and that of all: a fast endpoint looked like a mean one. VMs of the services at hand so sent a fast endpoint as much as a slow one.

An endpoint's report now carries its pace. Where endpoints report a pace, the cost of a choice is speed x pace x (own duration + congestion), the pace with a half-life of 200 ms.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -48,6 +48,8 @@
 	exchange exchange
 	sent     time.Time
 	finished bool
+	// pace is the pace that the endpoint reported with the response, or 0.
+	pace float64
 	// contact tracks whether the endpoint is reached, and ctx ends when the attempt is
 	// abandoned because it is not; both are unset for an attempt through another VM.
 	contact *contact.Attempt
@@ -163,6 +165,10 @@
 	d.fillRequest(request, a.endpoint)
 	d.logEvent(events.ForwardSent).Str("endpoint", a.endpoint.Name()).Str("service", d.service.Name()).Str("version", a.endpoint.Version()).
 		Int("send", d.progress.Sends()).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
+	if estimate, ok := d.deps.Pool.Estimate(a.endpoint.Name(), a.query); ok {
+		d.logEvent(events.EndpointEstimated).Str("endpoint", a.endpoint.Name()).Float("speed", estimate.Speed()).Float("pace", estimate.Pace()).
+			Int("age_ms", int(estimate.Age().Milliseconds())).Float("load", estimate.Load()).Emit()
+	}
 	d.track(ctx, a)
 	response, err := d.deps.Transport.DoAccepted(a.ctx, a.endpoint.Address(), request, d.acceptResponse, a.contact)
 	if err != nil {
@@ -240,7 +246,8 @@
 	h := response.Header()
 	reading := d.deps.Codec.Read(h.StatusCode(), h)
 	if reading.Load {
-		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()))
+		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()).WithPace(reading.Pace))
+		a.pace = reading.Pace
 	}
 	if reading.InvalidLoad != "" {
 		d.logEvent(events.LoadUnreadable).Str("endpoint", a.endpoint.Name()).Str("load", reading.InvalidLoad).Emit()
@@ -272,6 +279,7 @@
 		return
 	}
 	a.finished = true
+	comparable := err == nil && d.comparable(a)
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
@@ -291,12 +299,22 @@
 		duration = d.deps.Clock.Since(a.sent)
 	}
 	d.deps.Forwards.Attempted(d.service.Name(), a.endpoint.Name(), err, duration)
+	if comparable {
+		d.deps.Pool.Learn(a.endpoint.Name(), a.query, endpoint.NewSample(generated, a.pace, duration))
+	}
 	d.deps.Pool.Done(a.endpoint.Name(), a.query, err, usage, duration)
 	if err == nil {
 		d.deps.Quarantine.RecordCompletion(d.request.Digests())
 	}
 }
 
+// comparable reports whether the duration of a served attempt shows the speed of its
+// endpoint. A failure is often shorter than the work, and a stream that was resumed has
+// events of several endpoints.
+func (d *dispatch) comparable(a *attempt) bool {
+	return a.pace > 0 && a.exchange != nil && a.exchange.Status() == statusOK && d.progress.LastEvent() == ""
+}
+
 // readWhole reads a response to its end before any of it reaches the caller.
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	buffer := d.deps.Buffers.Body()
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// Learn records a served request from which the speed of its endpoint is learnt; it
+// is called before Done.
+func (p *Pool) Learn(name string, q hawthornrail.PickQuery, sample endpoint.Sample) {
+	if g := p.group(groupKey{q.Kind(), q.Target()}); g != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.table.Learn(name, q, sample, p.clock.Now())
+	}
+}
+
+// Estimate returns what the choice of an endpoint for a query was based on; ok is
+// false if it reports no pace.
+func (p *Pool) Estimate(name string, q hawthornrail.PickQuery) (estimate endpoint.Estimate, ok bool) {
+	g := p.group(groupKey{q.Kind(), q.Target()})
+	if g == nil {
+		return estimate, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Estimate(name, p.clock.Now())
+}
+
 // outcomeOf counts only CodeEndpointFailed as a failure of the endpoint: a step
 // that was not replicated or a caller that disconnected says nothing about it.
 func outcomeOf(err error) endpoint.Outcome {
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -53,6 +53,7 @@
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
+	EndpointEstimated  = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
 )
 
 // The events of programs.
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -115,8 +115,8 @@
 }
 
 // pickNearBest returns a random candidate among those whose cost is within
-// Params.NearEqual of the lowest, so that VMs with the same reports do not all
-// choose the same endpoint.
+// Params.NearEqual of the lowest, or Params.PacedNearShare if endpoints report their
+// pace, so that VMs with the same reports do not all choose the same endpoint.
 func (t *Table) pickNearBest(candidates []candidate) *endpointState {
 	best := candidates[0]
 	for _, c := range candidates[1:] {
@@ -124,9 +124,13 @@
 			best = c
 		}
 	}
+	nearEqual := t.params.NearEqual.Seconds()
+	if t.paced > 0 {
+		nearEqual = max(nearEqual, t.params.PacedNearShare*best.cost)
+	}
 	chosen, near := best.state, 0
 	for _, c := range candidates {
-		if c.cost > best.cost+t.params.NearEqual.Seconds() {
+		if c.cost > best.cost+nearEqual {
 			continue
 		}
 		near++
@@ -140,6 +144,9 @@
 // cost is the expected time to the first token plus the delay that the request
 // causes for others, in seconds.
 func (t *Table) cost(s *endpointState, q hawthornrail.PickQuery, now time.Time) float64 {
+	if t.paced > 0 {
+		return t.pacedCost(s, q, now)
+	}
 	load := t.load(s, now)
 	service := t.expectedServiceTime(s)
 	cost := t.params.BatchCost * service * min(1, load/float64(s.slots))
@@ -151,6 +158,11 @@
 		cost += max(0, uncached) / t.params.PrefillPerSecond * t.params.PrefillFactor
 		cost += t.evictionCost(s, uncached)
 	}
+	return t.addConnectionCost(cost, s)
+}
+
+// addConnectionCost adds the cost of the way to an endpoint to a cost in seconds.
+func (t *Table) addConnectionCost(cost float64, s *endpointState) float64 {
 	if s.endpoint.DataCentre() != t.dataCentre {
 		cost += t.params.RemoteCost.Seconds()
 	}
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -12,6 +12,8 @@
 	running       int
 	cachedTokens  int
 	cacheCapacity int
+	// pace is 0 if none is reported.
+	pace float64
 }
 
 // NewReport returns a report of waiting and running requests, of the tokens in
@@ -21,6 +23,13 @@
 	return Report{waiting: waiting, running: running, cachedTokens: cachedTokens, cacheCapacity: cacheCapacity}
 }
 
+// WithPace returns a copy with the factor by which work takes longer than usual at
+// the endpoint now, or 0 if it reports none.
+func (r Report) WithPace(pace float64) Report {
+	r.pace = pace
+	return r
+}
+
 // endpointState is this VM's state of one endpoint.
 type endpointState struct {
 	endpoint hawthornrail.Endpoint
@@ -44,6 +53,8 @@
 	// unresponsive is set if the endpoint did not reply to a load request.
 	unresponsive bool
 	serviceTime  average
+	speed        speed
+	others       usualLoad
 	limit        rateLimit
 }
 
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -33,6 +33,13 @@
 	SampleSize int
 	// NearEqual is the difference in cost within which the choice is random.
 	NearEqual time.Duration
+	// PaceHalfLife is the age at which a reported pace has half its weight.
+	PaceHalfLife time.Duration
+	// PacedReportHalfLife is ReportHalfLife for endpoints that report their pace.
+	PacedReportHalfLife time.Duration
+	// PacedNearShare is the fraction of the lowest cost by which a cost may be higher
+	// for the choice to be random, among endpoints that report their pace.
+	PacedNearShare float64
 	// CacheShare is the fraction of the cache above which no new programs start.
 	CacheShare float64
 	// IdleShare is the fraction of used slots below which a full cache does not
@@ -53,6 +60,7 @@
 		PrefillPerSecond: 12_000, PrefillFactor: 20, BatchCost: 0.25,
 		RemoteCost: 20 * time.Millisecond, ReportHalfLife: 4 * time.Second, HintHalfLife: 10 * time.Minute,
 		SampleSize: 16, NearEqual: 50 * time.Millisecond, CacheShare: 0.9, IdleShare: 0.5,
+		PaceHalfLife: 200 * time.Millisecond, PacedReportHalfLife: 150 * time.Millisecond, PacedNearShare: 0.05,
 		FirstBackoff: time.Second, LastBackoff: 30 * time.Second,
 	}
 }
@@ -64,6 +72,7 @@
 		PrefillPerSecond: 112_000, PrefillFactor: 2, BatchCost: 0.25,
 		RemoteCost: 12 * time.Millisecond, ConnectCost: 4 * time.Millisecond, ReportHalfLife: 500 * time.Millisecond, HintHalfLife: time.Minute,
 		SampleSize: 32, NearEqual: 2 * time.Millisecond, CacheShare: 0.9, IdleShare: 0.5,
+		PaceHalfLife: 200 * time.Millisecond, PacedReportHalfLife: 150 * time.Millisecond, PacedNearShare: 0.05,
 		FirstBackoff: 200 * time.Millisecond, LastBackoff: 2 * time.Second, RetryFailedEarly: true,
 	}
 }
@@ -100,6 +109,9 @@
 	serviceTime  average
 	inFlight     int
 	withoutSlots int
+	// paced is the number of endpoints that report their pace.
+	paced int
+	work  workModel
 	sums
 }
 
@@ -136,7 +148,7 @@
 	old := t.states
 	t.listed = endpoints
 	t.states = make(map[string]*endpointState, len(endpoints))
-	t.local, t.remote, t.withoutSlots = nil, nil, 0
+	t.local, t.remote, t.withoutSlots, t.paced = nil, nil, 0, 0
 	for _, e := range endpoints {
 		if t.draining.has(e.Name()) {
 			e = e.WithDraining(true)
@@ -152,6 +164,9 @@
 			s.slots = assumedSlots
 		}
 		t.states[e.Name()] = s
+		if s.report.pace > 0 {
+			t.paced++
+		}
 		if e.Draining() {
 			continue
 		}
@@ -242,10 +257,19 @@
 	if s.unresponsive {
 		s.unresponsive, s.failures = false, 0
 	}
+	t.countPaced(s.report.pace, -1)
+	t.countPaced(r.pace, 1)
 	s.report, s.reportedAt, s.inFlightAtReport, s.tokensSinceReport = r, now, s.inFlight, 0
+	s.others.add(s.otherRequests())
 	t.addToSums(s, 1)
 }
 
+func (t *Table) countPaced(pace float64, sign int) {
+	if pace > 0 {
+		t.paced += sign
+	}
+}
+
 // Allowance is the number of requests that a VM may have in flight.
 type Allowance struct {
 	requests int
