--- a/interfaces.go
+++ b/interfaces.go
@@ -197,6 +197,7 @@
 	target       string
 	program      string
 	promptTokens int
+	parts        []PromptPart
 	excluded     []string
 	// version restricts the choice if versioned is set.
 	version   string
@@ -209,6 +210,15 @@
 	return PickQuery{kind: kind, target: target, program: program, promptTokens: promptTokens}
 }
 
+// WithParts returns a copy with the parts of the prompt in order.
+func (q PickQuery) WithParts(parts []PromptPart) PickQuery {
+	q.parts = parts
+	return q
+}
+
+// Parts returns the parts of the prompt in order.
+func (q PickQuery) Parts() []PromptPart { return q.parts }
+
 // Excluding returns a copy that excludes the endpoints already tried.
 func (q PickQuery) Excluding(endpoints []string) PickQuery {
 	q.excluded = endpoints
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -202,7 +202,8 @@
 	if d.service.Engine() {
 		kind = hawthornrail.EngineEndpoint
 	}
-	q := hawthornrail.NewPickQuery(kind, d.service.Name(), d.request.Call().Program(), d.request.Prompt().Tokens()).Excluding(slices.Concat(d.progress.Excluded(), d.unreached))
+	q := hawthornrail.NewPickQuery(kind, d.service.Name(), d.request.Call().Program(), d.request.Prompt().Tokens()).
+		WithParts(d.request.Prompt().Parts()).Excluding(slices.Concat(d.progress.Excluded(), d.unreached))
 	if version, restricted := d.progress.Version(); restricted {
 		q = q.WithVersion(version)
 	}
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -98,6 +98,7 @@
 	g.table.Done(name, outcome, duration, now)
 	if outcome == endpoint.Served {
 		g.table.Cached(q.Program(), name, int(usage.Total()), now)
+		g.table.CachedParts(q, name, now)
 	}
 }
 
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -13,10 +13,10 @@
 }
 
 // Choose returns an endpoint with nearly the lowest expected cost among a random
-// sample and the one that probably caches the program's prompt, and counts the
+// sample and those that probably cache the program's prompt or its first parts, and counts the
 // request as sent.
 func (t *Table) Choose(q hawthornrail.PickQuery, now time.Time) (hawthornrail.Endpoint, bool) {
-	var buffer [2 * 32]candidate
+	var buffer [2*32 + 1 + maxPartEndpoints]candidate
 	candidates := t.candidates(buffer[:0], q, now)
 	if len(candidates) == 0 {
 		s := t.earliestRetry(q, now)
@@ -80,6 +80,9 @@
 			list = append(list, candidate{state: s, cost: t.cost(s, q, now)})
 		}
 	}
+	if t.paced > 0 {
+		list = t.appendPartHolders(list, q, now)
+	}
 	list = t.appendSample(list, t.local, q, now)
 	return t.appendSample(list, t.remote, q, now)
 }
@@ -217,6 +220,9 @@
 	if !ok || h.endpoint != s.endpoint.Name() {
 		return 0
 	}
-	weight := 1 / (1 + now.Sub(h.updatedAt).Seconds()/t.params.HintHalfLife.Seconds())
-	return weight * float64(min(h.tokens, q.PromptTokens()))
+	return t.hintWeight(h.updatedAt, now) * float64(min(h.tokens, q.PromptTokens()))
+}
+
+func (t *Table) hintWeight(updatedAt, now time.Time) float64 {
+	return 1 / (1 + now.Sub(updatedAt).Seconds()/t.params.HintHalfLife.Seconds())
 }
--- a/internal/policy/endpoint/pacefleet_test.go
+++ b/internal/policy/endpoint/pacefleet_test.go
@@ -17,6 +17,8 @@
 const (
 	pacedEndpoints    = 60
 	pacedTurns        = 6
+	pacedSystems      = 20
+	pacedToolSets     = 3
 	pacedSeconds      = 20.0
 	pacedLoad         = 0.6
 	pacedShare        = 0.15
@@ -32,10 +34,12 @@
 type pacedRequest struct {
 	vm        int
 	program   string
+	parts     []hawthornrail.PromptPart
 	prompt    int
 	generated int
 	arrived   float64
 	sentTo    int
+	prefilled int
 	pace      float64
 	sent      float64
 }
@@ -82,6 +86,19 @@
 	e.now = now
 }
 
+// cachedTokens returns the tokens of a prompt that the program or others with the same
+// first parts have left in the cache.
+func (e *pacedEndpoint) cachedTokens(r *pacedRequest) int {
+	shared := 0
+	for _, part := range r.parts {
+		if e.cached[part.ID()] == 0 {
+			break
+		}
+		shared += part.Tokens()
+	}
+	return min(max(shared, e.cached[r.program]), r.prompt)
+}
+
 func (e *pacedEndpoint) load() int { return len(e.running) + len(e.waiting) }
 
 // pacedEvent is a scheduled change of the fleet.
@@ -106,6 +123,8 @@
 // pace, so that the choices are those of the code without it.
 type pacedFleet struct {
 	reporting bool
+	// parts is set if the VMs are told the parts of prompts.
+	parts     bool
 	endpoints []*pacedEndpoint
 	tables    []*endpoint.Table
 	events    pacedEvents
@@ -114,10 +133,11 @@
 	total     float64
 	swing     float64
 	samples   int
+	prefilled int
 }
 
 func newPacedFleet(vms int, reporting bool, seed uint64) *pacedFleet {
-	f := &pacedFleet{reporting: reporting}
+	f := &pacedFleet{reporting: reporting, parts: reporting}
 	var list []hawthornrail.Endpoint
 	for i := range pacedEndpoints {
 		list = append(list, hawthornrail.NewEndpoint(fmt.Sprintf("e%d", i), hawthornrail.EngineEndpoint, "dc1", "", []string{"m"}).WithSlots(slots))
@@ -166,11 +186,16 @@
 	}
 	perSecond := pacedLoad * capacity
 	for i, at := 0, 0.0; at < pacedSeconds; i, at = i+1, at+random.ExpFloat64()/perSecond*pacedTurns {
-		prompt := 500 + random.IntN(5000)
+		system := random.IntN(pacedSystems)
+		parts := []hawthornrail.PromptPart{
+			hawthornrail.NewPromptPart(fmt.Sprint("system", system), 2000),
+			hawthornrail.NewPromptPart(fmt.Sprint("tools", system, random.IntN(pacedToolSets)), 2000),
+		}
+		prompt := 4000 + random.IntN(2000)
 		turn := at
 		for range pacedTurns {
 			prompt += random.IntN(500)
-			r := &pacedRequest{vm: random.IntN(vms), program: fmt.Sprint(i), prompt: prompt, generated: 40 + random.IntN(200), arrived: turn}
+			r := &pacedRequest{vm: random.IntN(vms), program: fmt.Sprint(i), parts: parts, prompt: prompt, generated: 40 + random.IntN(200), arrived: turn}
 			f.schedule(turn, func() { f.arrive(r) })
 			turn += 1 + random.Float64()
 		}
@@ -181,12 +206,16 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func (r *pacedRequest) query() hawthornrail.PickQuery {
-	return hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, "m", r.program, r.prompt)
+func (f *pacedFleet) query(r *pacedRequest) hawthornrail.PickQuery {
+	q := hawthornrail.NewPickQuery(hawthornrail.EngineEndpoint, "m", r.program, r.prompt)
+	if f.parts {
+		q = q.WithParts(r.parts)
+	}
+	return q
 }
 
 func (f *pacedFleet) arrive(r *pacedRequest) {
-	e, _ := f.tables[r.vm].Choose(r.query(), pacedTime(f.now))
+	e, _ := f.tables[r.vm].Choose(f.query(r), pacedTime(f.now))
 	_, _ = fmt.Sscanf(e.Name(), "e%d", &r.sentTo)
 	to := f.endpoints[r.sentTo]
 	r.sent = f.now
@@ -201,7 +230,8 @@
 	for len(e.waiting) > 0 && len(e.running) < slots {
 		r := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		cached := min(e.cached[r.program], r.prompt)
+		cached := e.cachedTokens(r)
+		r.prefilled = r.prompt - cached
 		heap.Push(&e.running, pacedJob{r, e.progress + r.work(cached)})
 		report := endpoint.NewReport(len(e.waiting), len(e.running), 0, 0)
 		if f.reporting {
@@ -233,11 +263,16 @@
 	name, now, took := fmt.Sprintf("e%d", r.sentTo), pacedTime(f.now), time.Duration((f.now-r.sent)*float64(time.Second))
 	table := f.tables[r.vm]
 	if f.reporting {
-		table.Learn(name, r.query(), endpoint.NewSample(r.generated, r.pace, took), now)
+		table.Learn(name, f.query(r), endpoint.NewSample(r.generated, r.pace, took), now)
 	}
 	table.Done(name, endpoint.Served, took, now)
 	table.Cached(r.program, name, r.prompt+r.generated, now)
+	table.CachedParts(f.query(r), name, now)
 	f.endpoints[r.sentTo].cached[r.program] = r.prompt + r.generated
+	for _, part := range r.parts {
+		f.endpoints[r.sentTo].cached[part.ID()] = part.Tokens()
+	}
+	f.prefilled += r.prefilled
 	f.served++
 	f.total += f.now - r.arrived
 }
@@ -301,3 +336,20 @@
 		})
 	}
 }
+
+// Guards against hints on the shared parts of prompts that do not save prefill.
+func TestSharedPartsSavePrefill(t *testing.T) {
+	for _, vms := range []int{9, 60, 340} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			t.Parallel()
+			without, with := newPacedFleet(vms, true, 1), newPacedFleet(vms, true, 1)
+			without.parts = false
+			meanWithout, _ := without.run()
+			mean, _ := with.run()
+			t.Logf("%d tokens prefilled and %.0f ms on average, without hints on parts %d tokens and %.0f ms", with.prefilled, 1000*mean, without.prefilled, 1000*meanWithout)
+			if with.prefilled >= without.prefilled || mean > meanWithout {
+				t.Errorf("%d tokens prefilled in %.0f ms, without hints on parts %d in %.0f ms", with.prefilled, 1000*mean, without.prefilled, 1000*meanWithout)
+			}
+		})
+	}
+}
--- a/internal/policy/endpoint/speed.go
+++ b/internal/policy/endpoint/speed.go
@@ -194,7 +194,14 @@
 	if s.endpoint.Kind() != hawthornrail.EngineEndpoint {
 		return 0
 	}
-	return max(0, float64(q.PromptTokens())-t.cachedTokens(s, q, now)) / t.params.PrefillPerSecond
+	return t.uncachedTokens(s, q, now) / t.params.PrefillPerSecond
+}
+
+// uncachedTokens is the expected number of tokens of a prompt that the endpoint has to
+// prefill.
+func (t *Table) uncachedTokens(s *endpointState, q hawthornrail.PickQuery, now time.Time) float64 {
+	cached := max(t.cachedTokens(s, q, now), t.cachedPartTokens(s, q, now))
+	return max(0, float64(q.PromptTokens())-cached)
 }
 
 // slowness is the factor by which work takes longer at an endpoint now than at the
@@ -219,7 +226,7 @@
 	}
 	cost := service * (1 + t.congestion(s, now))
 	if s.endpoint.Kind() == hawthornrail.EngineEndpoint {
-		uncached := max(0, float64(q.PromptTokens())-t.cachedTokens(s, q, now))
+		uncached := t.uncachedTokens(s, q, now)
 		cost += uncached / t.params.PrefillPerSecond * t.params.PrefillFactor
 		cost += t.evictionCost(s, uncached)
 	}
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -106,6 +106,7 @@
 	local        []*endpointState
 	remote       []*endpointState
 	hints        map[string]hint
+	parts        partHints
 	serviceTime  average
 	inFlight     int
 	withoutSlots int
@@ -132,7 +133,7 @@
 func NewTable(params Params, dataCentre string, random *rand.Rand) *Table {
 	return &Table{
 		params: params, dataCentre: dataCentre, random: random, senders: 1, timeSlots: NewTimeSlots(0, 1),
-		states: make(map[string]*endpointState), draining: newDrainingSet(), unlisted: make(unlistedLimits), hints: make(map[string]hint),
+		states: make(map[string]*endpointState), draining: newDrainingSet(), unlisted: make(unlistedLimits), hints: make(map[string]hint), parts: make(partHints),
 	}
 }
 
