--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -13,10 +13,10 @@
 }
 
 // Choose returns an endpoint with nearly the lowest expected cost among a random
-// sample and the one that probably caches the program's prompt, and counts the
+// sample and those that probably cache the program's prompt or its first parts, and counts the
 // request as sent.
 func (t *Table) Choose(q hawthornrail.PickQuery, now time.Time) (hawthornrail.Endpoint, bool) {
-	var buffer [2 * 32]candidate
+	var buffer [2*32 + 1 + maxPartEndpoints]candidate
 	candidates := t.candidates(buffer[:0], q, now)
 	if len(candidates) == 0 {
 		s := t.earliestRetry(q, now)
@@ -80,6 +80,9 @@
 			list = append(list, candidate{state: s, cost: t.cost(s, q, now)})
 		}
 	}
+	if t.paced > 0 {
+		list = t.appendPartHolders(list, q, now)
+	}
 	list = t.appendSample(list, t.local, q, now)
 	return t.appendSample(list, t.remote, q, now)
 }
@@ -115,8 +118,8 @@
 }
 
 // pickNearBest returns a random candidate among those whose cost is within
-// Params.NearEqual of the lowest, so that VMs with the same reports do not all
-// choose the same endpoint.
+// Params.NearEqual of the lowest, or Params.PacedNearShare if endpoints report their
+// pace, so that VMs with the same reports do not all choose the same endpoint.
 func (t *Table) pickNearBest(candidates []candidate) *endpointState {
 	best := candidates[0]
 	for _, c := range candidates[1:] {
@@ -124,9 +127,13 @@
 			best = c
 		}
 	}
+	nearEqual := t.params.NearEqual.Seconds()
+	if t.paced > 0 {
+		nearEqual = max(nearEqual, t.params.PacedNearShare*best.cost)
+	}
 	chosen, near := best.state, 0
 	for _, c := range candidates {
-		if c.cost > best.cost+t.params.NearEqual.Seconds() {
+		if c.cost > best.cost+nearEqual {
 			continue
 		}
 		near++
@@ -140,6 +147,9 @@
 // cost is the expected time to the first token plus the delay that the request
 // causes for others, in seconds.
 func (t *Table) cost(s *endpointState, q hawthornrail.PickQuery, now time.Time) float64 {
+	if t.paced > 0 {
+		return t.pacedCost(s, q, now)
+	}
 	load := t.load(s, now)
 	service := t.expectedServiceTime(s)
 	cost := t.params.BatchCost * service * min(1, load/float64(s.slots))
@@ -151,6 +161,11 @@
 		cost += max(0, uncached) / t.params.PrefillPerSecond * t.params.PrefillFactor
 		cost += t.evictionCost(s, uncached)
 	}
+	return t.addConnectionCost(cost, s)
+}
+
+// addConnectionCost adds the cost of the way to an endpoint to a cost in seconds.
+func (t *Table) addConnectionCost(cost float64, s *endpointState) float64 {
 	if s.endpoint.DataCentre() != t.dataCentre {
 		cost += t.params.RemoteCost.Seconds()
 	}
@@ -205,6 +220,9 @@
 	if !ok || h.endpoint != s.endpoint.Name() {
 		return 0
 	}
-	weight := 1 / (1 + now.Sub(h.updatedAt).Seconds()/t.params.HintHalfLife.Seconds())
-	return weight * float64(min(h.tokens, q.PromptTokens()))
+	return t.hintWeight(h.updatedAt, now) * float64(min(h.tokens, q.PromptTokens()))
+}
+
+func (t *Table) hintWeight(updatedAt, now time.Time) float64 {
+	return 1 / (1 + now.Sub(updatedAt).Seconds()/t.params.HintHalfLife.Seconds())
 }
