Load and save the turns of conversations at entry VMs

A route with conversations needs the chain of a turn's parent before its request reaches an endpoint, and the turn on disk before its response ends.

A filter in internal/caller/proxy sets the body to chain and new input, collects the data of the events and holds back the end of the stream until the turn is stored. The digests for the quarantine stay those of the new input, also at a VM that sends the request for another one (Detour.chain_bytes).

Tests in simulated time show the order and times of the search, 404 against 503 at each uncertain moment, the copies with VMs that are down, stuck, full or cut off, and that a response whose turn is not stored does not end as if complete.

--- a/conversation.go
+++ b/conversation.go
@@ -45,6 +45,13 @@
 	return t
 }
 
+// WithOutput returns a copy with the data of each event of its response, each followed by
+// a line feed.
+func (t Turn) WithOutput(output []byte) Turn {
+	t.output = output
+	return t
+}
+
 // WithPlacementKey returns a copy with the key that determines which VMs store it.
 func (t Turn) WithPlacementKey(key string) Turn {
 	t.placementKey = key
@@ -80,6 +87,9 @@
 // Retention returns how long the turn is kept after its response.
 func (t Turn) Retention() time.Duration { return t.retention }
 
+// Size returns the length of the input and the output in bytes.
+func (t Turn) Size() int64 { return int64(len(t.input)) + int64(len(t.output)) }
+
 // Chain is the content of a turn and all its ancestors.
 type Chain struct {
 	content      []byte
@@ -104,10 +114,13 @@
 
 // Conversations stores the turns of conversations on the disks of VMs.
 type Conversations interface {
+	// Available returns a Failure if no VM can store a turn now.
+	Available() error
 	// Chain returns a turn and its ancestors; program is the id of the program that
 	// continues from it. It returns a Failure with CodeUnknownTurn only if it is certain
 	// that the team has no such turn.
 	Chain(ctx context.Context, ref TurnRef, program string) (Chain, error)
-	// Save stores a completed turn and returns once enough copies are on disk.
+	// Save stores a completed turn and returns once enough copies are on disk, or a Failure
+	// if no copy can be made; the turn does not count then.
 	Save(ctx context.Context, t Turn) error
 }
--- a/digest.go
+++ b/digest.go
@@ -22,7 +22,8 @@
 	resource RequestDigest
 }
 
-// Content returns the digest of the team, method, host, URI and body.
+// Content returns the digest of the team, method, host, URI and body; the chain of a
+// conversation is left out, since it differs from turn to turn.
 func (d RequestDigests) Content() RequestDigest { return d.content }
 
 // Resource returns the digest of the team, method, host and path.
@@ -36,7 +37,7 @@
 	if r.digests == nil {
 		team := r.deployment.Team()
 		r.digests = &RequestDigests{
-			content:  digestOf(team, []byte(r.method), []byte(r.host), []byte(r.uri), r.body),
+			content:  digestOf(team, []byte(r.method), []byte(r.host), []byte(r.uri), r.body[r.chainBytes:]),
 			resource: digestOf(team, []byte(r.method), []byte(r.host), []byte(r.path)),
 		}
 	}
--- a/forward.go
+++ b/forward.go
@@ -113,6 +113,7 @@
 	path           string
 	headers        []Header
 	body           []byte
+	chainBytes     int
 	credential     string
 	received       time.Time
 	deadline       time.Time
@@ -155,8 +156,11 @@
 // SetCall sets the program information of the request.
 func (r *ForwardRequest) SetCall(c ProgramCall) { r.call = c }
 
-// SetBody replaces the body, before the request is sent for the first time.
-func (r *ForwardRequest) SetBody(body []byte) { r.body = body }
+// SetBody replaces the body, before the request is sent for the first time; its first
+// chainBytes are the content of the chain that the request continues from.
+func (r *ForwardRequest) SetBody(body []byte, chainBytes int) {
+	r.body, r.chainBytes = body, chainBytes
+}
 
 // SetPrompt sets the prompt information of the request.
 func (r *ForwardRequest) SetPrompt(p Prompt) { r.prompt = p }
@@ -203,6 +207,10 @@
 // Body returns the request's body.
 func (r *ForwardRequest) Body() []byte { return r.body }
 
+// ChainBytes returns how many bytes at the start of the body are the content of the chain
+// that the request continues from.
+func (r *ForwardRequest) ChainBytes() int { return r.chainBytes }
+
 // Credential returns the caller's key, or the empty string once the request is
 // identified.
 func (r *ForwardRequest) Credential() string { return r.credential }
--- /dev/null
+++ b/internal/caller/proxy/conversation.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/policy/placement"
+)
+
+// fullRetryAfter is the shortest retry delay of a request that is refused because the
+// turns in flight hold too much memory.
+const fullRetryAfter = 200 * time.Millisecond
+
+var (
+	errNotStream  = errors.New("response is no stream")
+	errResumed    = errors.New("stream is resumed by its caller, so that this VM lacks its first events")
+	errNoID       = errors.New("request has no id")
+	errTurnTooBig = errors.New("turn is too long")
+)
+
+// ConversationDependencies are the dependencies and limits of a Conversations filter.
+type ConversationDependencies struct {
+	Conversations hawthornrail.Conversations
+	Clock         hawthornrail.Clock
+	Metrics       *metrics.Conversations
+	// MaxChainBytes bounds a chain with the new input, and the input and output of one
+	// turn.
+	MaxChainBytes int64
+	// MaxHeldBytes is the size of all turns in flight from which on no further chain is
+	// loaded.
+	MaxHeldBytes int64
+}
+
+// Conversations adds the chain of a conversation to the requests of its route, and stores
+// their turns.
+type Conversations struct {
+	deps ConversationDependencies
+	held atomic.Int64
+}
+
+// NewConversations returns the filter with the given dependencies.
+func NewConversations(deps ConversationDependencies) *Conversations {
+	return &Conversations{deps: deps}
+}
+
+// Held returns the size of the chains, inputs and outputs of the turns in flight.
+func (f *Conversations) Held() int64 { return f.held.Load() }
+
+// Filter loads the chain before a request uses its program's budget and its team's rate,
+// and lets a stream end once its turn is stored.
+func (f *Conversations) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
+	retention, ok := r.Route().Conversations()
+	if !ok {
+		return next.Forward(ctx, r)
+	}
+	if err := f.deps.Conversations.Available(); err != nil {
+		return nil, err
+	}
+	input := r.Body()
+	key, err := f.addChain(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	s := &turnStream{filter: f, ctx: ctx, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
+		WithParent(r.Call().Parent()).WithPlacementKey(key)}
+	s.events.limit = max(0, int(f.deps.MaxChainBytes)-len(input))
+	s.hold(int64(len(r.Body())))
+	response, err := next.Forward(ctx, r)
+	if err == nil {
+		err := notTurn(r, response)
+		if err == nil {
+			s.ReadCloser = response.Stream()
+			return response.WithStream(s), nil
+		}
+		trail.From(ctx).Event(events.TurnNotStored).Int("status", response.Status()).Err(err).Emit()
+	}
+	s.release()
+	return response, err
+}
+
+// addChain puts the chain that a request continues from before its input, and returns the
+// placement key of its turn.
+func (f *Conversations) addChain(ctx context.Context, r *hawthornrail.ForwardRequest) (key string, err error) {
+	call := r.Call()
+	if call.Parent() == "" {
+		return placement.Key(call.Program(), r.ID()), nil
+	}
+	if held := f.held.Load(); held >= f.deps.MaxHeldBytes {
+		err := hawthornrail.NotRun(hawthornrail.CodeOverload, "the turns in flight hold %d bytes", held)
+		return "", err.WithRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
+	}
+	chain, err := f.deps.Conversations.Chain(ctx, hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
+	if err != nil {
+		return "", err
+	}
+	if size := int64(len(chain.Content()) + len(r.Body())); size > f.deps.MaxChainBytes {
+		return "", hawthornrail.NotRun(hawthornrail.CodeBodyTooLarge, "the chain of %d turns has %d bytes with the new input, at most %d are allowed", chain.Turns(), size, f.deps.MaxChainBytes)
+	}
+	r.SetBody(slices.Concat(chain.Content(), r.Body()), len(chain.Content()))
+	return chain.PlacementKey(), nil
+}
+
+// notTurn returns why a response is not stored as a turn, or nil.
+func notTurn(r *hawthornrail.ForwardRequest, response *hawthornrail.ForwardResponse) error {
+	switch {
+	case response.Stream() == nil:
+		return errNotStream
+	case r.LastEvent() != "":
+		return errResumed
+	case r.ID() == "":
+		return errNoID
+	default:
+		return nil
+	}
+}
+
+// turnStream is the stream of a turn. It ends once the turn is stored.
+type turnStream struct {
+	io.ReadCloser
+	filter    *Conversations
+	ctx       context.Context
+	turn      hawthornrail.Turn
+	retention time.Duration
+	events    eventData
+	held      int64
+	err       error
+}
+
+// Read returns events as soon as they arrive; their end waits until the turn is stored.
+func (s *turnStream) Read(p []byte) (int, error) {
+	if s.err != nil {
+		return 0, s.err
+	}
+	n, err := s.ReadCloser.Read(p)
+	before := s.events.size()
+	s.events.add(p[:n])
+	s.hold(int64(s.events.size() - before))
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if s.err = s.store(); s.err == nil {
+		s.err = io.EOF
+	}
+	return n, s.err
+}
+
+// store stores the turn. Its failure does not wrap the cause: the end of a connection,
+// io.EOF, would mean that the stream is complete.
+func (s *turnStream) store() error {
+	output, ok := s.events.output()
+	if !ok {
+		s.filter.deps.Metrics.BrokenOff()
+		trail.From(s.ctx).Event(events.TurnNotStored).Err(errTurnTooBig).Emit()
+		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errTurnTooBig)
+	}
+	turn := s.turn.WithOutput(output).WithRetention(s.filter.deps.Clock.Now(), s.retention)
+	if err := s.filter.deps.Conversations.Save(s.ctx, turn); err != nil {
+		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errors.New(err.Error()))
+	}
+	return nil
+}
+
+// Close ends the stream; one that is closed before its end is not stored.
+func (s *turnStream) Close() error {
+	s.release()
+	return s.ReadCloser.Close()
+}
+
+func (s *turnStream) hold(bytes int64) {
+	s.held += bytes
+	s.filter.held.Add(bytes)
+}
+
+func (s *turnStream) release() { s.hold(-s.held) }
--- /dev/null
+++ b/internal/conversation/client/doc.go
@@ -0,0 +1,2 @@
+// Package client loads and saves the turns of conversations at the VMs with a disk.
+package client
--- /dev/null
+++ b/internal/conversation/client/load.go
@@ -0,0 +1,111 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/policy/placement"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// askDelay is how long a reply is waited for before the next VM is asked.
+	askDelay = 50 * time.Millisecond
+	// loadTimeout bounds the search for a chain, and suspectTimeout the wait for a VM
+	// that is suspected to be down.
+	loadTimeout    = 2 * time.Second
+	suspectTimeout = 100 * time.Millisecond
+)
+
+// loadReply is the reply of a VM; its state is CHAIN_STATE_UNSPECIFIED if none came.
+type loadReply struct {
+	vm    hawthornrail.VM
+	chain *vmpb.ChainLoadReply
+}
+
+// Chain returns a turn and its ancestors from the first VM that holds them.
+func (c *Client) Chain(ctx context.Context, ref hawthornrail.TurnRef, program string) (hawthornrail.Chain, error) {
+	start := c.deps.Clock.Now()
+	vms := c.deps.Config.Snapshot().DiskVMs()
+	key := placement.Key(program, ref.ID())
+	s := newSearch(vms, key, c.deps.DataCentre, placement.Copies(c.deps.ToleratedDiskLosses), c.monitor.Suspected)
+	found, ok := c.find(ctx, s, ref)
+	took := c.deps.Clock.Since(start)
+	c.deps.Metrics.Loaded(c.source(found.vm, ok), took)
+	line := trail.From(ctx).Event(events.ChainLoaded).Str("parent", ref.ID()).Str("from", found.vm.Name()).Bool("found", ok).
+		Int("vms", len(vms)).Int("asked", s.asked).Int("unknown", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN]).
+		Int("foreign", s.replies[vmpb.ChainState_CHAIN_STATE_FOREIGN]).Int("uncertain", s.replies[vmpb.ChainState_CHAIN_STATE_UNCERTAIN]).
+		Int("no_reply", s.replies[vmpb.ChainState_CHAIN_STATE_UNSPECIFIED]).Int("config_age_ms", int(c.deps.Config.Age().Milliseconds()))
+	line.Int("turns", int(found.chain.GetTurns())).Int("bytes", len(found.chain.GetContent())).Int("took_ms", int(took.Milliseconds())).Emit()
+	if ok {
+		return hawthornrail.NewChain(found.chain.GetContent(), found.chain.GetPlacementKey(), int(found.chain.GetTurns())), nil
+	}
+	// A VM with a disk may be missing in a list that is not current.
+	if s.absent() && c.deps.Freshness.Current() {
+		return hawthornrail.Chain{}, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
+	}
+	err := hawthornrail.NotRun(hawthornrail.CodeTurnUncertain, "%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
+	return hawthornrail.Chain{}, err.WithRetryAfter(jitteredRetryAfter())
+}
+
+// source returns where a chain was found.
+func (c *Client) source(vm hawthornrail.VM, found bool) metrics.ChainSource {
+	switch {
+	case !found:
+		return metrics.ChainFromNone
+	case vm.DataCentre() == c.deps.DataCentre:
+		return metrics.ChainFromOwnDataCentre
+	default:
+		return metrics.ChainFromOther
+	}
+}
+
+// find asks VMs until one has the chain. A VM that is late is still waited for while the
+// next ones are asked.
+func (c *Client) find(ctx context.Context, s *search, ref hawthornrail.TurnRef) (found loadReply, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	replies := make(chan loadReply, len(s.order))
+	ask := func() <-chan time.Time {
+		for _, vm := range s.next() {
+			go func() { replies <- c.ask(ctx, vm, ref) }()
+		}
+		if s.allAsked() {
+			return nil
+		}
+		return c.deps.Clock.After(askDelay)
+	}
+	for late := ask(); !s.finished(); {
+		select {
+		case r := <-replies:
+			if r.chain.GetState() == vmpb.ChainState_CHAIN_STATE_FOUND {
+				return r, true
+			}
+			s.record(r.chain.GetState())
+			late = ask()
+		case <-late:
+			late = ask()
+		case <-ctx.Done():
+			return loadReply{}, false
+		}
+	}
+	return loadReply{}, false
+}
+
+func (c *Client) ask(ctx context.Context, vm hawthornrail.VM, ref hawthornrail.TurnRef) loadReply {
+	timeout := loadTimeout
+	if c.monitor.Suspected(vm.Address()) {
+		timeout = suspectTimeout
+	}
+	open := &vmpb.Open{Kind: &vmpb.Open_ChainLoad{ChainLoad: &vmpb.ChainLoad{Ref: refToWire(ref)}}}
+	var reply vmpb.ChainLoadReply
+	if err := c.monitor.Invoke(ctx, timeout, vm.Name(), vm.Address(), open, &reply); err != nil {
+		// The search counts it as a VM that may have the turn.
+		return loadReply{vm: vm}
+	}
+	return loadReply{vm: vm, chain: &reply}
+}
--- /dev/null
+++ b/internal/conversation/client/network_test.go
@@ -0,0 +1,207 @@
+package client_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/conversation/client"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/observe/metrics"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	program = "program"
+	// longWait is longer than any timeout.
+	longWait = time.Minute
+)
+
+// diskVM is how a VM with a disk behaves.
+type diskVM struct {
+	vm    hawthornrail.VM
+	state vmpb.ChainState
+	delay time.Duration
+	// down VMs reply to nothing, stuck ones to probes only. declining ones decline, and
+	// full ones store nothing.
+	down      bool
+	stuck     bool
+	declining bool
+	full      bool
+	asked     int
+	turns     []*vmpb.Turn
+}
+
+// network is the VMs with a disk, which run in simulated time.
+type network struct {
+	mu       sync.Mutex
+	vms      []*diskVM
+	outdated bool
+	registry gometrics.Registry
+}
+
+// newNetwork returns VMs in data centres dc1, dc2 and so on that hold no turns.
+func newNetwork(vmsOfCentres ...int) *network {
+	n := &network{registry: gometrics.NewRegistry()}
+	for i, count := range vmsOfCentres {
+		for j := range count {
+			name := fmt.Sprintf("dc%d-%d", i+1, j)
+			n.vms = append(n.vms, &diskVM{
+				vm: hawthornrail.NewVM(name, fmt.Sprintf("dc%d", i+1), name+":7000", false), state: vmpb.ChainState_CHAIN_STATE_UNKNOWN,
+			})
+		}
+	}
+	return n
+}
+
+// Snapshot returns a configuration with the VMs.
+func (n *network) Snapshot() *hawthornrail.Snapshot {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var vms []hawthornrail.VM
+	for _, d := range n.vms {
+		vms = append(vms, d.vm)
+	}
+	return hawthornrail.NewSnapshot(1, nil, nil, nil, nil).WithDiskVMs(vms)
+}
+
+func (n *network) Age() time.Duration { return 0 }
+func (n *network) Usable() bool       { return true }
+func (n *network) Current() bool      { return !n.outdated }
+
+// Invoke serves a request as its VM behaves.
+func (n *network) Invoke(ctx context.Context, to string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
+	d := n.receive(to, open)
+	if d.down || d.stuck && open.GetObjectsAsk() == nil {
+		<-ctx.Done()
+		return hawthornrail.Instance{}, ctx.Err()
+	}
+	if open.GetObjectsAsk() != nil {
+		return hawthornrail.Instance{}, nil
+	}
+	if !clock.Wait(ctx, clock.Real(), d.delay) {
+		return hawthornrail.Instance{}, ctx.Err()
+	}
+	if d.declining {
+		return hawthornrail.Instance{}, peer.ErrDeclined
+	}
+	switch m := reply.(type) {
+	case *vmpb.ChainLoadReply:
+		m.State, m.Content, m.PlacementKey, m.Turns = d.state, []byte("chain of "+string(open.GetChainLoad().GetRef().GetId())), "key", 2
+	case *vmpb.TurnSaveReply:
+		m.Saved = !d.full
+		n.store(to, open.GetTurnSave().GetTurn(), d.full)
+	}
+	return hawthornrail.Instance{}, nil
+}
+
+// receive returns how a VM behaves, and counts a request.
+func (n *network) receive(to string, open *vmpb.Open) diskVM {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.vms {
+		if d.vm.Address() != to {
+			continue
+		}
+		if open.GetObjectsAsk() == nil {
+			d.asked++
+		}
+		return *d
+	}
+	return diskVM{down: true}
+}
+
+func (n *network) store(to string, turn *vmpb.Turn, full bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.vms {
+		if d.vm.Address() == to && !full {
+			d.turns = append(d.turns, turn)
+		}
+	}
+}
+
+// set changes how VMs behave.
+func (n *network) set(change func(d *diskVM), vms ...*diskVM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range vms {
+		change(d)
+	}
+}
+
+// find returns the VMs that a predicate selects.
+func (n *network) find(selects func(d *diskVM) bool) []*diskVM {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(n.vms), func(d *diskVM) bool { return !selects(d) })
+}
+
+// asked returns the VMs that were sent requests since forget.
+func (n *network) asked() []*diskVM { return n.find(func(d *diskVM) bool { return d.asked > 0 }) }
+
+// holding returns the VMs that have stored a turn.
+func (n *network) holding(id string) []*diskVM {
+	return n.find(func(d *diskVM) bool {
+		return slices.ContainsFunc(d.turns, func(t *vmpb.Turn) bool { return bytes.Equal(t.GetRef().GetId(), []byte(id)) })
+	})
+}
+
+func (n *network) forget() { n.set(func(d *diskVM) { d.asked = 0 }, n.vms...) }
+
+// remove ends the probes of VMs that are suspected to be down.
+func (n *network) remove() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms = nil
+}
+
+// run runs a test in simulated time with a client in dc1 that makes a number of copies.
+func run(t *testing.T, n *network, copies int, test func(t *testing.T, c *client.Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := client.New(client.Dependencies{
+			DataCentre: "dc1", ToleratedDiskLosses: copies - 1, Config: n, Freshness: n, Invoker: n, Clock: clock.Real(),
+			Log: events.Discard(), Metrics: metrics.NewConversations(n.registry), BackgroundBytes: 100,
+		})
+		test(t, c)
+		n.remove()
+		time.Sleep(longWait)
+	})
+}
+
+// took calls f and checks how long it takes.
+func assertTakes(t *testing.T, least, most time.Duration, f func()) {
+	t.Helper()
+	start := time.Now()
+	f()
+	if took := time.Since(start); took < least || took > most {
+		t.Errorf("took %v, want %v to %v", took, least, most)
+	}
+}
+
+func assertCode(t *testing.T, err error, code hawthornrail.Code) {
+	t.Helper()
+	var f *hawthornrail.Failure
+	if !errors.As(err, &f) || f.Code() != code || f.Verdict() != hawthornrail.VerdictNotRun {
+		t.Fatalf("error %v, want %s, not run", err, code)
+	}
+	if retries := f.RetryAfter() > 0; retries != (code == hawthornrail.CodeTurnUncertain) {
+		t.Errorf("%s with a retry delay of %v", code, f.RetryAfter())
+	}
+}
+
+func (n *network) counter(name string) int64 {
+	return gometrics.GetOrRegisterCounter(name, n.registry).Count()
+}
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -53,6 +53,12 @@
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
+
+	ChainLoaded        = register(2130, zerolog.InfoLevel, "chain of a conversation searched", "if found is false and no_reply or uncertain is not 0, check the VMs with a disk; see docs/operators/conversations.md")
+	TurnSaved          = register(2131, zerolog.InfoLevel, "turn of a conversation stored before the end of its response, or its response broken off", "if stored is false, check the VMs with a disk")
+	TurnNotStored      = register(2132, zerolog.InfoLevel, "response on a route with conversations is no turn: it is no stream, the end of a resumed one, without an ID, or too long", "if it is too long, raise limits.max_chain_bytes")
+	DiskVMUnresponsive = register(2133, zerolog.WarnLevel, "VM with a disk does not respond; it is skipped for turns of conversations", "check the VM")
+	DiskVMResponsive   = register(2134, zerolog.InfoLevel, "VM with a disk responds again", "")
 )
 
 // The events of programs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/proxy"
+	"hawthornrail.example/hawthornrail/internal/conversation/client"
 	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
 	endpointhttp "hawthornrail.example/hawthornrail/internal/endpoint/http"
@@ -93,6 +94,7 @@
 		newContact,
 		newForwarder,
 		newDetourServer,
+		newConversations,
 		newServer,
 		func(s *proxy.Server, o *streams.Controller, d *detour.Server) *entry {
 			return &entry{node: n, server: s, streams: o, detours: d}
@@ -169,15 +171,44 @@
 	})
 }
 
-func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, q hawthornrail.Quarantine, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
-	chain := proxy.Chain(f,
+func newConversations(n *node.Node) *proxy.Conversations {
+	m := metrics.NewConversations(n.Metrics())
+	c := client.New(client.Dependencies{
+		DataCentre: n.Settings().DataCentre(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
+		Config: n.Config(), Freshness: n.Freshness(), Invoker: n.RelayClient(), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
+		BackgroundBytes: n.Settings().BackgroundTurnBytes(),
+	})
+	filter := proxy.NewConversations(proxy.ConversationDependencies{
+		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().ConversationBytes(),
+	})
+	metrics.Gauge(n.Metrics(), "conversations.held_bytes", filter.Held)
+	return filter
+}
+
+// serverIn are the dependencies of the server for callers.
+type serverIn struct {
+	dig.In
+
+	Node          *node.Node
+	Forwarder     *forward.Forwarder
+	Accounts      hawthornrail.Accounts
+	Quarantine    hawthornrail.Quarantine
+	Conversations *proxy.Conversations
+	Recorder      *trail.Recorder
+	Forwards      *metrics.Forwards
+}
+
+func newServer(in serverIn) *proxy.Server {
+	n := in.Node
+	chain := proxy.Chain(in.Forwarder,
 		proxy.NewIdentify(n.Config(), n.Freshness()),
-		proxy.NewQuarantine(q),
-		proxy.NewBudget(a, n.Config()),
-		proxy.NewAdmit(n.Rates(), n.Clock(), m),
+		proxy.NewQuarantine(in.Quarantine),
+		in.Conversations,
+		proxy.NewBudget(in.Accounts, n.Config()),
+		proxy.NewAdmit(n.Rates(), n.Clock(), in.Forwards),
 	)
 	return proxy.New(proxy.Dependencies{
-		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: r, Forwards: m,
+		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: in.Recorder, Forwards: in.Forwards,
 		MaxHeaderBytes: n.Settings().MaxHeaderBytes(), MaxBodyBytes: n.Settings().MaxBodyBytes(),
 	})
 }
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -18,6 +18,7 @@
 	defaultMaxResponseHeaderBytes = 64 << 10
 	defaultMaxResponseBodyBytes   = 4 << 20
 	defaultMaxEventBytes          = 256 << 10
+	defaultMaxChainBytes          = 16 << 20
 	// responseShare is the fraction of the memory limit that responses in flight may
 	// hold.
 	responseShare   = 8
@@ -25,6 +26,13 @@
 	defaultSample   = 100
 	defaultMemoryMB = 128
 	defaultInForce  = 2 * time.Second
+	// chainBytesBound leaves room for a chain in a message between VMs.
+	chainBytesBound = 32 << 20
+	// conversationShare is the part of the memory limit, one in so many bytes, from which
+	// on the turns in flight let no further chain be loaded, and backgroundShare that of
+	// the turns that are stored after the end of their responses.
+	conversationShare = 8
+	backgroundShare   = 32
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
 	// requestLineBytes is the size that is allowed for a request line in addition
@@ -82,6 +90,7 @@
 	MaxResponseHeaderBytes int `toml:"max_response_header_bytes"`
 	MaxResponseBodyBytes   int `toml:"max_response_body_bytes"`
 	MaxEventBytes          int `toml:"max_event_bytes"`
+	MaxChainBytes          int `toml:"max_chain_bytes"`
 }
 
 type configSection struct {
@@ -126,7 +135,7 @@
 	f := file{
 		Limits: limitsSection{
 			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB,
-			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes,
+			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes, MaxChainBytes: defaultMaxChainBytes,
 		},
 		FaultTolerance: faultToleranceSection{Disks: defaultToleratedDisks},
 		Config:         configSection{InForceMS: float64(defaultInForce.Milliseconds())},
@@ -169,6 +178,7 @@
 	share := f.Limits.responseBytes()
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
+	require(f.Limits.MaxChainBytes > 0 && f.Limits.MaxChainBytes <= chainBytesBound, "limits.max_chain_bytes", "a positive number, 32 MiB at most")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
@@ -251,6 +261,17 @@
 // MaxBodyBytes returns the maximum size of a request's body.
 func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
 
+// MaxChainBytes returns the maximum size of the chain of a conversation with the new input.
+func (s Settings) MaxChainBytes() int64 { return int64(s.file.Limits.MaxChainBytes) }
+
+// ConversationBytes returns the size of the turns in flight from which on no further chain
+// is loaded.
+func (s Settings) ConversationBytes() int64 { return s.MemoryBytes() / conversationShare }
+
+// BackgroundTurnBytes returns how many bytes of turns may be stored after the end of their
+// responses.
+func (s Settings) BackgroundTurnBytes() int64 { return s.MemoryBytes() / backgroundShare }
+
 // MemoryBytes returns the memory limit of the process.
 func (s Settings) MemoryBytes() int64 { return int64(s.file.Limits.MemoryMB) << 20 }
 
--- a/internal/vm/detour/convert.go
+++ b/internal/vm/detour/convert.go
@@ -17,7 +17,7 @@
 		Team: r.Deployment().Team(), Service: service, Program: []byte(r.Call().Program()),
 		PromptTokens: uint64(r.Prompt().Tokens()), MaxOutputTokens: uint64(r.Prompt().MaxOutput()),
 		Route: route.Name(), RouteKind: string(route.Kind()), Resumable: route.Resumable(), Attempts: uint32(route.Attempts()),
-		Progress: progressToWire(p),
+		Progress: progressToWire(p), ChainBytes: uint64(r.ChainBytes()),
 	}
 }
 
@@ -25,6 +25,7 @@
 // the sender found, so that one request runs under a single configuration.
 func requestFromWire(m *vmpb.Detour, now time.Time) *hawthornrail.ForwardRequest {
 	r := hawthornrail.NewForwardRequest(string(m.GetMethod()), string(m.GetHost()), string(m.GetUri()), string(m.GetPath()), m.GetBody(), now)
+	r.SetBody(m.GetBody(), int(min(m.GetChainBytes(), uint64(len(m.GetBody())))))
 	r.SetID(string(m.GetRequestId()))
 	r.SetHeaders(headersFromWire(m.GetHeaders()))
 	if m.GetLeftMs() > 0 {
