Return 404 for a turn only with VMs of all data centres listed

Until all VMs with a disk have registered, the list of an entry VM may lack the ones that hold a turn, and all listed ones reply that it is unknown. Copies are in different data centres, so a list with a VM of each holds one of them. Seen over sockets: a turn was saved at the only VM that was listed yet.

--- a/internal/conversation/client/client.go
+++ b/internal/conversation/client/client.go
@@ -19,6 +19,8 @@
 // Dependencies are the dependencies of a Client.
 type Dependencies struct {
 	DataCentre string
+	// DataCentres are all data centres, each of which has a VM with a disk.
+	DataCentres []string
 	// ToleratedDiskLosses is how many disks may be lost at once without a loss of turns.
 	ToleratedDiskLosses int
 	Config              hawthornrail.Configuration
--- a/internal/conversation/client/load.go
+++ b/internal/conversation/client/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -44,14 +45,28 @@
 	if ok {
 		return hawthornrail.NewChain(found.chain.GetContent(), found.chain.GetPlacementKey(), int(found.chain.GetTurns())), nil
 	}
-	// A VM with a disk may be missing in a list that is not current.
-	if s.absent() && c.deps.Freshness.Current() {
+	if s.absent() && c.listComplete(vms) {
 		return hawthornrail.Chain{}, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
 	}
 	err := hawthornrail.NotRun(hawthornrail.CodeTurnUncertain, "%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
 	return hawthornrail.Chain{}, err.WithRetryAfter(jitteredRetryAfter())
 }
 
+// listComplete reports whether the list can be relied on to hold every VM that may have a
+// turn. It lacks some while it is not current, and while VMs with a disk have yet to
+// register: copies are in different data centres, so that the VMs of a data centre are
+// missing in a list without any.
+func (c *Client) listComplete(vms []hawthornrail.VM) bool {
+	if !c.deps.Freshness.Current() {
+		return false
+	}
+	listed := make(map[string]bool)
+	for _, vm := range vms {
+		listed[vm.DataCentre()] = true
+	}
+	return !slices.ContainsFunc(c.deps.DataCentres, func(dc string) bool { return !listed[dc] })
+}
+
 // source returns where a chain was found.
 func (c *Client) source(vm hawthornrail.VM, found bool) metrics.ChainSource {
 	switch {
--- a/internal/conversation/client/load_test.go
+++ b/internal/conversation/client/load_test.go
@@ -121,6 +121,16 @@
 			assertCode(t, c.Available(), hawthornrail.CodeTurnUncertain)
 		})
 	})
+	t.Run("no VM of a data centre", func(t *testing.T) {
+		n := newNetwork(1, 1, 0)
+		run(t, n, 2, func(t *testing.T, c *client.Client) {
+			_, err := load(c)
+			assertCode(t, err, hawthornrail.CodeTurnUncertain)
+			if err := c.Available(); err != nil {
+				t.Error(err)
+			}
+		})
+	})
 	t.Run("outdated", func(t *testing.T) {
 		n := newNetwork(1, 1, 1)
 		n.outdated = true
--- a/internal/conversation/client/network_test.go
+++ b/internal/conversation/client/network_test.go
@@ -48,6 +48,7 @@
 	mu       sync.Mutex
 	vms      []*diskVM
 	outdated bool
+	centres  []string
 	registry gometrics.Registry
 }
 
@@ -55,6 +56,7 @@
 func newNetwork(vmsOfCentres ...int) *network {
 	n := &network{registry: gometrics.NewRegistry()}
 	for i, count := range vmsOfCentres {
+		n.centres = append(n.centres, fmt.Sprintf("dc%d", i+1))
 		for j := range count {
 			name := fmt.Sprintf("dc%d-%d", i+1, j)
 			n.vms = append(n.vms, &diskVM{
@@ -172,7 +174,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := client.New(client.Dependencies{
-			DataCentre: "dc1", ToleratedDiskLosses: copies - 1, Config: n, Freshness: n, Invoker: n, Clock: clock.Real(),
+			DataCentre: "dc1", DataCentres: n.centres, ToleratedDiskLosses: copies - 1, Config: n, Freshness: n, Invoker: n, Clock: clock.Real(),
 			Log: events.Discard(), Metrics: metrics.NewConversations(n.registry), BackgroundBytes: 100,
 		})
 		test(t, c)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -174,7 +174,7 @@
 func newConversations(n *node.Node) *proxy.Conversations {
 	m := metrics.NewConversations(n.Metrics())
 	c := client.New(client.Dependencies{
-		DataCentre: n.Settings().DataCentre(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
+		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
 		Config: n.Config(), Freshness: n.Freshness(), Invoker: n.RelayClient(), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
 		BackgroundBytes: n.Settings().BackgroundTurnBytes(),
 	})
