Test deadlines after a foreign turn and VMs whose disks do not respond

Two changes of the code, made to try the tests, were caught by none: a 404 on another team's turn before all VMs were asked, and no further VMs for a turn that none has stored within 100 ms. Each of the two new tests fails with one of them.

--- a/internal/conversation/client/load_test.go
+++ b/internal/conversation/client/load_test.go
@@ -222,3 +222,17 @@
 		}
 	})
 }
+
+// Guards against 404 because of another team's turn with the same ID, before the deadline
+// lets all VMs reply.
+func TestDeadlineEndsSearchAfterForeignTurn(t *testing.T) {
+	n := newNetwork(1, 1, 1)
+	run(t, n, 2, func(t *testing.T, c *client.Client) {
+		n.set(holds(foreign), n.vms[0])
+		n.set(isStuck, n.vms[1:]...)
+		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Millisecond)
+		defer cancel()
+		_, err := c.Chain(ctx, hawthornrail.NewTurnRef("team", "turn"), program)
+		assertCode(t, err, hawthornrail.CodeTurnUncertain)
+	})
+}
--- a/internal/conversation/client/save_test.go
+++ b/internal/conversation/client/save_test.go
@@ -202,3 +202,21 @@
 		}
 	})
 }
+
+// Guards against a response that waits a second for VMs that are alive and whose disks do
+// not respond, while others could store its turn.
+func TestStuckVMsAreReplaced(t *testing.T) {
+	n := newNetwork(1, 1, 1, 1)
+	run(t, n, 2, func(t *testing.T, c *client.Client) {
+		n.set(isStuck, n.vms...)
+		if err := c.Save(context.Background(), turn("first")); err == nil {
+			t.Error("a turn without a copy counts as saved")
+		}
+		for i := range n.vms {
+			for j := range i {
+				n.set(func(d *diskVM) { d.stuck = d != n.vms[i] && d != n.vms[j] }, n.vms...)
+				assertTakes(t, 0, 100*time.Millisecond, func() { assertSaved(t, c, "second") })
+			}
+		}
+	})
+}
