Keep turns of conversations in a log on the disk

Turns have to survive a power loss of all VMs, so a VM may acknowledge one only once it is on its disk; a sync takes 0.5 to 5 ms, and the VM has half a core and 144 MB of memory.

Values stay on the disk, the index from team and turn to position is in memory, and a chain is read with one read for each turn into the buffer that is returned.

--- /dev/null
+++ b/internal/conversation/store/epoch.go
@@ -0,0 +1,52 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+const (
+	epochFile    = "epoch"
+	newEpochFile = "epoch.new"
+	epochBytes   = 8
+)
+
+// loadEpoch reads the epoch of a folder, or creates one if there is none: positions in the
+// log of a lost disk mean nothing in that of its replacement.
+func loadEpoch(folder string, disk Disk) (uint64, error) {
+	path := filepath.Join(folder, epochFile)
+	data, err := os.ReadFile(path)
+	if err == nil && len(data) == epochBytes {
+		return binary.BigEndian.Uint64(data), nil
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return 0, fmt.Errorf("read epoch: %w", err)
+	}
+	data = make([]byte, epochBytes)
+	// Read never fails, by its documentation.
+	_, _ = rand.Read(data)
+	if err := writeEpoch(folder, data); err != nil {
+		return 0, fmt.Errorf("write epoch: %w", err)
+	}
+	return binary.BigEndian.Uint64(data), disk.SyncFolder(folder)
+}
+
+func writeEpoch(folder string, data []byte) error {
+	path := filepath.Join(folder, newEpochFile)
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(path, filepath.Join(folder, epochFile))
+}
--- /dev/null
+++ b/internal/conversation/store/read.go
@@ -0,0 +1,158 @@
+package store
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	hawthornrail "hawthornrail.example/hawthornrail"
+)
+
+var (
+	// ErrUnknown means that no team has a turn with the id in this store.
+	ErrUnknown = errors.New("turn is not held")
+	// ErrForeign means that only other teams have a turn with the id in this store.
+	ErrForeign = errors.New("turn belongs to another team")
+	// ErrIncomplete means that the turn is held and one of its ancestors is not, or that
+	// they can't be read.
+	ErrIncomplete = errors.New("chain is incomplete")
+)
+
+// Chain returns the content of a turn and its ancestors, with one read for each.
+func (s *Store) Chain(ref hawthornrail.TurnRef) (hawthornrail.Chain, error) {
+	s.mu.Lock()
+	entries, missing, complete := s.index.chain(ref)
+	foreign := s.index.foreign(ref)
+	s.mu.Unlock()
+	switch {
+	case foreign:
+		return hawthornrail.Chain{}, ErrForeign
+	case !complete && missing == ref:
+		return hawthornrail.Chain{}, ErrUnknown
+	case !complete:
+		return hawthornrail.Chain{}, ErrIncomplete
+	}
+	var size int64
+	for _, e := range entries {
+		size += e.header.contentBytes()
+	}
+	content := make([]byte, size)
+	rest := content
+	for _, e := range slices.Backward(entries) {
+		n := e.header.contentBytes()
+		if err := e.segment.read(e, rest[:n:n]); err != nil {
+			return hawthornrail.Chain{}, errors.Join(ErrIncomplete, err)
+		}
+		rest = rest[n:]
+	}
+	return hawthornrail.NewChain(content, entries[0].placementKey, len(entries)), nil
+}
+
+// Missing returns those of the turns that are not held.
+func (s *Store) Missing(refs []hawthornrail.TurnRef) []hawthornrail.TurnRef {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var missing []hawthornrail.TurnRef
+	for _, ref := range refs {
+		if _, held := s.index.turns[ref]; !held {
+			missing = append(missing, ref)
+		}
+	}
+	return missing
+}
+
+// Awaited returns at most limit missing ancestors of turns that are held.
+func (s *Store) Awaited(limit int) []hawthornrail.TurnRef {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var refs []hawthornrail.TurnRef
+	for ref := range s.index.awaited {
+		if len(refs) == limit {
+			break
+		}
+		refs = append(refs, ref)
+	}
+	return refs
+}
+
+// Listed is a turn in a list of the log.
+type Listed struct {
+	ref          hawthornrail.TurnRef
+	placementKey string
+}
+
+// Ref returns the identity of the turn.
+func (l Listed) Ref() hawthornrail.TurnRef { return l.ref }
+
+// PlacementKey returns the key that determines which VMs store the turn.
+func (l Listed) PlacementKey() string { return l.placementKey }
+
+// List returns the turns after a position in the log, at most limit of them, and the
+// position up to which it has listed. more reports whether others follow.
+func (s *Store) List(after uint64, limit int) (turns []Listed, position uint64, more bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	position = after
+	for _, g := range s.segments {
+		if g.id < after>>offsetBits {
+			continue
+		}
+		first, _ := slices.BinarySearchFunc(g.entries, after+1, comparePosition)
+		for _, e := range g.entries[first:] {
+			if len(turns) == limit {
+				return turns, position, true
+			}
+			position = e.position()
+			if !e.dead {
+				turns = append(turns, Listed{ref: e.ref, placementKey: e.placementKey})
+			}
+		}
+	}
+	return turns, position, false
+}
+
+func comparePosition(e *entry, position uint64) int {
+	switch p := e.position(); {
+	case p < position:
+		return -1
+	case p > position:
+		return 1
+	}
+	return 0
+}
+
+// Fetch returns those of the turns that are held, in their order, until their content
+// exceeds maxBytes; it returns at least one if any is held.
+func (s *Store) Fetch(refs []hawthornrail.TurnRef, maxBytes int64) ([]hawthornrail.Turn, error) {
+	var turns []hawthornrail.Turn
+	var size int64
+	for _, ref := range refs {
+		s.mu.Lock()
+		e, held := s.index.turns[ref]
+		s.mu.Unlock()
+		if !held {
+			continue
+		}
+		size += e.header.contentBytes()
+		if len(turns) > 0 && size > maxBytes {
+			break
+		}
+		t, err := e.load()
+		if err != nil {
+			return nil, err
+		}
+		turns = append(turns, t)
+	}
+	return turns, nil
+}
+
+// load reads the turn of an entry.
+func (e *entry) load() (hawthornrail.Turn, error) {
+	content := make([]byte, e.header.contentBytes())
+	if err := e.segment.read(e, content); err != nil {
+		return hawthornrail.Turn{}, err
+	}
+	input := content[:e.header.inputBytes:e.header.inputBytes]
+	return hawthornrail.NewTurn(e.ref, input, content[e.header.inputBytes:]).WithParent(e.parent).WithPlacementKey(e.placementKey).
+		WithRetention(time.UnixMilli(e.completedMS), time.Duration(e.retainMS)*time.Millisecond), nil
+}
