--- a/internal/conversation/store/store_test.go
+++ b/internal/conversation/store/store_test.go
@@ -225,10 +225,13 @@
 	if err != nil || len(files) != 1 {
 		t.Errorf("%d segments, %v", len(files), err)
 	}
-	t.Run("positions rise after a restart", func(t *testing.T) {
+	t.Run("positions rise after two restarts", func(t *testing.T) {
 		if err := s.Close(); err != nil {
 			t.Fatal(err)
 		}
+		if err := open(t, folder, store.NewDisk(), clock, limitBytes).Close(); err != nil {
+			t.Fatal(err)
+		}
 		again := open(t, folder, store.NewDisk(), clock, limitBytes)
 		mustAppend(t, again, newTurn("new", "").WithRetention(clock.Now(), retention))
 		if turns, _, _ := again.List(position, 10); len(turns) != 1 || turns[0].Ref() != ref("new") {
