Repair copies of conversations and reply what is certain

A copy is missing after a lost disk, a partition, a refused write, or when a VM is added. A VM that lacks a turn may say that it does not exist only if no other VM can have it.

Each VM with a disk reads the logs of the others from a position on and fetches the turns that it should hold. The epoch of a position covers the list of VMs and the suspects of the VM that replies, so that a change of either lists all turns again. A turn that a VM lacks is UNKNOWN only if the VM is listed, the list has not changed for 10 s, the log of each other VM was read to its end in this run of the process and since that VM last failed to respond, and none is suspected. A missing ancestor and a turn whose content is damaged are fetched from any VM, and UNCERTAIN until then. Placement has Targets in place of Includes, which did not allow a list to be computed once for all askers.

--- /dev/null
+++ b/internal/conversation/replica/replica.go
@@ -0,0 +1,216 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/conversation/store"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/policy/placement"
+	"hawthornrail.example/hawthornrail/internal/vm/detector"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+)
+
+const (
+	// repairInterval is the pause between two rounds of repair that find nothing to do.
+	repairInterval = time.Second
+	// minRepairPause is the pause if a chain is asked for that lacks an ancestor.
+	minRepairPause = 100 * time.Millisecond
+	// expireInterval is the interval at which expired turns are removed.
+	expireInterval = 5 * time.Second
+	// suspectDelay is how long a VM does not respond until others take its place in repair.
+	// It is longer than a restart takes.
+	suspectDelay = 3 * time.Second
+	// listSettleTime is how long the list of VMs has to be the same until a turn is said not
+	// to exist. It exceeds the time in which a change reaches all VMs.
+	listSettleTime = 10 * time.Second
+	// DefaultRepairBytesPerSecond bounds the bytes that repair fetches.
+	DefaultRepairBytesPerSecond = 4 << 20
+	// maxChainReads bounds the chains that are read at once, each of which can be as large as
+	// the prompt of an engine.
+	maxChainReads = 8
+)
+
+// Dependencies are the settings and dependencies of a Replica.
+type Dependencies struct {
+	// Address is where other VMs reach this one.
+	Address string
+	// ToleratedLosses is the number of disks that may be lost at once.
+	ToleratedLosses int
+	// RepairBytesPerSecond bounds the bytes that repair fetches.
+	RepairBytesPerSecond int
+	Store                *store.Store
+	Config               hawthornrail.Configuration
+	Invoker              peer.Invoker
+	Clock                hawthornrail.Clock
+	Log                  events.Logger
+}
+
+// Replica serves the turns of a VM with a disk and repairs its copies.
+type Replica struct {
+	deps     Dependencies
+	detector *detector.Detector
+	limiter  *rate.Limiter
+	reads    chan struct{}
+	// wanted has an element if a chain was asked for that lacks an ancestor.
+	wanted chan struct{}
+	// fetching is held while turns are fetched, so that two VMs do not send the same ones.
+	fetching sync.Mutex
+	// refusing is set while turns can't be stored.
+	refusing atomic.Bool
+	repaired atomic.Int64
+
+	mu   sync.Mutex
+	view *view
+	// listedAt is when the list of VMs last changed.
+	listedAt  time.Time
+	suspected map[string]time.Time
+	peers     map[string]*progress
+	certain   bool
+}
+
+// New returns a replica that has not read the logs of other VMs.
+func New(deps Dependencies) *Replica {
+	return &Replica{
+		deps: deps, detector: detector.New(),
+		limiter: rate.NewLimiter(rate.Limit(deps.RepairBytesPerSecond), max(deps.RepairBytesPerSecond, fetchBytes)),
+		reads:   make(chan struct{}, maxChainReads), wanted: make(chan struct{}, 1),
+		view: newView(nil, placement.Copies(deps.ToleratedLosses), nil), listedAt: deps.Clock.Now(),
+		suspected: make(map[string]time.Time), peers: make(map[string]*progress),
+	}
+}
+
+// Run repairs the copies and removes expired turns until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { r.expireLoop(ctx) })
+	for ctx.Err() == nil {
+		if more := r.Repair(ctx); !more {
+			r.pause(ctx)
+		}
+	}
+}
+
+// pause waits until the next round is due.
+func (r *Replica) pause(ctx context.Context) {
+	due := r.deps.Clock.After(repairInterval)
+	if !clock.Wait(ctx, r.deps.Clock, minRepairPause) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-due:
+	case <-r.wanted:
+	}
+}
+
+func (r *Replica) expireLoop(ctx context.Context) {
+	for clock.Wait(ctx, r.deps.Clock, expireInterval) {
+		if err := r.deps.Store.Expire(); err != nil {
+			r.deps.Log.Event(events.SegmentNotRemoved).Err(err).Emit()
+		}
+	}
+}
+
+// refresh brings the view up to date and returns it.
+func (r *Replica) refresh() *view {
+	now := r.deps.Clock.Now()
+	vms := r.deps.Config.Snapshot().DiskVMs()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	suspected := make(map[string]time.Time)
+	for _, vm := range vms {
+		if vm.Address() == r.deps.Address || !r.detector.Suspected(vm.Address()) {
+			continue
+		}
+		suspected[vm.Address()] = now
+		if since, known := r.suspected[vm.Address()]; known {
+			suspected[vm.Address()] = since
+		}
+	}
+	r.suspected = suspected
+	next := newView(vms, placement.Copies(r.deps.ToleratedLosses), stableSuspects(suspected, now))
+	if !next.sameVMs(r.view) {
+		r.listedAt = now
+		r.forgetUnlisted(next)
+	}
+	if next.hash != r.view.hash {
+		r.view = next
+	}
+	return r.view
+}
+
+// forgetUnlisted drops what is known of VMs that are no longer listed; r.mu must be held.
+func (r *Replica) forgetUnlisted(v *view) {
+	for address := range r.peers {
+		if !v.lists(address) {
+			delete(r.peers, address)
+			r.detector.Forget(address)
+		}
+	}
+}
+
+// isCertain reports whether this VM holds each turn that it should.
+func (r *Replica) isCertain() bool {
+	v := r.refresh()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := evidenceOf(v, r.deps.Address, r.peers, r.detector.Suspected, r.deps.Clock.Since(r.listedAt))
+	if certain := e.certain(); certain != r.certain {
+		r.certain = certain
+		event := events.TurnsUncertain
+		if certain {
+			event = events.TurnsCertain
+		}
+		r.deps.Log.Event(event).Int("vms", e.vms).Bool("listed", e.listed).Int("not_read", e.unpulled).
+			Int("unresponsive", e.suspected).Int("list_age_ms", int(e.listAge.Milliseconds())).Emit()
+	}
+	return r.certain
+}
+
+// Stats is the state of a replica's repair.
+type Stats struct {
+	missing, vms int
+	oldest       time.Duration
+	repaired     int64
+}
+
+// Missing returns the number of turns that are known to be missing here.
+func (s Stats) Missing() int { return s.missing }
+
+// Backlog returns the number of VMs whose log was not read to its end.
+func (s Stats) Backlog() int { return s.vms }
+
+// Oldest returns for how long a turn has been known to be missing.
+func (s Stats) Oldest() time.Duration { return s.oldest }
+
+// Repaired returns the number of turns that repair has fetched.
+func (s Stats) Repaired() int64 { return s.repaired }
+
+// Stats returns the state of the repair.
+func (r *Replica) Stats() Stats {
+	s := Stats{missing: len(r.deps.Store.Awaited(maxAwaited)), repaired: r.repaired.Load()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, vm := range r.view.others(r.deps.Address) {
+		p := r.peers[vm.Address()]
+		if p == nil {
+			s.vms++
+			continue
+		}
+		if !p.pulled {
+			s.vms++
+		}
+		s.missing += p.missing
+		if p.missing > 0 {
+			s.oldest = max(s.oldest, r.deps.Clock.Since(p.missingSince))
+		}
+	}
+	return s
+}
--- a/internal/conversation/store/disk.go
+++ b/internal/conversation/store/disk.go
@@ -6,7 +6,7 @@
 	"os"
 )
 
-// File is an open segment of the log.
+// File is an open file of the store.
 type File interface {
 	io.Writer
 	io.ReaderAt
@@ -44,7 +44,7 @@
 func openFile(path string, flags int) (File, error) {
 	f, err := os.OpenFile(path, flags, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("open segment: %w", err)
+		return nil, fmt.Errorf("open file: %w", err)
 	}
 	return f, nil
 }
@@ -52,7 +52,7 @@
 // Remove implements Disk.
 func (osDisk) Remove(path string) error {
 	if err := os.Remove(path); err != nil {
-		return fmt.Errorf("remove segment: %w", err)
+		return fmt.Errorf("remove file: %w", err)
 	}
 	return nil
 }
--- a/internal/conversation/store/disk_test.go
+++ b/internal/conversation/store/disk_test.go
@@ -12,6 +12,25 @@
 
 var errDisk = errors.New("disk fails")
 
+// quickDisk is a disk whose syncs cost nothing.
+type quickDisk struct{ store.Disk }
+
+func (d quickDisk) Create(path string) (store.File, error) {
+	f, err := d.Disk.Create(path)
+	return quickFile{f}, err
+}
+
+func (d quickDisk) Open(path string) (store.File, error) {
+	f, err := d.Disk.Open(path)
+	return quickFile{f}, err
+}
+
+func (quickDisk) SyncFolder(string) error { return nil }
+
+type quickFile struct{ store.File }
+
+func (quickFile) Sync() error { return nil }
+
 // faultyDisk is a disk that can refuse writes or syncs, and that knows what a power loss
 // leaves of each file.
 type faultyDisk struct {
@@ -29,7 +48,7 @@
 }
 
 func newFaultyDisk() *faultyDisk {
-	return &faultyDisk{Disk: store.NewDisk(), synced: make(map[string]int64), written: make(map[string]int64)}
+	return &faultyDisk{Disk: quickDisk{store.NewDisk()}, synced: make(map[string]int64), written: make(map[string]int64)}
 }
 
 func (d *faultyDisk) set(f func()) {
--- a/internal/conversation/store/epoch.go
+++ b/internal/conversation/store/epoch.go
@@ -29,15 +29,19 @@
 	data = make([]byte, epochBytes)
 	// Read never fails, by its documentation.
 	_, _ = rand.Read(data)
-	if err := writeEpoch(folder, data); err != nil {
+	if err := writeEpoch(folder, data, disk); err != nil {
 		return 0, fmt.Errorf("write epoch: %w", err)
 	}
 	return binary.BigEndian.Uint64(data), disk.SyncFolder(folder)
 }
 
-func writeEpoch(folder string, data []byte) error {
+func writeEpoch(folder string, data []byte, disk Disk) error {
 	path := filepath.Join(folder, newEpochFile)
-	f, err := os.Create(path)
+	// A start that was cut off can have left one.
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	f, err := disk.Create(path)
 	if err != nil {
 		return err
 	}
--- a/internal/conversation/store/index.go
+++ b/internal/conversation/store/index.go
@@ -18,8 +18,8 @@
 	turns map[hawthornrail.TurnRef]*entry
 	// owners counts the teams that have a turn with an id.
 	owners map[string]int
-	// awaited are missing ancestors of turns that are held, with the time until which the
-	// turns need them.
+	// awaited are turns that are known to exist and are not held: ancestors of others and
+	// those whose content is damaged, with the time until which they are kept.
 	awaited map[hawthornrail.TurnRef]int64
 	// names has one copy of each team and placement key, which many turns share.
 	names map[string]string
@@ -63,6 +63,14 @@
 	x.extendAncestors(e)
 }
 
+// insertDamaged adds a turn whose content can't be read.
+func (x *index) insertDamaged(e *entry) {
+	if _, held := x.turns[e.ref]; !held {
+		x.awaited[e.ref] = max(x.awaited[e.ref], e.expiryMS)
+	}
+	x.extendAncestors(e)
+}
+
 // extendAncestors keeps the ancestors of a turn for as long as the turn.
 func (x *index) extendAncestors(e *entry) {
 	for n := 0; n < maxChainTurns && e.parent != ""; n++ {
@@ -80,27 +88,43 @@
 	}
 }
 
-// chain returns the entries of a turn and its ancestors, the oldest last. If one is missing
-// it returns that.
-func (x *index) chain(ref hawthornrail.TurnRef) (entries []*entry, missing hawthornrail.TurnRef, complete bool) {
+// chain returns the entries of a turn and its ancestors, the oldest last.
+func (x *index) chain(ref hawthornrail.TurnRef) ([]*entry, error) {
+	if _, held := x.turns[ref]; !held {
+		return nil, x.absence(ref)
+	}
+	var entries []*entry
 	for len(entries) < maxChainTurns {
 		e, held := x.turns[ref]
 		if !held {
-			return entries, ref, false
+			break
 		}
 		entries = append(entries, e)
 		if e.parent == "" {
-			return entries, hawthornrail.TurnRef{}, true
+			return entries, nil
 		}
 		ref = e.parentRef()
 	}
-	return entries, ref, false
+	return nil, ErrIncomplete
 }
 
-// foreign reports whether only other teams have a turn with the id.
-func (x *index) foreign(ref hawthornrail.TurnRef) bool {
-	_, own := x.turns[ref]
-	return !own && x.owners[ref.ID()] > 0
+// absence returns what is known of a turn that is not held.
+func (x *index) absence(ref hawthornrail.TurnRef) error {
+	if _, exists := x.awaited[ref]; exists {
+		return ErrIncomplete
+	}
+	if x.owners[ref.ID()] > 0 {
+		return ErrForeign
+	}
+	return ErrUnknown
+}
+
+// damage removes an entry whose content can't be read from the disk.
+func (x *index) damage(e *entry) {
+	if x.turns[e.ref] == e {
+		x.remove(e.ref, e)
+		x.awaited[e.ref] = max(x.awaited[e.ref], e.expiryMS)
+	}
 }
 
 // expire removes the turns that are no longer kept and returns their number.
--- a/internal/conversation/store/read.go
+++ b/internal/conversation/store/read.go
@@ -9,28 +9,22 @@
 )
 
 var (
-	// ErrUnknown means that no team has a turn with the id in this store.
+	// ErrUnknown means that no team has a turn with the id in this store, as far as it knows.
 	ErrUnknown = errors.New("turn is not held")
 	// ErrForeign means that only other teams have a turn with the id in this store.
 	ErrForeign = errors.New("turn belongs to another team")
-	// ErrIncomplete means that the turn is held and one of its ancestors is not, or that
-	// they can't be read.
+	// ErrIncomplete means that the turn or one of its ancestors is known to exist and can't be
+	// read or is not held.
 	ErrIncomplete = errors.New("chain is incomplete")
 )
 
 // Chain returns the content of a turn and its ancestors, with one read for each.
 func (s *Store) Chain(ref hawthornrail.TurnRef) (hawthornrail.Chain, error) {
 	s.mu.Lock()
-	entries, missing, complete := s.index.chain(ref)
-	foreign := s.index.foreign(ref)
+	entries, err := s.index.chain(ref)
 	s.mu.Unlock()
-	switch {
-	case foreign:
-		return hawthornrail.Chain{}, ErrForeign
-	case !complete && missing == ref:
-		return hawthornrail.Chain{}, ErrUnknown
-	case !complete:
-		return hawthornrail.Chain{}, ErrIncomplete
+	if err != nil {
+		return hawthornrail.Chain{}, err
 	}
 	var size int64
 	for _, e := range entries {
@@ -40,7 +34,7 @@
 	rest := content
 	for _, e := range slices.Backward(entries) {
 		n := e.header.contentBytes()
-		if err := e.segment.read(e, rest[:n:n]); err != nil {
+		if err := s.read(e, rest[:n:n]); err != nil {
 			return hawthornrail.Chain{}, errors.Join(ErrIncomplete, err)
 		}
 		rest = rest[n:]
@@ -48,6 +42,18 @@
 	return hawthornrail.NewChain(content, entries[0].placementKey, len(entries)), nil
 }
 
+// read reads the content of an entry. A damaged one counts as missing from then on, so that
+// it is fetched from another VM.
+func (s *Store) read(e *entry, content []byte) error {
+	err := e.segment.read(e, content)
+	if errors.Is(err, errContentCorrupt) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.index.damage(e)
+	}
+	return err
+}
+
 // Missing returns those of the turns that are not held.
 func (s *Store) Missing(refs []hawthornrail.TurnRef) []hawthornrail.TurnRef {
 	s.mu.Lock()
@@ -61,7 +67,7 @@
 	return missing
 }
 
-// Awaited returns at most limit missing ancestors of turns that are held.
+// Awaited returns at most limit turns that are known to exist and are not held.
 func (s *Store) Awaited(limit int) []hawthornrail.TurnRef {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,19 +143,21 @@
 		if len(turns) > 0 && size > maxBytes {
 			break
 		}
-		t, err := e.load()
-		if err != nil {
+		t, err := s.load(e)
+		if err != nil && !errors.Is(err, errContentCorrupt) {
 			return nil, err
 		}
-		turns = append(turns, t)
+		if err == nil {
+			turns = append(turns, t)
+		}
 	}
 	return turns, nil
 }
 
 // load reads the turn of an entry.
-func (e *entry) load() (hawthornrail.Turn, error) {
+func (s *Store) load(e *entry) (hawthornrail.Turn, error) {
 	content := make([]byte, e.header.contentBytes())
-	if err := e.segment.read(e, content); err != nil {
+	if err := s.read(e, content); err != nil {
 		return hawthornrail.Turn{}, err
 	}
 	input := content[:e.header.inputBytes:e.header.inputBytes]
--- a/internal/conversation/store/record.go
+++ b/internal/conversation/store/record.go
@@ -105,8 +105,11 @@
 		return hawthornrail.Turn{}, header{}, err
 	}
 	var m vmpb.Turn
-	if content.Sum32() != h.contentSum || proto.Unmarshal(description, &m) != nil {
-		return hawthornrail.Turn{}, h, errContentCorrupt
+	if proto.Unmarshal(description, &m) != nil {
+		return hawthornrail.Turn{}, header{}, errCorrupt
+	}
+	if content.Sum32() != h.contentSum {
+		return describedTurn(&m), h, errContentCorrupt
 	}
 	return describedTurn(&m), h, nil
 }
--- a/internal/conversation/store/segment.go
+++ b/internal/conversation/store/segment.go
@@ -112,12 +112,13 @@
 	return ids, nil
 }
 
-// replay passes the turns of a segment to insert and truncates it after the last intact
+// replay adds the turns of a segment to an index and truncates it after the last intact
 // record: a power loss can leave a part of one. A record whose content alone is damaged does
 // not hide those after it.
-func (s *segment) replay(insert func(*entry)) error {
+func (s *segment) replay(x *index) error {
 	r := bufio.NewReaderSize(io.NewSectionReader(s.file, 0, 1<<offsetBits-1), replayBufferBytes)
 	var offset int64
+	var damaged []*entry
 	for {
 		t, h, err := readRecord(r)
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errCorrupt) {
@@ -127,8 +128,17 @@
 			return fmt.Errorf("read segment: %w", err)
 		}
 		offset += h.recordBytes()
+		e := newEntry(t, h, s, offset)
 		if err == nil {
-			insert(newEntry(t, h, s, offset))
+			x.insert(e)
+		} else {
+			damaged = append(damaged, e)
+		}
+	}
+	for _, e := range damaged {
+		// A damaged record at the end was not acknowledged if a power loss has torn it.
+		if e.end < s.size {
+			x.insertDamaged(e)
 		}
 	}
 	if err := s.file.Truncate(s.size); err != nil {
--- a/internal/conversation/store/store.go
+++ b/internal/conversation/store/store.go
@@ -128,7 +128,7 @@
 		g := &segment{id: id, path: path, file: file}
 		s.segments = append(s.segments, g)
 		s.nextID = id + 1
-		if err := g.replay(s.index.insert); err != nil {
+		if err := g.replay(s.index); err != nil {
 			return err
 		}
 	}
--- a/internal/conversation/store/store_test.go
+++ b/internal/conversation/store/store_test.go
@@ -35,7 +35,7 @@
 }
 
 func newStore(t testing.TB) *store.Store {
-	return open(t, t.TempDir(), store.NewDisk(), clockwork.NewFakeClockAt(startTime), limitBytes)
+	return open(t, t.TempDir(), quickDisk{store.NewDisk()}, clockwork.NewFakeClockAt(startTime), limitBytes)
 }
 
 func ref(id string) hawthornrail.TurnRef { return hawthornrail.NewTurnRef("team", id) }
@@ -120,7 +120,7 @@
 	assertError(t, s, hawthornrail.NewTurnRef("other", "a"), store.ErrForeign)
 	assertError(t, s, ref("z"), store.ErrUnknown)
 	assertError(t, s, ref("c"), store.ErrIncomplete)
-	assertError(t, s, ref("b"), store.ErrUnknown)
+	assertError(t, s, ref("b"), store.ErrIncomplete)
 	if awaited := s.Awaited(10); !slices.Equal(awaited, []hawthornrail.TurnRef{ref("b")}) {
 		t.Errorf("awaited %v", awaited)
 	}
@@ -169,7 +169,7 @@
 		t.Run(order[0]+" first", func(t *testing.T) {
 			folder := t.TempDir()
 			clock := clockwork.NewFakeClockAt(startTime)
-			s := open(t, folder, store.NewDisk(), clock, limitBytes)
+			s := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 			turns := map[string]hawthornrail.Turn{
 				"a": newTurn("a", ""),
 				"b": newTurn("b", "a").WithRetention(startTime.Add(50*time.Second), retention),
@@ -193,7 +193,7 @@
 			if err := s.Close(); err != nil {
 				t.Fatal(err)
 			}
-			s = open(t, folder, store.NewDisk(), clock, limitBytes)
+			s = open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 			assertError(t, s, ref("alone"), store.ErrUnknown)
 			assertChain(t, s, "a", "b")
 			clock.Advance(50 * time.Second)
@@ -211,7 +211,7 @@
 func TestSegmentsWithoutTurnsAreRemoved(t *testing.T) {
 	folder := t.TempDir()
 	clock := clockwork.NewFakeClockAt(startTime)
-	s := open(t, folder, store.NewDisk(), clock, limitBytes)
+	s := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 	for n := range 10 {
 		id := fmt.Sprint(n)
 		mustAppend(t, s, hawthornrail.NewTurn(ref(id), make([]byte, 2<<20), nil).WithRetention(startTime, retention))
@@ -229,10 +229,10 @@
 		if err := s.Close(); err != nil {
 			t.Fatal(err)
 		}
-		if err := open(t, folder, store.NewDisk(), clock, limitBytes).Close(); err != nil {
+		if err := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes).Close(); err != nil {
 			t.Fatal(err)
 		}
-		again := open(t, folder, store.NewDisk(), clock, limitBytes)
+		again := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 		mustAppend(t, again, newTurn("new", "").WithRetention(clock.Now(), retention))
 		if turns, _, _ := again.List(position, 10); len(turns) != 1 || turns[0].Ref() != ref("new") {
 			t.Errorf("listed after the last position: %v", turns)
@@ -245,7 +245,7 @@
 func TestTornTail(t *testing.T) {
 	folder := t.TempDir()
 	clock := clockwork.NewFakeClockAt(startTime)
-	s := open(t, folder, store.NewDisk(), clock, limitBytes)
+	s := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 	mustAppend(t, s, newTurn("a", ""))
 	synced := s.Stats().Bytes()
 	mustAppend(t, s, newTurn("b", "a"))
@@ -265,7 +265,7 @@
 			if err := os.WriteFile(path, append(slices.Clone(data[:size]), make([]byte, tail)...), 0o644); err != nil {
 				t.Fatal(err)
 			}
-			again := open(t, torn, store.NewDisk(), clock, limitBytes)
+			again := open(t, torn, quickDisk{store.NewDisk()}, clock, limitBytes)
 			assertChain(t, again, "a")
 			assertError(t, again, ref("b"), store.ErrUnknown)
 			mustAppend(t, again, newTurn("b", "a"))
@@ -273,18 +273,19 @@
 			if err := again.Close(); err != nil {
 				t.Fatal(err)
 			}
-			again = open(t, torn, store.NewDisk(), clock, limitBytes)
+			again = open(t, torn, quickDisk{store.NewDisk()}, clock, limitBytes)
 			assertChain(t, again, "a", "b")
 			_ = again.Close()
 		}
 	}
 }
 
-// Guards against a damaged turn that hides those after it, or that is returned.
+// Guards against a damaged turn that hides those after it, that is returned, or that is said
+// not to exist.
 func TestDamagedContent(t *testing.T) {
 	folder := t.TempDir()
 	clock := clockwork.NewFakeClockAt(startTime)
-	s := open(t, folder, store.NewDisk(), clock, limitBytes)
+	s := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
 	mustAppend(t, s, newTurn("a", ""))
 	end := s.Stats().Bytes()
 	mustAppend(t, s, newTurn("b", ""))
@@ -297,13 +298,24 @@
 	if _, err := f.WriteAt([]byte("?"), end-1); err != nil {
 		t.Fatal(err)
 	}
-	assertError(t, s, ref("a"), store.ErrIncomplete)
+	check := func(s *store.Store) {
+		assertError(t, s, ref("a"), store.ErrIncomplete)
+		assertChain(t, s, "b")
+		if turns, err := s.Fetch([]hawthornrail.TurnRef{ref("a"), ref("b")}, 1); err != nil || len(turns) != 1 || turns[0].Ref() != ref("b") {
+			t.Errorf("fetched %v, %v", turns, err)
+		}
+		if awaited := s.Awaited(10); !slices.Equal(awaited, []hawthornrail.TurnRef{ref("a")}) {
+			t.Errorf("awaited %v", awaited)
+		}
+	}
+	check(s)
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	again := open(t, folder, store.NewDisk(), clock, limitBytes)
-	assertError(t, again, ref("a"), store.ErrUnknown)
-	assertChain(t, again, "b")
+	again := open(t, folder, quickDisk{store.NewDisk()}, clock, limitBytes)
+	check(again)
+	mustAppend(t, again, newTurn("a", ""))
+	assertChain(t, again, "a")
 }
 
 // Guards against an acknowledgement before the sync: after a power loss at any moment, every
@@ -333,14 +345,14 @@
 		func(unsynced int64) int64 { return unsynced / 2 },
 		func(unsynced int64) int64 { return unsynced },
 	} {
-		lost := open(t, disk.afterPowerLoss(t, folder, keep), store.NewDisk(), clock, limitBytes)
+		lost := open(t, disk.afterPowerLoss(t, folder, keep), quickDisk{store.NewDisk()}, clock, limitBytes)
 		assertChain(t, lost, "a")
 	}
 	close(hang)
 	if err := <-result; err != nil {
 		t.Fatal(err)
 	}
-	lost := open(t, disk.afterPowerLoss(t, folder, func(int64) int64 { return 0 }), store.NewDisk(), clock, limitBytes)
+	lost := open(t, disk.afterPowerLoss(t, folder, func(int64) int64 { return 0 }), quickDisk{store.NewDisk()}, clock, limitBytes)
 	assertChain(t, lost, "a", "b")
 }
 
@@ -389,7 +401,7 @@
 // Guards against a log above its limit, and against one that is full and no longer read.
 func TestFullStoreRefusesTurnsAndIsRead(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(startTime)
-	s := open(t, t.TempDir(), store.NewDisk(), clock, 1000)
+	s := open(t, t.TempDir(), quickDisk{store.NewDisk()}, clock, 1000)
 	mustAppend(t, s, newTurn("a", ""))
 	var err error
 	for n := 0; n < 100 && err == nil; n++ {
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -55,6 +55,19 @@
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
 )
 
+// The events of stored conversations at VMs with a disk.
+var (
+	TurnStoreOpened   = register(2140, zerolog.InfoLevel, "store of conversations opened", "")
+	TurnStoreFailed   = register(2141, zerolog.ErrorLevel, "store of conversations could not be opened; this is retried", "check the disk")
+	TurnNotStored     = register(2142, zerolog.WarnLevel, "turns can't be stored on this VM's disk; other VMs store them", "check the disk; if it has space, raise disk.conversations_mb")
+	TurnsStored       = register(2143, zerolog.InfoLevel, "turns are stored on this VM's disk again", "")
+	TurnUnreadable    = register(2144, zerolog.ErrorLevel, "turns could not be read from the disk", "check the disk")
+	SegmentNotRemoved = register(2145, zerolog.WarnLevel, "expired turns could not be removed from the disk", "check the disk")
+	RepairDelayed     = register(2146, zerolog.WarnLevel, "turns of another VM could not be read or stored; repair goes on later", "check the other VM and the network")
+	TurnsCertain      = register(2147, zerolog.InfoLevel, "VM holds each turn that it should; it replies that others do not exist", "")
+	TurnsUncertain    = register(2148, zerolog.WarnLevel, "VM may lack turns; it does not reply that turns do not exist", "check the VMs that do not respond")
+)
+
 // The events of programs.
 var (
 	ProgramCreated    = register(3001, zerolog.DebugLevel, "program created", "")
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -53,15 +53,16 @@
 	return order[:min(max(copies, 0), len(order))]
 }
 
-// Includes reports whether the VM at an address should store the chains with a placement
-// key: because it is selected among all VMs, or because it takes the place of a VM that is
-// suspected to be down.
-func Includes(vms []hawthornrail.VM, key string, copies int, suspected Suspected, address string) bool {
-	isVM := func(v hawthornrail.VM) bool { return v.Address() == address }
-	// A VM that asks for turns is up, whatever is suspected.
-	others := func(a string) bool { return a != address && suspected(a) }
-	return slices.ContainsFunc(Select(vms, key, copies, None), isVM) ||
-		slices.ContainsFunc(Select(vms, key, copies, others), isVM)
+// Targets returns the VMs that should store the chains with a placement key: those that are
+// selected among all VMs, and those that take the place of VMs that are suspected to be down.
+func Targets(vms []hawthornrail.VM, key string, copies int, suspected Suspected) []hawthornrail.VM {
+	targets := Select(vms, key, copies, None)
+	for _, v := range Select(vms, key, copies, suspected) {
+		if !slices.Contains(targets, v) {
+			targets = append(targets, v)
+		}
+	}
+	return targets
 }
 
 // spread moves the first VM of each data centre to the front.
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -93,22 +93,17 @@
 	})
 }
 
-// Guards against a repair that leaves out a VM: each that is selected, with or without
-// suspects, should store the chain.
-func TestIncludesEachSelectedVM(t *testing.T) {
+// Guards against a repair that leaves out a VM that is selected, with or without suspects, or
+// that makes copies at VMs that nobody asks.
+func TestTargetsAreTheSelectedVMs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := drawVMs(t)
 		suspected := drawSuspects(t, vms)
-		selected := slices.Concat(placement.Select(vms, "key", 2, placement.None), placement.Select(vms, "key", 2, suspected))
-		for _, v := range selected {
-			if !placement.Includes(vms, "key", 2, suspected, v.Address()) {
-				t.Errorf("%s is selected and not included", v.Name())
-			}
-		}
-		for _, v := range vms {
-			if !suspected(v.Address()) && !slices.Contains(names(selected), v.Name()) && placement.Includes(vms, "key", 2, suspected, v.Address()) {
-				t.Errorf("%s is included and not selected", v.Name())
-			}
+		want := names(slices.Concat(placement.Select(vms, "key", 2, placement.None), placement.Select(vms, "key", 2, suspected)))
+		slices.Sort(want)
+		got := slices.Sorted(slices.Values(names(placement.Targets(vms, "key", 2, suspected))))
+		if !slices.Equal(got, slices.Compact(want)) {
+			t.Errorf("targets %v, want %v", got, want)
 		}
 	})
 }
