--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -81,7 +81,7 @@
 			s.ReadCloser = response.Stream()
 			return response.WithStream(s), nil
 		}
-		trail.From(ctx).Event(events.TurnNotStored).Int("status", response.Status()).Err(err).Emit()
+		trail.From(ctx).Event(events.ResponseNoTurn).Int("status", response.Status()).Err(err).Emit()
 	}
 	s.release()
 	return response, err
@@ -159,7 +159,7 @@
 	output, ok := s.events.output()
 	if !ok {
 		s.filter.deps.Metrics.BrokenOff()
-		trail.From(s.ctx).Event(events.TurnNotStored).Err(errTurnTooBig).Emit()
+		trail.From(s.ctx).Event(events.ResponseNoTurn).Err(errTurnTooBig).Emit()
 		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errTurnTooBig)
 	}
 	turn := s.turn.WithOutput(output).WithRetention(s.filter.deps.Clock.Now(), s.retention)
