--- a/internal/conversation/client/save.go
+++ b/internal/conversation/client/save.go
@@ -6,6 +6,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/placement"
@@ -21,6 +22,8 @@
 	// firstRetryPause is the pause before VMs that failed get the turn again; it doubles
 	// each time, so that VMs whose disks are full get few requests.
 	firstRetryPause = 200 * time.Millisecond
+	// waitInterval is how often Wait looks whether the background is done.
+	waitInterval = 10 * time.Millisecond
 )
 
 var errNotStored = errors.New("no VM with a disk has stored the turn")
@@ -92,11 +95,11 @@
 // untilReleased makes copies until the end of the response is released, and reports
 // whether it is.
 func (s *save) untilReleased(ctx context.Context) bool {
-	clock := s.client.deps.Clock
-	s.late, s.limit = clock.After(releaseDelay), clock.After(saveTimeout)
+	c := s.client.deps.Clock
+	s.late, s.limit = c.After(releaseDelay), c.After(saveTimeout)
 	s.sendTo(ctx, s.state.send())
 	for {
-		if released, brokenOff := s.state.decide(clock.Since(s.start)); released || brokenOff {
+		if released, brokenOff := s.state.decide(c.Since(s.start)); released || brokenOff {
 			return released
 		}
 		s.step(ctx)
@@ -105,9 +108,9 @@
 
 // untilComplete makes the copies that are missing.
 func (s *save) untilComplete(ctx context.Context) {
-	clock := s.client.deps.Clock
-	s.limit = clock.After(backgroundTimeout - clock.Since(s.start))
-	for !s.state.complete() && clock.Since(s.start) < backgroundTimeout {
+	c := s.client.deps.Clock
+	s.limit = c.After(backgroundTimeout - c.Since(s.start))
+	for !s.state.complete() && c.Since(s.start) < backgroundTimeout {
 		s.step(ctx)
 	}
 }
@@ -180,3 +183,16 @@
 	defer c.mu.Unlock()
 	c.background -= bytes
 }
+
+// Background returns the size of the turns whose copies are made in the background.
+func (c *Client) Background() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.background
+}
+
+// Wait waits until no copies are made in the background or ctx ends.
+func (c *Client) Wait(ctx context.Context) {
+	for c.Background() > 0 && clock.Wait(ctx, c.deps.Clock, waitInterval) {
+	}
+}
--- a/internal/conversation/client/save_test.go
+++ b/internal/conversation/client/save_test.go
@@ -196,7 +196,10 @@
 		if short := n.counter("conversations.turns_with_too_few_copies"); short != 2 {
 			t.Errorf("%d turns given up at once, want 2", short)
 		}
-		time.Sleep(longWait)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assertTakes(t, time.Second, time.Second, func() { c.Wait(ctx) })
+		assertTakes(t, time.Second, 11*time.Second, func() { c.Wait(context.Background()) })
 		if short := n.counter("conversations.turns_with_too_few_copies"); short != 10 {
 			t.Errorf("%d turns with too few copies, want 10", short)
 		}
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -43,6 +43,8 @@
 	// abortTimeout is the part of it in which the callers of requests that have not
 	// ended are told.
 	abortTimeout = 500 * time.Millisecond
+	// turnTimeout is the part of it in which copies of turns are still made.
+	turnTimeout = 300 * time.Millisecond
 )
 
 // entry is the running process.
@@ -51,6 +53,7 @@
 	server   *proxy.Server
 	streams  *streams.Controller
 	detours  *detour.Server
+	turns    *client.Client
 	draining atomic.Bool
 }
 
@@ -94,10 +97,12 @@
 		newContact,
 		newForwarder,
 		newDetourServer,
+		func() *metrics.Conversations { return metrics.NewConversations(n.Metrics()) },
+		newTurns,
 		newConversations,
 		newServer,
-		func(s *proxy.Server, o *streams.Controller, d *detour.Server) *entry {
-			return &entry{node: n, server: s, streams: o, detours: d}
+		func(s *proxy.Server, o *streams.Controller, d *detour.Server, c *client.Client) *entry {
+			return &entry{node: n, server: s, streams: o, detours: d, turns: c}
 		},
 	}
 	for _, p := range providers {
@@ -171,13 +176,17 @@
 	})
 }
 
-func newConversations(n *node.Node) *proxy.Conversations {
-	m := metrics.NewConversations(n.Metrics())
+func newTurns(n *node.Node, m *metrics.Conversations) *client.Client {
 	c := client.New(client.Dependencies{
 		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
 		Config: n.Config(), Freshness: n.Freshness(), Invoker: n.RelayClient(), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
 		BackgroundBytes: n.Settings().BackgroundTurnBytes(),
 	})
+	metrics.Gauge(n.Metrics(), "conversations.background_bytes", c.Background)
+	return c
+}
+
+func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
 	filter := proxy.NewConversations(proxy.ConversationDependencies{
 		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().ConversationBytes(),
 	})
@@ -276,6 +285,9 @@
 		n.Log().Event(events.DrainTimedOut).Int("requests", e.server.InFlight()).Err(err).Emit()
 		e.server.Abort(abortTimeout)
 	}
+	ctx, cancelTurns := context.WithTimeout(context.Background(), turnTimeout)
+	defer cancelTurns()
+	e.turns.Wait(ctx)
 	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
 	n.Stop()
 }
--- a/internal/vm/detour/detour_test.go
+++ b/internal/vm/detour/detour_test.go
@@ -31,10 +31,12 @@
 	release chan struct{}
 	cutOff  atomic.Bool
 	runs    atomic.Int64
+	last    atomic.Pointer[hawthornrail.ForwardRequest]
 }
 
-func (h *handler) ForwardFor(ctx context.Context, _ *hawthornrail.ForwardRequest, _ string, _ *hawthornrail.ForwardProgress) (*hawthornrail.ForwardResponse, error) {
+func (h *handler) ForwardFor(ctx context.Context, r *hawthornrail.ForwardRequest, _ string, _ *hawthornrail.ForwardProgress) (*hawthornrail.ForwardResponse, error) {
 	h.runs.Add(1)
+	h.last.Store(r)
 	select {
 	case <-h.release:
 		return hawthornrail.NewForwardResponse(200, nil, []byte("done")), nil
@@ -116,6 +118,10 @@
 func (b *bed) send(ctx context.Context, kind hawthornrail.RouteKind, body []byte) (string, error) {
 	r := hawthornrail.NewForwardRequest("POST", "a.example", "/x", "/x", body, time.Now())
 	r.Match(hawthornrail.NewRoute("r", "a.example", "/", kind, nil).WithAttempts(2), 1)
+	return b.sendRequest(ctx, r)
+}
+
+func (b *bed) sendRequest(ctx context.Context, r *hawthornrail.ForwardRequest) (string, error) {
 	progress := hawthornrail.NewForwardProgress("")
 	response, err := b.client.Open(ctx, b.helper, serviceName, r, &progress)
 	if err != nil {
@@ -164,6 +170,42 @@
 	})
 }
 
+// Guards against a turn of a conversation that another VM sends without its chain, or that
+// counts there as other content: its crashes would not be added to those of this VM.
+func TestHelperTellsChainFromInput(t *testing.T) {
+	for name, chain := range map[string]string{"turn with a chain": "chain", "request without one": ""} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			close(b.handler.release)
+			request := func() *hawthornrail.ForwardRequest {
+				r := hawthornrail.NewForwardRequest("POST", "a.example", "/x", "/x", []byte("input"), time.Now())
+				r.Identify(hawthornrail.NewDeployment("team", "team", 1))
+				r.Match(hawthornrail.NewRoute("r", "a.example", "/", hawthornrail.StreamRoute, nil), 1)
+				return r
+			}
+			r := request()
+			r.SetBody([]byte(chain+"input"), len(chain))
+			if _, err := b.sendRequest(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+			got := b.handler.last.Load()
+			if string(got.Body()) != chain+"input" || got.Digests() != request().Digests() {
+				t.Errorf("body %q, digests %v, want those of the input alone, %v", got.Body(), got.Digests(), request().Digests())
+			}
+		})
+	}
+	t.Run("length that exceeds the body", func(t *testing.T) {
+		b := newBed(t)
+		close(b.handler.release)
+		r := hawthornrail.NewForwardRequest("POST", "a.example", "/x", "/x", nil, time.Now())
+		r.SetBody([]byte("input"), 9)
+		if _, err := b.sendRequest(t.Context(), r); err != nil {
+			t.Fatal(err)
+		}
+		b.handler.last.Load().Digests()
+	})
+}
+
 // Guards against a helper whose bodies of other VMs' requests use up its memory.
 func TestBodiesInFlightAreBounded(t *testing.T) {
 	b := newBed(t)
