Store conversations at VMs with a disk once a route is stateful

The process of a VM with a disk has to store turns where the configuration calls for it, and to be as before elsewhere.

It opens the store in the folder conversations below the disk folder and registers in the list of VMs once the configuration has a stateful route, and then repairs its copies. A store of an earlier run is opened at once, so that turns are served after a power loss while the platform does not respond. The size is bounded by the new setting disk.conversations_mb, 128 MB if it is not set.

--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -9,6 +9,8 @@
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	"hawthornrail.example/hawthornrail/internal/program/account"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
 // errNoFolder is returned if the settings name no folder on disk.
@@ -16,9 +18,10 @@
 
 // process is the running holder.
 type process struct {
-	node   *node.Node
-	role   *role
-	holder *account.Holder
+	node          *node.Node
+	role          *role
+	holder        *account.Holder
+	conversations *conversations
 	// registered is set while this VM is registered as the holder, as far as keepRole has
 	// seen, which alone uses it.
 	registered bool
@@ -38,15 +41,19 @@
 	if err != nil {
 		return fmt.Errorf("open accounts: %w", err)
 	}
-	p := &process{node: n, role: r, holder: h}
+	p := &process{node: n, role: r, holder: h, conversations: newConversations(n)}
 	return p.run(ctx)
 }
 
 func (p *process) run(ctx context.Context) error {
 	n := p.node
-	if err := n.Start(p.holder.Receive); err != nil {
+	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
+		return p.holder.Receive(ctx, open, s) || p.conversations.Receive(ctx, open, s)
+	}
+	if err := n.Start(receive); err != nil {
 		return err
 	}
+	n.Loop(p.conversations.run)
 	n.Loop(p.holder.Run)
 	n.Loop(p.holder.Recover)
 	n.Loop(p.holder.ResolveIsolated)
@@ -54,7 +61,7 @@
 	failure := n.Wait(ctx)
 	n.Log().Event(events.ProcessStopping).Emit()
 	n.Stop()
-	if err := p.holder.Close(); err != nil {
+	if err := errors.Join(p.holder.Close(), p.conversations.close()); err != nil {
 		return err
 	}
 	return node.ExitError(failure)
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -27,6 +27,9 @@
 	defaultInForce  = 2 * time.Second
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
+	// defaultConversationsMB is half of the smallest disk of a deployment, 260 MB. The
+	// journal of accounts needs 64 MB while it is compacted.
+	defaultConversationsMB = 128
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -72,6 +75,8 @@
 type diskSection struct {
 	Folder     string `toml:"folder"`
 	FirstStart bool   `toml:"first_start"`
+
+	ConversationsMB int `toml:"conversations_mb"`
 }
 
 type limitsSection struct {
@@ -128,6 +133,7 @@
 			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB,
 			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes,
 		},
+		Disk:           diskSection{ConversationsMB: defaultConversationsMB},
 		FaultTolerance: faultToleranceSection{Disks: defaultToleratedDisks},
 		Config:         configSection{InForceMS: float64(defaultInForce.Milliseconds())},
 		Log:            logSection{Sample: defaultSample},
@@ -169,6 +175,7 @@
 	share := f.Limits.responseBytes()
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
+	require(f.Disk.ConversationsMB > 0, "disk.conversations_mb", "a positive number")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
@@ -231,6 +238,9 @@
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.file.Disk.FirstStart }
 
+// ConversationBytes returns the maximum size of the stored conversations.
+func (s Settings) ConversationBytes() int64 { return int64(s.file.Disk.ConversationsMB) << 20 }
+
 // MaxHeaderBytes returns the maximum size of a request's line and header fields.
 func (s Settings) MaxHeaderBytes() int { return s.file.Limits.MaxHeaderBytes + requestLineBytes }
 
