--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -188,7 +188,7 @@
 
 func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
 	filter := proxy.NewConversations(proxy.ConversationDependencies{
-		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().ConversationBytes(),
+		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().HeldTurnBytes(),
 	})
 	metrics.Gauge(n.Metrics(), "conversations.held_bytes", filter.Held)
 	return filter
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -35,6 +35,9 @@
 	backgroundShare   = 32
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
+	// defaultConversationsMB is half of the smallest disk of a deployment, 260 MB. The
+	// journal of accounts needs 64 MB while it is compacted.
+	defaultConversationsMB = 128
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -80,6 +83,8 @@
 type diskSection struct {
 	Folder     string `toml:"folder"`
 	FirstStart bool   `toml:"first_start"`
+
+	ConversationsMB int `toml:"conversations_mb"`
 }
 
 type limitsSection struct {
@@ -137,6 +142,7 @@
 			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB,
 			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes, MaxChainBytes: defaultMaxChainBytes,
 		},
+		Disk:           diskSection{ConversationsMB: defaultConversationsMB},
 		FaultTolerance: faultToleranceSection{Disks: defaultToleratedDisks},
 		Config:         configSection{InForceMS: float64(defaultInForce.Milliseconds())},
 		Log:            logSection{Sample: defaultSample},
@@ -179,6 +185,7 @@
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxChainBytes > 0 && f.Limits.MaxChainBytes <= chainBytesBound, "limits.max_chain_bytes", "a positive number, 32 MiB at most")
+	require(f.Disk.ConversationsMB > 0, "disk.conversations_mb", "a positive number")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
@@ -241,6 +248,9 @@
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.file.Disk.FirstStart }
 
+// ConversationBytes returns the maximum size of the stored conversations.
+func (s Settings) ConversationBytes() int64 { return int64(s.file.Disk.ConversationsMB) << 20 }
+
 // MaxHeaderBytes returns the maximum size of a request's line and header fields.
 func (s Settings) MaxHeaderBytes() int { return s.file.Limits.MaxHeaderBytes + requestLineBytes }
 
@@ -264,9 +274,9 @@
 // MaxChainBytes returns the maximum size of the chain of a conversation with the new input.
 func (s Settings) MaxChainBytes() int64 { return int64(s.file.Limits.MaxChainBytes) }
 
-// ConversationBytes returns the size of the turns in flight from which on no further chain
-// is loaded.
-func (s Settings) ConversationBytes() int64 { return s.MemoryBytes() / conversationShare }
+// HeldTurnBytes returns the size of the turns in flight from which on no further chain is
+// loaded.
+func (s Settings) HeldTurnBytes() int64 { return s.MemoryBytes() / conversationShare }
 
 // BackgroundTurnBytes returns how many bytes of turns may be stored after the end of their
 // responses.
