Send turns over streams of their own

A conversation of 1.5 MB was refused with 503 in one of two runs of TestConversation: its chain was sent over the stream that carries all small requests to the VM, again to the next VM after 50 ms and through other VMs too, so that the replies to probes were late and two VMs that were up were suspected. Turns and chains now go over a stream each, directly; other VMs relay them only to a VM that this one does not connect to.

--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -179,7 +179,7 @@
 func newTurns(n *node.Node, m *metrics.Conversations) *client.Client {
 	c := client.New(client.Dependencies{
 		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
-		Config: n.Config(), Freshness: n.Freshness(), Invoker: n.RelayClient(), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
+		Config: n.Config(), Freshness: n.Freshness(), Invoker: client.NewStreams(n.DirectClient(), n.RelayClient()), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
 		BackgroundBytes: n.Settings().BackgroundTurnBytes(),
 	})
 	metrics.Gauge(n.Metrics(), "conversations.background_bytes", c.Background)
