Compact segments of which a long conversation needs little

A conversation keeps its first turns, and each segment stays until all of its turns have expired: with programs that last for minutes, the log grows to all turns of that time, reaches its limit and refuses turns.

Above half of the size limit, segments of which at most half is needed are written to the end of the log and removed. The store is opened without the lock of the process's wiring, so that requests are declined rather than delayed while a large log is read.

TestLongConversationDoesNotFillTheDisk writes 100 MiB beside a conversation of 100 turns with a limit of 32 MiB: without the compaction the store is full after a third of it.

--- a/internal/conversation/store/store.go
+++ b/internal/conversation/store/store.go
@@ -102,10 +102,10 @@
 	if err := s.replay(); err != nil {
 		return nil, errors.Join(err, s.closeFiles())
 	}
+	go s.flushLoop()
 	if err := s.Expire(); err != nil {
-		return nil, errors.Join(err, s.closeFiles())
+		return nil, errors.Join(err, s.Close())
 	}
-	go s.flushLoop()
 	return s, nil
 }
 
@@ -169,9 +169,6 @@
 func (s *Store) queue(turns []hawthornrail.Turn) (*batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
-		return nil, ErrClosed
-	}
 	var fresh []hawthornrail.Turn
 	var size int64
 	var superseded error
@@ -195,12 +192,21 @@
 	if s.pendingBytes > 0 && s.pendingBytes+size > maxPendingBytes || s.sizeLocked()+s.pendingBytes+size > s.options.LimitBytes {
 		return nil, ErrFull
 	}
-	if err := s.pending.add(fresh); err != nil {
+	b, err := s.addLocked(fresh, size)
+	return b, errors.Join(superseded, err)
+}
+
+// addLocked adds turns of a size to the pending batch; s.mu must be held.
+func (s *Store) addLocked(turns []hawthornrail.Turn, size int64) (*batch, error) {
+	if s.closed {
+		return nil, ErrClosed
+	}
+	if err := s.pending.add(turns); err != nil {
 		return nil, err
 	}
 	s.pendingBytes += size
 	s.wakeFlush()
-	return s.pending, superseded
+	return s.pending, nil
 }
 
 func (s *Store) wakeFlush() {
@@ -240,36 +246,6 @@
 	return nil
 }
 
-// Expire removes the turns that are no longer kept and the segments without others. The last
-// segment stays, so that the positions of its records are not used again after a restart.
-func (s *Store) Expire() error {
-	s.mu.Lock()
-	s.index.expire(s.options.Clock.Now().UnixMilli())
-	var empty []*segment
-	var kept []*segment
-	for n, g := range s.segments {
-		if g.live == 0 && n < len(s.segments)-1 {
-			empty = append(empty, g)
-			continue
-		}
-		kept = append(kept, g)
-	}
-	s.segments = kept
-	s.mu.Unlock()
-	return s.removeSegments(empty)
-}
-
-func (s *Store) removeSegments(segments []*segment) error {
-	if len(segments) == 0 {
-		return nil
-	}
-	var errs []error
-	for _, g := range segments {
-		errs = append(errs, g.file.Close(), s.options.Disk.Remove(g.path))
-	}
-	return errors.Join(append(errs, s.options.Disk.SyncFolder(s.options.Folder))...)
-}
-
 // Close writes the pending records and closes the files.
 func (s *Store) Close() error {
 	s.mu.Lock()
--- a/internal/conversation/store/store_test.go
+++ b/internal/conversation/store/store_test.go
@@ -240,6 +240,63 @@
 	})
 }
 
+// Guards against a disk that fills up because a long conversation keeps the segments of its
+// turns, and against a turn that is lost when they are compacted.
+func TestLongConversationDoesNotFillTheDisk(t *testing.T) {
+	const (
+		limit   = 32 << 20
+		turns   = 100
+		fillers = 4
+	)
+	folder := t.TempDir()
+	clock := clockwork.NewFakeClockAt(startTime)
+	s := open(t, folder, quickDisk{store.NewDisk()}, clock, limit)
+	var ids []string
+	parent := ""
+	for n := range turns {
+		id := fmt.Sprint("turn", n)
+		mustAppend(t, s, newTurn(id, parent).WithRetention(clock.Now(), retention))
+		ids, parent = append(ids, id), id
+		for k := range fillers {
+			filler := hawthornrail.NewTurn(ref(fmt.Sprint("filler", n, "-", k)), make([]byte, 256<<10), nil)
+			mustAppend(t, s, filler.WithRetention(clock.Now(), retention))
+		}
+		// The fillers of 90 s take up 18 MiB, and all of them 100 MiB.
+		clock.Advance(5 * time.Second)
+		if err := s.Expire(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	assertChain(t, s, ids...)
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(retention + expiryMargin - 10*time.Second)
+	again := open(t, folder, quickDisk{store.NewDisk()}, clock, 1<<20)
+	assertChain(t, again, ids...)
+	if size := again.Stats().Bytes(); size > 6<<20 {
+		t.Errorf("%d bytes after the restart with a lower limit", size)
+	}
+}
+
+// Guards against a jump of the time of day that takes turns along which have to be kept.
+func TestClockStep(t *testing.T) {
+	folder := t.TempDir()
+	for _, now := range []time.Duration{0, retention + 25*time.Second, 10 * time.Second} {
+		s := open(t, folder, quickDisk{store.NewDisk()}, clockwork.NewFakeClockAt(startTime.Add(now)), limitBytes)
+		if now == 0 {
+			mustAppend(t, s, newTurn("a", ""))
+		}
+		if err := s.Expire(); err != nil {
+			t.Fatal(err)
+		}
+		assertChain(t, s, "a")
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Guards against a start that fails, or that loses a turn, after a power loss within the
 // last record: whatever part of it is on the disk, all turns before it are there.
 func TestTornTail(t *testing.T) {
--- a/internal/operator/holder/conversations.go
+++ b/internal/operator/holder/conversations.go
@@ -50,8 +50,11 @@
 		return
 	}
 	for err := c.open(); err != nil; err = c.open() {
+		if errors.Is(err, errStopped) {
+			return
+		}
 		c.node.Log().Event(events.TurnStoreFailed).Err(err).Emit()
-		if errors.Is(err, errStopped) || !clock.Wait(ctx, c.node.Clock(), retryInterval) {
+		if !clock.Wait(ctx, c.node.Clock(), retryInterval) {
 			return
 		}
 	}
@@ -79,13 +82,9 @@
 	return true
 }
 
-// open opens the store and lets it serve other VMs.
+// open opens the store and lets it serve other VMs. Reading a large log takes a while, in
+// which requests are declined.
 func (c *conversations) open() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return errStopped
-	}
 	n := c.node
 	s, err := store.Open(store.Options{
 		Folder: c.folder(), LimitBytes: n.Settings().ConversationBytes(), Clock: n.Clock(), Disk: store.NewDisk(),
@@ -93,6 +92,11 @@
 	if err != nil {
 		return err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errors.Join(errStopped, s.Close())
+	}
 	c.store = s
 	c.replica = replica.New(replica.Dependencies{
 		Address: n.Settings().PeerAddress(), ToleratedLosses: n.Settings().ToleratedDiskLosses(),
