Repair while the platform does not respond, and distrust logs read long ago

A VM repaired its copies only once its entry in the list of VMs was written, so that a restart during an outage of the platform left it uncertain although it is listed. A process that was paused still counted what it had read before the pause as complete.

The entry is written beside the repair, and again only if the VM is not listed. A log that was last read to its end more than 10 s ago does not count (case "paused" of TestUnknownOnlyIfCertain, which fails without the rule).

--- a/internal/conversation/replica/fleet_test.go
+++ b/internal/conversation/replica/fleet_test.go
@@ -302,6 +302,7 @@
 		want    vmpb.ChainState
 	}{
 		{"repaired", func(*fleet, *vm) {}, vmpb.ChainState_CHAIN_STATE_UNKNOWN},
+		{"paused", func(f *fleet, _ *vm) { f.clock.Advance(maxPullAge + time.Second) }, vmpb.ChainState_CHAIN_STATE_UNCERTAIN},
 		{"restarted", func(_ *fleet, v *vm) { v.restart() }, vmpb.ChainState_CHAIN_STATE_UNCERTAIN},
 		{"disk lost", func(_ *fleet, v *vm) { v.wipe() }, vmpb.ChainState_CHAIN_STATE_UNCERTAIN},
 		{"another VM is down", func(f *fleet, v *vm) {
--- a/internal/conversation/replica/progress.go
+++ b/internal/conversation/replica/progress.go
@@ -10,14 +10,22 @@
 type progress struct {
 	epoch uint64
 	after uint64
-	// pulled is set once the log was read to its end since the VM last failed to respond.
-	pulled bool
+	// pulled is set once the log was read to its end since the VM last failed to respond, and
+	// pulledAt is when it was last asked for what follows the end.
+	pulled   bool
+	pulledAt time.Time
 	// missing counts the turns of the last list that are not stored yet, and missingSince is
 	// when there were first any.
 	missing      int
 	missingSince time.Time
 }
 
+// isComplete reports whether this VM has all that it should of the other VM's turns. A log
+// that was read long ago does not show that: this process may have been paused meanwhile.
+func (p *progress) isComplete(now time.Time) bool {
+	return p.pulled && p.missing == 0 && now.Sub(p.pulledAt) <= maxPullAge
+}
+
 // evidence is what a VM decides by whether a turn that it lacks can be elsewhere.
 type evidence struct {
 	// listed is set if the VM itself is listed.
@@ -38,10 +46,10 @@
 }
 
 // evidenceOf returns the evidence for a VM at an address.
-func evidenceOf(v *view, address string, peers map[string]*progress, suspected func(string) bool, listAge time.Duration) evidence {
-	e := evidence{listed: v.lists(address), vms: len(v.vms), listAge: listAge}
+func evidenceOf(v *view, address string, peers map[string]*progress, suspected func(string) bool, listedAt, now time.Time) evidence {
+	e := evidence{listed: v.lists(address), vms: len(v.vms), listAge: now.Sub(listedAt)}
 	for _, vm := range v.others(address) {
-		if p := peers[vm.Address()]; p == nil || !p.pulled || p.missing > 0 {
+		if p := peers[vm.Address()]; p == nil || !p.isComplete(now) {
 			e.unpulled++
 		}
 		if suspected(vm.Address()) {
--- a/internal/conversation/replica/repair.go
+++ b/internal/conversation/replica/repair.go
@@ -50,6 +50,7 @@
 // pull reads the next part of a VM's log and reports whether more follows.
 func (r *Replica) pull(ctx context.Context, vm hawthornrail.VM) bool {
 	p := r.progressOf(vm.Address())
+	askedAt := r.deps.Clock.Now()
 	open := &vmpb.Open{Kind: &vmpb.Open_TurnList{TurnList: &vmpb.TurnList{Address: r.deps.Address, Epoch: p.epoch, After: p.after}}}
 	var reply vmpb.TurnListReply
 	if err := r.invoke(ctx, vm, listTimeout, open, &reply); err != nil {
@@ -74,6 +75,9 @@
 	samePart := known.epoch == reply.GetEpoch()
 	known.epoch, known.after = reply.GetEpoch(), reply.GetPosition()
 	known.pulled = !reply.GetMore() || known.pulled && samePart
+	if !reply.GetMore() {
+		known.pulledAt = askedAt
+	}
 	return reply.GetMore()
 }
 
--- a/internal/conversation/replica/replica.go
+++ b/internal/conversation/replica/replica.go
@@ -31,6 +31,9 @@
 	// listSettleTime is how long the list of VMs has to be the same until a turn is said not
 	// to exist. It exceeds the time in which a change reaches all VMs.
 	listSettleTime = 10 * time.Second
+	// maxPullAge is how long ago the log of another VM may have been read at most. It exceeds
+	// a round with VMs that do not respond and a slow disk.
+	maxPullAge = 10 * time.Second
 	// DefaultRepairBytesPerSecond bounds the bytes that repair fetches.
 	DefaultRepairBytesPerSecond = 4 << 20
 	// maxChainReads bounds the chains that are read at once, each of which can be as large as
@@ -165,7 +168,7 @@
 	v := r.refresh()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := evidenceOf(v, r.deps.Address, r.peers, r.detector.Suspected, r.deps.Clock.Since(r.listedAt))
+	e := evidenceOf(v, r.deps.Address, r.peers, r.detector.Suspected, r.listedAt, r.deps.Clock.Now())
 	if certain := e.certain(); certain != r.certain {
 		r.certain = certain
 		event := events.TurnsUncertain
@@ -200,6 +203,7 @@
 // Stats returns the state of the repair.
 func (r *Replica) Stats() Stats {
 	s := Stats{missing: len(r.deps.Store.Awaited(maxAwaited)), repaired: r.repaired.Load()}
+	now := r.deps.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, vm := range r.view.others(r.deps.Address) {
@@ -208,12 +212,12 @@
 			s.vms++
 			continue
 		}
-		if !p.pulled {
+		if !p.isComplete(now) {
 			s.vms++
 		}
 		s.missing += p.missing
 		if p.missing > 0 {
-			s.oldest = max(s.oldest, r.deps.Clock.Since(p.missingSince))
+			s.oldest = max(s.oldest, now.Sub(p.missingSince))
 		}
 	}
 	return s
--- a/internal/operator/holder/conversations.go
+++ b/internal/operator/holder/conversations.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// conversations, and retryInterval that at which a failed step is retried.
 	checkInterval = 250 * time.Millisecond
 	retryInterval = time.Second
+	// listedInterval is the interval at which a VM checks that it is listed. A change of the
+	// list arrives well within it.
+	listedInterval = 5 * time.Second
 )
 
 // errStopped means that the process has begun to stop.
@@ -58,9 +62,12 @@
 			return
 		}
 	}
-	if c.awaitConfig(ctx) && c.register(ctx) {
-		c.replica.Run(ctx)
+	if !c.awaitConfig(ctx) {
+		return
 	}
+	// A VM that is listed already repairs its copies while the platform does not respond.
+	c.node.Loop(c.stayListed)
+	c.replica.Run(ctx)
 }
 
 func (c *conversations) folder() string {
@@ -120,22 +127,27 @@
 	metrics.Gauge(registry, "conversations.repaired", func() int64 { return r.Stats().Repaired() })
 }
 
-// register lists this VM among those that store turns, and reports whether it did before ctx
-// has ended.
-func (c *conversations) register(ctx context.Context) bool {
+// stayListed lists this VM among those that store turns, until ctx ends.
+func (c *conversations) stayListed(ctx context.Context) {
 	s := c.node.Settings()
 	own := hawthornrail.NewVM(s.VM(), s.DataCentre(), s.PeerAddress(), false)
-	for {
-		err := c.node.Adapter().Registry.RegisterDisk(ctx, own)
-		if err == nil {
-			c.node.Log().Event(events.VMRegistered).Str("address", own.Address()).Emit()
-			return true
+	for ctx.Err() == nil {
+		pause := listedInterval
+		if !slices.Contains(c.node.Config().Snapshot().DiskVMs(), own) && !c.register(ctx, own) {
+			pause = retryInterval
 		}
+		clock.Wait(ctx, c.node.Clock(), pause)
+	}
+}
+
+// register writes this VM's entry in the list of VMs and reports whether it has.
+func (c *conversations) register(ctx context.Context, own hawthornrail.VM) bool {
+	if err := c.node.Adapter().Registry.RegisterDisk(ctx, own); err != nil {
 		c.node.Log().Event(events.RegisterFailed).Err(err).Emit()
-		if !clock.Wait(ctx, c.node.Clock(), retryInterval) {
-			return false
-		}
+		return false
 	}
+	c.node.Log().Event(events.VMRegistered).Str("address", own.Address()).Emit()
+	return true
 }
 
 // Receive serves the requests of other VMs about turns and reports whether open is one. They
