--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,9 +30,12 @@
 [ -z "$known" ] || skip=(-skip "^($known)$")
 # Only the test binaries of packages that import rapid accept -rapid.seed.
 props=$(go list -f '{{if or .TestGoFiles .XTestGoFiles}}{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}{{end}}' ./... | awk '/pgregory.net\/rapid/ {print $1}')
-rest=$(go list ./... | grep -vxF "$props")
+# The crowds measure the memory of processes and run after all others, alone.
+crowd=hawthornrail.example/hawthornrail/internal/standin/crowd
+rest=$(go list ./... | grep -vxF -e "$props" -e "$crowd")
 go test -race -count=1 -timeout 8m -p 4 "${skip[@]}" $rest || failed tests
 [ -z "$props" ] || go test -race -count=1 -timeout 8m -p 4 "${skip[@]}" $props -rapid.seed="$seed" || failed "property tests"
+go test -race -count=1 -timeout 8m "${skip[@]}" "$crowd" || failed crowds
 if [ -n "$known" ]; then
   echo "test: known red, not counted:"
   cat KNOWN-RED.txt
