Bound the memory of the requests of all callers

Nothing bounded the bodies, heads and connections of all callers together, so that crowds of them ended an entry VM. fasthttp read each body whole before the handler ran, and the handler copied it.

internal/policy/memory (pure) counts the bytes of all requests in one budget, a quarter of limits.memory_mb: a head with its buffer from the first byte on, a body before it is read, at once with a length and doubling without. What does not fit is refused with 503 and Retry-After, and requests that have made no progress for a second then lose their place (408). Larger requests leave a quarter to those below 64 KiB. The body is read by the handler and no longer copied; the body of a whole response is not copied either and counts until its caller has read it. The proxy accepts connections itself: idle ones hold no buffer, their number is bounded (limits.max_connections), the one that has waited longest makes room, and a lack of descriptors no longer ends the process.

--- a/forward.go
+++ b/forward.go
@@ -124,10 +124,19 @@
 	deployment     Deployment
 	revision       uint64
 	firstOfProgram bool
+	memory         RequestMemory
 	// digests are set once they have been computed.
 	digests *RequestDigests
 }
 
+// RequestMemory counts the bytes that are held for a request against the memory of the
+// VM.
+type RequestMemory interface {
+	// Grow counts further bytes until the request ends. It returns a Failure that says "not
+	// run" if they do not fit.
+	Grow(bytes int) error
+}
+
 // NewForwardRequest returns a request with its method, host, URI, path without
 // the query, body and time of arrival.
 func NewForwardRequest(method, host, uri, path string, body []byte, received time.Time) *ForwardRequest {
@@ -137,6 +146,18 @@
 // SetID sets the request id, which identifies one attempt of the caller.
 func (r *ForwardRequest) SetID(id string) { r.id = id }
 
+// SetMemory sets what counts the bytes that are held for the request.
+func (r *ForwardRequest) SetMemory(m RequestMemory) { r.memory = m }
+
+// Reserve counts further bytes before they are held for the request, besides its head and
+// the body that it arrived with. It returns a Failure if they do not fit in memory.
+func (r *ForwardRequest) Reserve(bytes int) error {
+	if r.memory == nil {
+		return nil
+	}
+	return r.memory.Grow(bytes)
+}
+
 // SetHeaders sets the header fields that are forwarded.
 func (r *ForwardRequest) SetHeaders(headers []Header) { r.headers = headers }
 
@@ -244,6 +265,8 @@
 	body    []byte
 	stream  io.ReadCloser
 	version string
+	// release is called when the buffered body is no longer held; it may be nil.
+	release func()
 }
 
 // NewForwardResponse returns a response with a buffered body.
@@ -276,6 +299,22 @@
 // Version returns the version of the software that wrote the response.
 func (a *ForwardResponse) Version() string { return a.version }
 
+// WithRelease returns a copy with a function that is called when the buffered body is no
+// longer held.
+func (a *ForwardResponse) WithRelease(release func()) *ForwardResponse {
+	c := *a
+	c.release = release
+	return &c
+}
+
+// Release records that the buffered body is no longer held; it must be called once the
+// response is written.
+func (a *ForwardResponse) Release() {
+	if a.release != nil {
+		a.release()
+	}
+}
+
 // Stream returns the streamed body, or nil for a buffered response.
 func (a *ForwardResponse) Stream() io.ReadCloser { return a.stream }
 
--- a/internal/caller/proxy/conn.go
+++ b/internal/caller/proxy/conn.go
@@ -1,38 +1,61 @@
 package proxy
 
 import (
-	"fmt"
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/valyala/fasthttp"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 )
 
-// listener wraps accepted connections to detect that a caller closes its
-// connection while its request is served.
-type listener struct {
-	net.Listener
-}
+const (
+	// connBytes is what a connection holds during a request besides the buffer of its head:
+	// two goroutines and the state of the library.
+	connBytes = 12 << 10
+	// lingerTimeout and lingerBytes bound what is read of a request that was refused, so
+	// that its caller gets the response before the connection is reset.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 256 << 10
+)
 
-// Accept returns the next connection.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, fmt.Errorf("accept caller: %w", err)
-	}
-	return &conn{Conn: c}, nil
-}
+// expired is a deadline that ends reads at once.
+var expired = time.Unix(1, 0)
 
-// conn reads one byte ahead while a request is served, to detect the end of the
-// connection.
+// errEvicted means that a request made no progress while its memory was needed.
+var errEvicted = errors.New("request made no progress while its memory was needed")
+
+// conn is the connection of a caller. It reads one byte ahead while a request is served,
+// to detect the end of the connection. Between requests it holds no buffer.
 type conn struct {
 	net.Conn
+	now func() time.Time
+	// memory is what the requests of the connection hold.
+	memory *memory.Reservation
+	// release is called once the response has been written; it may be nil.
+	release func()
+	// idle is set between two requests, and parked once the library is done with the
+	// connection because no further request has arrived.
+	idle   bool
+	parked bool
+	// lingers is set if a request is refused before it has been read.
+	lingers bool
+	// waiting is set while the connection waits for its next request, and since is when
+	// that began, in nanoseconds since 1970.
+	waiting atomic.Bool
+	since   atomic.Int64
 
 	mu      sync.Mutex
 	ahead   []byte
 	readErr error
+	evicted bool
 }
 
-// Read returns the data that was read ahead before it reads the connection.
+// Read returns the data that was read ahead before it reads the connection. Between
+// requests it returns io.EOF instead of waiting, so that the library releases its buffers.
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	if len(c.ahead) > 0 {
@@ -46,7 +69,98 @@
 	if readErr != nil {
 		return 0, readErr
 	}
-	return c.Conn.Read(p)
+	if c.idle {
+		c.parked = true
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p)
+	c.memory.Progress(n, c.now())
+	if err != nil && c.isEvicted() {
+		return n, errEvicted
+	}
+	return n, err
+}
+
+// SetReadDeadline sets the deadline of reads unless the request was evicted.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		t = expired
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// evict ends the request that is arriving.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	// It fails only on a closed connection, whose reads have ended.
+	_ = c.Conn.SetReadDeadline(expired)
+}
+
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// await waits for the first byte of the next request and reports whether it arrived.
+func (c *conn) await(timeout time.Duration) bool {
+	if c.SetReadDeadline(c.now().Add(timeout)) != nil {
+		return false
+	}
+	c.since.Store(c.now().UnixNano())
+	c.waiting.Store(true)
+	var b [1]byte
+	n, err := c.Conn.Read(b[:])
+	c.waiting.Store(false)
+	if n == 0 || err != nil {
+		return false
+	}
+	c.ahead = append(c.ahead, b[0])
+	return true
+}
+
+// setState records the state of the connection in the library.
+func (c *conn) setState(state fasthttp.ConnState) {
+	c.idle = state == fasthttp.StateIdle
+	switch state {
+	case fasthttp.StateActive:
+		c.memory.Arriving(c.now())
+	case fasthttp.StateIdle:
+		c.endResponse()
+	}
+}
+
+// endResponse releases what is held of a response.
+func (c *conn) endResponse() {
+	if c.release != nil {
+		c.release()
+		c.release = nil
+	}
+}
+
+// Close closes the connection unless it waits for a further request.
+func (c *conn) Close() error {
+	if c.parked {
+		return nil
+	}
+	if c.lingers {
+		linger(c.Conn, c.now())
+	}
+	return c.Conn.Close()
+}
+
+// linger ends the sending direction of a connection and reads for a while.
+func linger(c net.Conn, now time.Time) {
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(now.Add(lingerTimeout)) != nil {
+		return
+	}
+	// The connection is closed whatever its caller still sends.
+	_, _ = io.Copy(io.Discard, io.LimitReader(c, lingerBytes))
 }
 
 // watch calls onClose if the connection ends before stop is called; stop returns
@@ -54,7 +168,7 @@
 func (c *conn) watch(onClose func()) (stop func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.ahead) > 0 || c.readErr != nil || c.SetReadDeadline(time.Time{}) != nil {
+	if len(c.ahead) > 0 || c.readErr != nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return func() {}
 	}
 	stopping := make(chan struct{})
@@ -64,7 +178,7 @@
 		close(stopping)
 		// An expired deadline ends the read; it fails only on a closed
 		// connection, which ends it too.
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(expired)
 		<-done
 		_ = c.SetReadDeadline(time.Time{})
 	}
--- a/internal/caller/proxy/exchange.go
+++ b/internal/caller/proxy/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 
-	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
@@ -15,6 +14,7 @@
 type exchange struct {
 	server         *Server
 	request        *hawthornrail.ForwardRequest
+	conn           *conn
 	trail          *trail.Trail
 	cancel         context.CancelCauseFunc
 	cancelDeadline context.CancelFunc
@@ -23,7 +23,7 @@
 	ended          bool
 }
 
-func (e *exchange) begin(c *fasthttp.RequestCtx) {
+func (e *exchange) begin() {
 	e.server.inFlight.Add(1)
 	e.trail = e.server.deps.Recorder.Start(e.request.ID())
 	call := e.request.Call()
@@ -38,10 +38,16 @@
 		ctx, e.cancelDeadline = context.WithDeadline(ctx, deadline)
 	}
 	e.ctx = ctx
-	e.stopWatch = func() {}
-	if watched, ok := c.Conn().(*conn); ok {
-		e.stopWatch = watched.watch(func() { e.cancel(errCallerDisconnected) })
+	e.stopWatch = e.conn.watch(func() { e.cancel(errCallerDisconnected) })
+}
+
+// Grow counts further bytes that are held for the request; it implements
+// hawthornrail.RequestMemory.
+func (e *exchange) Grow(bytes int) error {
+	if err := e.conn.memory.Grow(bytes, e.conn.now()); err != nil {
+		return full(err)
 	}
+	return nil
 }
 
 // end releases the resources of the request and records its outcome; further
@@ -52,6 +58,7 @@
 	}
 	e.ended = true
 	e.stopWatch()
+	e.conn.memory.ShrinkTo(e.server.headBytes())
 	disconnected := errors.Is(context.Cause(e.ctx), errCallerDisconnected)
 	e.cancelDeadline()
 	e.cancel(nil)
--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -4,10 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +16,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 )
 
 const (
@@ -35,6 +35,10 @@
 // errAborted is the cause of the contexts of requests that outlast the drain time.
 var errAborted = errors.New("VM shuts down")
 
+// errResponsesFull means that responses which their callers have not read yet hold as much
+// memory as they may.
+var errResponsesFull = errors.New("unread responses exceed their memory limit")
+
 // errCallerDisconnected is the cause of a context whose caller closed its
 // connection.
 var errCallerDisconnected = errors.New("caller has left")
@@ -46,9 +50,16 @@
 	Clock    hawthornrail.Clock
 	Recorder *trail.Recorder
 	Forwards *metrics.Forwards
-	// MaxHeaderBytes and MaxBodyBytes bound a request.
+	Log      events.Logger
+	// Memory counts the bytes of all requests, and ResponsesFull reports whether what is
+	// held of responses leaves no room for further ones.
+	Memory        *memory.Budget
+	ResponsesFull func() bool
+	// MaxHeaderBytes and MaxBodyBytes bound a request, and MaxConnections the open
+	// connections.
 	MaxHeaderBytes int
 	MaxBodyBytes   int
+	MaxConnections int
 }
 
 // Server serves callers whose requests are forwarded.
@@ -60,31 +71,32 @@
 	// requests is the parent of the contexts of all requests.
 	requests context.Context
 	abort    context.CancelCauseFunc
+	conns    *connections
+
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool
 }
 
 // New returns a server with the given dependencies.
 func New(deps Dependencies) *Server {
-	s := &Server{deps: deps}
+	s := &Server{deps: deps, conns: newConnections(deps.MaxConnections)}
 	s.requests, s.abort = context.WithCancelCause(context.Background())
 	s.http = &fasthttp.Server{
-		Handler: s.handle, ReadBufferSize: deps.MaxHeaderBytes, MaxRequestBodySize: deps.MaxBodyBytes,
+		Handler: s.handle, ReadBufferSize: deps.MaxHeaderBytes,
+		// The handler reads the body as far as memory allows; the library reads a byte of it
+		// before.
+		StreamRequestBody: true, MaxRequestBodySize: 1, ExpectHandler: s.expect,
+		ConnState:   func(c net.Conn, state fasthttp.ConnState) { c.(*conn).setState(state) },
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
-		CloseOnShutdown: true, ReduceMemoryUsage: true, ErrorHandler: writeReadError, Logger: discardLogger{},
+		CloseOnShutdown: true, ReduceMemoryUsage: true, ErrorHandler: s.writeReadError, Logger: discardLogger{},
 		// A parsed form is written anew, which changes the body.
 		DisablePreParseMultipartForm: true,
 	}
 	return s
 }
 
-// Serve serves callers on a listener until Shutdown.
-func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(listener{l}); err != nil {
-		return fmt.Errorf("serve callers: %w", err)
-	}
-	return nil
-}
-
 // StartDraining starts draining: every response closes its connection, so that
 // callers connect to other VMs.
 func (s *Server) StartDraining() { s.draining.Store(true) }
@@ -92,25 +104,6 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Shutdown stops accepting connections and waits until the requests in flight
-// have ended.
-func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("shut down caller server: %w", err)
-	}
-	return nil
-}
-
-// Abort ends the requests that are still in flight and waits, up to a timeout, until
-// their callers have been told: a response that has not begun is one that may have run,
-// a stream is interrupted.
-func (s *Server) Abort(timeout time.Duration) {
-	s.abort(errAborted)
-	for end := s.deps.Clock.Now().Add(timeout); s.http.GetOpenConnectionsCount() > 0 && s.deps.Clock.Now().Before(end); {
-		s.deps.Clock.Sleep(closePollInterval)
-	}
-}
-
 // discardLogger drops the log lines of fasthttp: the trail of each request
 // records how the request ended.
 type discardLogger struct{}
@@ -118,33 +111,30 @@
 // Printf drops a log line.
 func (discardLogger) Printf(string, ...any) {}
 
-func writeReadError(ctx *fasthttp.RequestCtx, err error) {
-	status := http.StatusBadRequest
-	switch {
-	case strings.Contains(err.Error(), "body size exceeds"):
-		status = http.StatusRequestEntityTooLarge
-	case strings.Contains(err.Error(), "small read buffer"):
-		status = http.StatusRequestHeaderFieldsTooLarge
-	}
-	ctx.Error(err.Error()+"\n", status)
-}
-
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	framingErr := checkFraming(&c.Request.Header)
 	if s.draining.Load() || framingErr != nil {
 		c.SetConnectionClose()
 	}
-	r, err := s.readRequest(c)
-	err = errors.Join(framingErr, err)
-	e := &exchange{server: s, request: r}
+	from := c.Conn().(*conn)
+	var body []byte
+	err := framingErr
+	if err == nil {
+		body, err = s.readBody(c, from)
+	}
 	if err != nil {
-		e.trail = s.deps.Recorder.Start(r.ID())
-		s.writeFailure(c, err)
-		e.trail.Event(events.ForwardRefused).Err(err).Emit()
-		e.trail.Close(true)
+		from.lingers = true
+		c.SetConnectionClose()
+	}
+	r, headErr := s.readRequest(c, body)
+	err = errors.Join(err, headErr)
+	e := &exchange{server: s, request: r, conn: from}
+	if err != nil {
+		s.refuseRequest(c, e, err)
 		return
 	}
-	e.begin(c)
+	r.SetMemory(e)
+	e.begin()
 	response, err := s.deps.Handler.Forward(e.ctx, r)
 	if err != nil {
 		e.end(err)
@@ -155,12 +145,27 @@
 	s.writeResponse(c, e, response)
 }
 
+// refuseRequest ends a request that is malformed or does not fit in memory.
+func (s *Server) refuseRequest(c *fasthttp.RequestCtx, e *exchange, err error) {
+	e.trail = s.deps.Recorder.Start(e.request.ID())
+	s.writeFailure(c, err)
+	event := events.ForwardRefused
+	switch {
+	case errors.Is(err, memory.ErrFull), errors.Is(err, errResponsesFull):
+		event = events.MemoryFull
+	case errors.Is(err, errEvicted):
+		event = events.RequestEvicted
+	}
+	e.trail.Event(event).Int("held_bytes", int(s.deps.Memory.Held())).Err(err).Emit()
+	e.trail.Close(true)
+	e.conn.memory.ShrinkTo(s.headBytes())
+}
+
 // readRequest returns a request with the parts that are forwarded unchanged, and a
 // Failure if it is malformed.
-func (s *Server) readRequest(c *fasthttp.RequestCtx) (*hawthornrail.ForwardRequest, error) {
+func (s *Server) readRequest(c *fasthttp.RequestCtx, body []byte) (*hawthornrail.ForwardRequest, error) {
 	host, uri, err := target(&c.Request.Header)
 	path, _, _ := strings.Cut(uri, "?")
-	body := append([]byte{}, c.PostBody()...)
 	r := hawthornrail.NewForwardRequest(string(c.Method()), host, uri, path, body, s.deps.Clock.Now())
 	r.SetHeaders(s.forwardedHeaders(c))
 	return r, errors.Join(err, s.deps.Codec.Read(&c.Request.Header, r))
@@ -195,14 +200,18 @@
 }
 
 func (s *Server) writeFailure(c *fasthttp.RequestCtx, err error) {
-	f := hawthornrail.AsFailure(err)
+	s.fillFailure(&c.Response, hawthornrail.AsFailure(err))
+}
+
+// fillFailure sets a response to that of a failure.
+func (s *Server) fillFailure(response *fasthttp.Response, f *hawthornrail.Failure) {
 	status, headers := s.deps.Codec.Failure(f)
-	c.SetStatusCode(status)
+	response.SetStatusCode(status)
 	for _, h := range headers {
-		c.Response.Header.Add(h.Name(), h.Value())
+		response.Header.Add(h.Name(), h.Value())
 	}
-	c.SetContentType("text/plain")
-	c.SetBodyString(string(f.Code()) + "\n")
+	response.Header.SetContentType("text/plain")
+	response.SetBodyString(string(f.Code()) + "\n")
 }
 
 func (s *Server) writeResponse(c *fasthttp.RequestCtx, e *exchange, response *hawthornrail.ForwardResponse) {
@@ -211,7 +220,9 @@
 		c.Response.Header.Add(h.Name(), h.Value())
 	}
 	if response.Stream() == nil {
-		c.SetBody(response.Body())
+		// The body counts as held until the caller has read it.
+		c.Response.SetBodyRaw(response.Body())
+		e.conn.release = response.Release
 		e.end(nil)
 		return
 	}
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -297,10 +297,10 @@
 	}
 }
 
-// readWhole reads a response to its end before any of it reaches the caller.
+// readWhole reads a response to its end before any of it reaches the caller; its body is
+// held until the response is released.
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	buffer := d.deps.Buffers.Body()
-	defer buffer.Release()
 	for {
 		body, err := buffer.ReadAll(a.exchange)
 		if err == nil && d.brokenOff(a) {
@@ -309,8 +309,9 @@
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
-			return response, nil
+			return response.WithRelease(buffer.Release), nil
 		}
+		buffer.Release()
 		err = d.failMayHaveRun(ctx, a, err)
 		if !d.mayRetry(ctx, err) {
 			return nil, err
--- a/internal/endpoint/http/buffer.go
+++ b/internal/endpoint/http/buffer.go
@@ -50,6 +50,15 @@
 // Held returns the number of bytes that all responses hold.
 func (b *Buffers) Held() int64 { return b.held.Load() }
 
+// fullShare is the fraction of the memory limit, as a divisor, that has to be free for
+// further requests to be sent: the size of their responses is not known before.
+const fullShare = 4
+
+// Full reports whether the responses hold so much that no further request should be sent.
+func (b *Buffers) Full() bool {
+	return b.Held() > b.limits.TotalBytes-b.limits.TotalBytes/fullShare
+}
+
 // Body returns the buffer of a body that is collected.
 func (b *Buffers) Body() *Buffer { return &Buffer{all: b, limit: b.limits.BodyBytes} }
 
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -53,6 +53,10 @@
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
+
+	MemoryFull         = register(2150, zerolog.WarnLevel, "request refused, not run: the requests or responses in flight hold too much memory", "check the callers of the VM; if they are sound, raise limits.memory_mb")
+	RequestEvicted     = register(2151, zerolog.WarnLevel, "request ended, not run: it made no progress while its memory was needed", "check its caller")
+	ConnectionsRefused = register(2152, zerolog.WarnLevel, "connections of callers refused since the previous line: too many are open", "check the callers of the VM; if they are sound, raise limits.max_connections")
 )
 
 // The events of programs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -24,6 +26,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/detour"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -42,6 +45,9 @@
 	// abortTimeout is the part of it in which the callers of requests that have not
 	// ended are told.
 	abortTimeout = 500 * time.Millisecond
+	// callerDescriptorShare is the fraction of the descriptors, as a divisor, that
+	// connections of callers may use; the others are for endpoints and VMs.
+	callerDescriptorShare = 2
 )
 
 // entry is the running process.
@@ -85,6 +91,7 @@
 		func() *pool.Pool {
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
 		},
+		func() *memory.Budget { return memory.NewBudget(n.Settings().RequestBytes()) },
 		newAccounts,
 		func() hawthornrail.Quarantine { return n.Suspects() },
 		newStreams,
@@ -169,19 +176,47 @@
 	})
 }
 
-func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, q hawthornrail.Quarantine, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
-	chain := proxy.Chain(f,
+// serverIn are the dependencies of the server for callers.
+type serverIn struct {
+	dig.In
+
+	Node       *node.Node
+	Forwarder  *forward.Forwarder
+	Accounts   hawthornrail.Accounts
+	Quarantine hawthornrail.Quarantine
+	Recorder   *trail.Recorder
+	Forwards   *metrics.Forwards
+	Memory     *memory.Budget
+	Buffers    *endpointhttp.Buffers
+}
+
+func newServer(in serverIn) *proxy.Server {
+	n := in.Node
+	metrics.Gauge(n.Metrics(), "requests.held_bytes", in.Memory.Held)
+	metrics.Gauge(n.Metrics(), "requests.evicted", in.Memory.Evicted)
+	chain := proxy.Chain(in.Forwarder,
 		proxy.NewIdentify(n.Config(), n.Freshness()),
-		proxy.NewQuarantine(q),
-		proxy.NewBudget(a, n.Config()),
-		proxy.NewAdmit(n.Rates(), n.Clock(), m),
+		proxy.NewQuarantine(in.Quarantine),
+		proxy.NewBudget(in.Accounts, n.Config()),
+		proxy.NewAdmit(n.Rates(), n.Clock(), in.Forwards),
 	)
 	return proxy.New(proxy.Dependencies{
-		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: r, Forwards: m,
+		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: in.Recorder, Forwards: in.Forwards, Log: n.Log().Layer("caller"),
+		Memory: in.Memory, ResponsesFull: in.Buffers.Full,
 		MaxHeaderBytes: n.Settings().MaxHeaderBytes(), MaxBodyBytes: n.Settings().MaxBodyBytes(),
+		MaxConnections: min(n.Settings().MaxConnections(), descriptorLimit()/callerDescriptorShare),
 	})
 }
 
+// descriptorLimit returns how many descriptors the process may open.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
 	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -20,11 +20,16 @@
 	defaultMaxEventBytes          = 256 << 10
 	// responseShare is the fraction of the memory limit that responses in flight may
 	// hold.
-	responseShare   = 8
-	defaultGrace    = 8 * time.Second
-	defaultSample   = 100
-	defaultMemoryMB = 128
-	defaultInForce  = 2 * time.Second
+	responseShare = 8
+	// requestShare is the fraction of the memory limit that requests in flight may hold.
+	requestShare = 4
+	// connectionsPerMB is the default of the open connections of callers for each MB of the
+	// memory limit: an idle one holds 8 KB at most.
+	connectionsPerMB = 16
+	defaultGrace     = 8 * time.Second
+	defaultSample    = 100
+	defaultMemoryMB  = 128
+	defaultInForce   = 2 * time.Second
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
 	// requestLineBytes is the size that is allowed for a request line in addition
@@ -82,6 +87,8 @@
 	MaxResponseHeaderBytes int `toml:"max_response_header_bytes"`
 	MaxResponseBodyBytes   int `toml:"max_response_body_bytes"`
 	MaxEventBytes          int `toml:"max_event_bytes"`
+
+	MaxConnections int `toml:"max_connections"`
 }
 
 type configSection struct {
@@ -169,6 +176,7 @@
 	share := f.Limits.responseBytes()
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
+	require(f.Limits.MaxConnections > 0, "limits.max_connections", "a positive number")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
@@ -187,6 +195,9 @@
 	if !meta.IsDefined("limits", "max_event_bytes") {
 		l.MaxEventBytes = min(defaultMaxEventBytes, l.responseBytes())
 	}
+	if !meta.IsDefined("limits", "max_connections") {
+		l.MaxConnections = connectionsPerMB * l.MemoryMB
+	}
 }
 
 // responseBytes returns how many bytes responses in flight may hold.
@@ -248,6 +259,12 @@
 // ResponseBytes returns how many bytes responses in flight may hold together.
 func (s Settings) ResponseBytes() int64 { return int64(s.file.Limits.responseBytes()) }
 
+// RequestBytes returns how many bytes requests in flight may hold together.
+func (s Settings) RequestBytes() int64 { return s.MemoryBytes() / requestShare }
+
+// MaxConnections returns the maximum number of open connections of callers.
+func (s Settings) MaxConnections() int { return s.file.Limits.MaxConnections }
+
 // MaxBodyBytes returns the maximum size of a request's body.
 func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
 
--- a/internal/vm/detour/server.go
+++ b/internal/vm/detour/server.go
@@ -173,6 +173,7 @@
 	}
 	head := &vmpb.DetourHead{Status: int32(response.Status()), Headers: headersToWire(response.Headers()), Version: response.Version()}
 	if response.Stream() == nil {
+		defer response.Release()
 		return sendBody(stream, head, response.Body())
 	}
 	err = sendStream(stream, head, response.Stream())
--- a/verdict.go
+++ b/verdict.go
@@ -40,6 +40,8 @@
 const (
 	CodeBadRequest         Code = "bad_request"
 	CodeBodyTooLarge       Code = "body_too_large"
+	CodeHeadTooLarge       Code = "head_too_large"
+	CodeRequestTimeout     Code = "request_timeout"
 	CodeUnauthorized       Code = "unauthorized"
 	CodeKeyRevoked         Code = "key_withdrawn"
 	CodeForbidden          Code = "forbidden"
