Count requests of other VMs in the memory budget

The bodies of requests that other VMs send here, and the copies in the messages of those that go through other VMs, counted in no common budget. They now do; one that does not fit is refused and not sent on.

--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -11,6 +11,9 @@
 
 // tryHelper sends the request through another VM.
 func (d *dispatch) tryHelper(ctx context.Context, helper hawthornrail.VM) (*attempt, error) {
+	if err := d.reserveMessage(); err != nil {
+		return nil, err
+	}
 	a := &attempt{indirect: true, helper: helper, sent: d.deps.Clock.Now()}
 	d.logEvent(events.ForwardDetoured).Str("through", helper.Name()).Str("service", d.service.Name()).
 		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
@@ -22,6 +25,19 @@
 	return a, nil
 }
 
+// reserveMessage reserves the bytes of the message to another VM, which holds a copy of
+// the body.
+func (d *dispatch) reserveMessage() error {
+	if d.messageReserved {
+		return nil
+	}
+	if err := d.request.Reserve(len(d.request.Body())); err != nil {
+		return err
+	}
+	d.messageReserved = true
+	return nil
+}
+
 // tryForOther sends the request of another VM. That one has to find a further VM if this
 // one reaches no endpoint either, or opens no connection to any.
 func (d *dispatch) tryForOther(ctx context.Context) (*attempt, error) {
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	nethttp "net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 )
 
 const (
@@ -39,6 +41,8 @@
 	unreached []string
 	// refusedBy are the VMs that did not take the request.
 	refusedBy []string
+	// messageReserved is set once the memory of a message to another VM is reserved.
+	messageReserved bool
 }
 
 // attempt is one send of a request to one endpoint, or through another VM.
@@ -89,7 +93,7 @@
 
 // mayRetry reports whether the request may be sent again after err.
 func (d *dispatch) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft {
+	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft || errors.Is(err, memory.ErrFull) {
 		return false
 	}
 	if d.progress.Exhausted(d.request.Route().Attempts()) {
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -170,9 +170,9 @@
 	})
 }
 
-func newDetourServer(n *node.Node, f *forward.Forwarder, c *contact.Tracker, r *trail.Recorder) *detour.Server {
+func newDetourServer(n *node.Node, f *forward.Forwarder, c *contact.Tracker, r *trail.Recorder, m *memory.Budget) *detour.Server {
 	return detour.NewServer(detour.ServerDependencies{
-		Handler: f, Contact: c, Clock: n.Clock(), Recorder: r, MemoryBytes: n.Settings().MemoryBytes(),
+		Handler: f, Contact: c, Clock: n.Clock(), Recorder: r, MemoryBytes: n.Settings().MemoryBytes(), Memory: m,
 	})
 }
 
--- a/internal/vm/detour/detour_test.go
+++ b/internal/vm/detour/detour_test.go
@@ -13,6 +13,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 	"hawthornrail.example/hawthornrail/internal/vm/detour"
 	"hawthornrail.example/hawthornrail/internal/vm/dial"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -71,6 +72,7 @@
 
 // bed is a VM that sends requests through another one.
 type bed struct {
+	memory  *memory.Budget
 	handler *handler
 	server  *detour.Server
 	client  *detour.Client
@@ -80,10 +82,10 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{handler: &handler{release: make(chan struct{})}, network: &freezer{}}
+	b := &bed{handler: &handler{release: make(chan struct{})}, network: &freezer{}, memory: memory.NewBudget(1 << 20)}
 	log := events.NewLogger(io.Discard, 0)
 	b.server = detour.NewServer(detour.ServerDependencies{
-		Handler: b.handler, Contact: b.handler, Clock: clock.Real(), Recorder: trail.NewRecorder(io.Discard, "h", 1), MemoryBytes: 1 << 20,
+		Handler: b.handler, Contact: b.handler, Clock: clock.Real(), Recorder: trail.NewRecorder(io.Discard, "h", 1), MemoryBytes: 1 << 20, Memory: b.memory,
 	})
 	peers := peer.NewServer(hawthornrail.NewInstance("h", "dc1", 1), nil, nil, clock.Real(), log)
 	address, err := peers.Listen("127.0.0.1:0")
@@ -184,6 +186,26 @@
 	}
 }
 
+// Guards against requests of other VMs that exceed the memory together with those of this
+// VM's callers.
+func TestRequestsOfOtherVMsShareTheMemory(t *testing.T) {
+	b := newBed(t)
+	close(b.handler.release)
+	own := b.memory.Reserve(func() {})
+	if err := own.Grow(1<<20, time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := b.send(t.Context(), hawthornrail.NonIdempotentRoute, make([]byte, 1<<10))
+	assertRefused(t, err)
+	own.Release()
+	if _, err := b.send(t.Context(), hawthornrail.NonIdempotentRoute, make([]byte, 1<<10)); err != nil {
+		t.Errorf("after a release: %v", err)
+	}
+	if held := b.memory.Held(); held != 0 {
+		t.Errorf("%d bytes held after the requests", held)
+	}
+}
+
 // Guards against a VM that shuts down and takes requests of others, or cuts those that
 // it has.
 func TestDrainingHelper(t *testing.T) {
--- a/internal/vm/detour/server.go
+++ b/internal/vm/detour/server.go
@@ -10,6 +10,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -36,8 +37,10 @@
 	Contact  hawthornrail.Contact
 	Clock    hawthornrail.Clock
 	Recorder *trail.Recorder
-	// MemoryBytes is the memory limit of the process.
+	// MemoryBytes is the memory limit of the process, and Memory counts the bytes of all
+	// requests.
 	MemoryBytes int64
+	Memory      *memory.Budget
 }
 
 // Server sends the requests of other VMs to endpoints.
@@ -131,12 +134,15 @@
 // serve sends a request to an endpoint and its response to the VM that sent it.
 func (s *Server) serve(ctx context.Context, m *vmpb.Detour, stream *peer.Stream) {
 	bytes := int64(len(m.GetBody()))
-	if err := s.take(m, bytes); err != nil {
+	start := s.deps.Clock.Now()
+	// The request has arrived whole and is not evicted.
+	held := s.deps.Memory.Reserve(func() {})
+	defer held.Release()
+	if err := s.take(m, bytes, held, start); err != nil {
 		sendRefusal(stream, err)
 		return
 	}
 	defer s.end(bytes)
-	start := s.deps.Clock.Now()
 	line := s.deps.Recorder.Start(string(m.GetRequestId()))
 	line.Event(events.DetourReceived).Str("from", stream.From().VM()).Str("service", m.GetService()).Int("left_ms", int(m.GetLeftMs())).Emit()
 	r := requestFromWire(m, start)
@@ -159,10 +165,13 @@
 }
 
 // take counts a request in flight, or says why this VM takes none.
-func (s *Server) take(m *vmpb.Detour, bytes int64) error {
+func (s *Server) take(m *vmpb.Detour, bytes int64, held *memory.Reservation, now time.Time) error {
 	if s.deps.Contact.CutOff(m.GetService()) {
 		return errCutOff
 	}
+	if err := held.Grow(int(bytes), now); err != nil {
+		return fmt.Errorf("%w: %w", errBusy, err)
+	}
 	return s.begin(bytes)
 }
 
