Treat a response with an invalid status as none

The status of an endpoint's response was taken as it came, and fasthttp reads 000 as 200. The transport now reads the status line itself; Do, which the own interface uses, fails with ErrInvalidStatus, and the dispatch of forwarded requests fails the attempt as one that may have run unless the head says that it has not, in the one place that direct, detoured and resumed attempts pass. The endpoint counts neither as lost nor as crashed.

Before: 000 reached callers as 200 on all four ways (a resumed stream went on with it to its end), 101, 600 and 999 reached them as they were, and 099 broke the caller's connection.

--- a/internal/caller/proxy/server_test.go
+++ b/internal/caller/proxy/server_test.go
@@ -27,6 +27,9 @@
 const (
 	budgetBytes = 1 << 20
 	bodyBytes   = 400 << 10
+	headerBytes = 4 << 10
+	// heldByHead is what a connection holds during a request without a body.
+	heldByHead  = headerBytes + 12<<10
 	connections = 4
 	// stallTime is a time after which a request that makes no progress loses its place.
 	stallTime = 1200 * time.Millisecond
@@ -83,7 +86,7 @@
 	b.server = proxy.New(proxy.Dependencies{
 		Handler: b, Codec: codec{}, Clock: clock.Real(), Recorder: trail.NewRecorder(io.Discard, "vm1", 1),
 		Forwards: metrics.NewForwards(gometrics.NewRegistry()), Log: events.Discard(), Memory: b.memory, ResponsesFull: b.full,
-		MaxHeaderBytes: 4 << 10, MaxBodyBytes: bodyBytes, MaxConnections: connections,
+		MaxHeaderBytes: headerBytes, MaxBodyBytes: bodyBytes, MaxConnections: connections,
 	})
 	ended := make(chan error, 1)
 	go func() { ended <- b.server.Serve(l) }()
@@ -278,8 +281,7 @@
 	for _, busy := range idle[1:] {
 		busy.send(fmt.Sprintf(announced, 4) + "te")
 	}
-	awaitHeld(t, b, connections*4<<10)
-	time.Sleep(50 * time.Millisecond)
+	awaitHeld(t, b, connections*heldByHead)
 	refused := b.dial(t)
 	refused.assertRefused(t, http.StatusServiceUnavailable)
 	c.send("xt")
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -81,7 +81,11 @@
 	for {
 		a, err := d.try(ctx)
 		if err == nil {
-			return a, nil
+			err = http.CheckStatus(a.exchange.Status())
+			if err == nil {
+				return a, nil
+			}
+			err = d.failMayHaveRun(ctx, a, err)
 		}
 		if !d.mayRetry(ctx, err) {
 			return nil, d.withEarlierRuns(err)
--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -47,15 +47,16 @@
 func (d *dispatch) failMayHaveRun(ctx context.Context, a *attempt, err error) error {
 	d.progress.SetMayHaveRun()
 	d.trial = false
-	oversized := d.recordOversized(a, err)
+	// An endpoint that sent too much or an invalid status is neither lost nor crashed.
+	responded := d.recordOversized(a, err) || errors.Is(err, http.ErrInvalidStatus)
 	if a.indirect {
 		d.finish(a, err, 0)
 		return d.failResponse(a, err)
 	}
-	if !oversized {
+	if !responded {
 		d.recordLoss(ctx, a)
 	}
-	brokenOff := !oversized && ctx.Err() == nil && !a.abandoned()
+	brokenOff := !responded && ctx.Err() == nil && !a.abandoned()
 	if brokenOff && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
--- a/internal/endpoint/http/conn.go
+++ b/internal/endpoint/http/conn.go
@@ -142,6 +142,7 @@
 	address    string
 	conn       *conn
 	response   *fasthttp.Response
+	status     int
 	accept     Accept
 	stopCancel func() bool
 	finished   bool
@@ -157,13 +158,22 @@
 // is done the connection is closed, which cancels the request at the endpoint.
 // With fresh set, Do opens a new connection: on a reused one it can be uncertain
 // whether the request was sent, and a late response to an earlier request could
-// be taken for the response to this one.
+// be taken for the response to this one. A response with an invalid status is an error.
 func (t *Transport) Do(ctx context.Context, address string, request *fasthttp.Request, fresh bool) (*Exchange, error) {
-	return t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader, bool) bool { return true }, nil)
+	e, err := t.do(ctx, address, request, fresh, func(*fasthttp.ResponseHeader, bool) bool { return true }, nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckStatus(e.status); err != nil {
+		e.Close()
+		return nil, err
+	}
+	return e, nil
 }
 
 // DoAccepted is like Do, but may reuse an idle connection; late responses to
-// earlier requests are identified by accept and discarded. observer may be nil.
+// earlier requests are identified by accept and discarded. observer may be nil. The status
+// may be invalid: the head may say that the request has not run.
 func (t *Transport) DoAccepted(ctx context.Context, address string, request *fasthttp.Request, accept Accept, observer Observer) (*Exchange, error) {
 	return t.do(ctx, address, request, false, accept, observer)
 }
@@ -219,17 +229,28 @@
 	e.response = fasthttp.AcquireResponse()
 	e.response.StreamBody = true
 	e.response.SkipBody = request.Header.IsHead()
-	err := e.response.ReadLimitBody(e.conn.reader, 0)
+	status, err := readFinalHead(e.conn.reader, e.response)
 	for isSmallBuffer(err) && e.conn.growReader(e.transport.maxHeadBytes) {
-		err = e.response.ReadLimitBody(e.conn.reader, 0)
+		status, err = readFinalHead(e.conn.reader, e.response)
+	}
+	if err == nil && hasBody(e.response) {
+		err = e.response.ReadBody(e.conn.reader, 0)
 	}
 	if err != nil {
 		return fmt.Errorf("read response: %w", e.conn.explain(err))
 	}
+	e.status = status
 	e.conn.unused = 0
 	return nil
 }
 
+// hasBody reports whether a body follows a head.
+func hasBody(r *fasthttp.Response) bool {
+	status := r.StatusCode()
+	interim := status >= fasthttp.StatusContinue && status < minStatus
+	return !r.SkipBody && !interim && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+}
+
 // isSmallBuffer reports whether a head is larger than the buffer, which still holds it.
 func isSmallBuffer(err error) bool {
 	var small *fasthttp.ErrSmallBuffer
@@ -272,8 +293,8 @@
 // Header returns the header of the response.
 func (e *Exchange) Header() *fasthttp.ResponseHeader { return &e.response.Header }
 
-// Status returns the HTTP status.
-func (e *Exchange) Status() int { return e.response.StatusCode() }
+// Status returns the HTTP status as the endpoint sent it, which may be invalid.
+func (e *Exchange) Status() int { return e.status }
 
 // ContentType returns the media type of the body.
 func (e *Exchange) ContentType() string { return string(e.response.Header.ContentType()) }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -75,6 +75,8 @@
 	faults       []Fault
 	headCuts     []headCut
 	headPadding  int
+	statuses     []string
+	resumeStatus string
 	floodPath    string
 	flood        Flood
 	runs         []Run
@@ -164,6 +166,56 @@
 	w.headPadding = bytes
 }
 
+// NextStatus sets the status codes of the responses to the next requests, one for each in
+// order of arrival. A code that ends with a minus comes with the statement that the
+// request has not run.
+func (w *Worker) NextStatus(codes ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statuses = append(w.statuses, codes...)
+}
+
+// ClearStatus drops the status codes that are set.
+func (w *Worker) ClearStatus() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.statuses = nil
+}
+
+// StatusOnResume makes the streams that go on after an event have a status code, or 200 if
+// it is empty.
+func (w *Worker) StatusOnResume(code string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.resumeStatus = code
+}
+
+func (w *Worker) streamStatus(lastEvent int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if lastEvent > 0 && w.resumeStatus != "" {
+		return w.resumeStatus
+	}
+	return "200"
+}
+
+// sendStatus sends a response with the next status, if one is set.
+func (w *Worker) sendStatus(c net.Conn, id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.statuses) == 0 {
+		return false
+	}
+	code, notRun := strings.CutSuffix(w.statuses[0], "-")
+	w.statuses = w.statuses[1:]
+	field := ""
+	if notRun {
+		field = "X-Not-Executed: 1\r\n"
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Length: 6\r\n\r\nanswer", code, field, id, w.id)
+	return true
+}
+
 func (w *Worker) nextHeadCut() (cut headCut, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -355,6 +407,9 @@
 		LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now(),
 	})
 	w.mu.Unlock()
+	if w.sendStatus(c, id) {
+		return true
+	}
 	if fault == RefuseAgain {
 		_, _ = fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -438,7 +493,7 @@
 	if w.isUnframed() {
 		framing, frame, end = "", func(s string) string { return s }, ""
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", w.commonHeader(), id, w.id, framing)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", w.streamStatus(lastEvent), w.commonHeader(), id, w.id, framing)
 	for n := lastEvent + 1; n <= w.events; n++ {
 		event := w.event(n, id)
 		switch {
