--- a/internal/caller/proxy/server_test.go
+++ b/internal/caller/proxy/server_test.go
@@ -60,6 +60,8 @@
 	mu            sync.Mutex
 	served        int
 	responsesFull bool
+	// response replaces the response of the handler unless it is nil.
+	response *hawthornrail.ForwardResponse
 }
 
 // Forward returns the request's body.
@@ -67,6 +69,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.served++
+	if b.response != nil {
+		return b.response, nil
+	}
 	return hawthornrail.NewForwardResponse(http.StatusOK, nil, r.Body()), nil
 }
 
@@ -259,6 +264,29 @@
 	}
 }
 
+// Guards against a response that no longer counts although its caller has not read it.
+func TestResponseCountsUntilItIsRead(t *testing.T) {
+	b := newBed(t)
+	const unreadBytes = 32 << 20
+	released := make(chan struct{})
+	b.response = hawthornrail.NewForwardResponse(http.StatusOK, nil, make([]byte, unreadBytes)).WithRelease(func() { close(released) })
+	c := b.dial(t)
+	c.send(fmt.Sprintf(announced, 0))
+	select {
+	case <-released:
+		t.Error("released before the caller has read it")
+	case <-time.After(300 * time.Millisecond):
+	}
+	if _, body := c.response(t, http.StatusOK); len(body) != unreadBytes {
+		t.Errorf("%d bytes", len(body))
+	}
+	select {
+	case <-released:
+	case <-time.After(readTimeout):
+		t.Error("not released")
+	}
+}
+
 // Guards against idle connections that keep new callers out, and against connections
 // without a bound.
 func TestConnectionsAreBounded(t *testing.T) {
--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -52,6 +52,17 @@
 		assertProblem(t, valid+"[limits]\nmax_response_body_bytes = 20000000\n", "limits.max_response_body_bytes")
 		assertProblem(t, valid+"[limits]\nmax_event_bytes = 0\n", "limits.max_event_bytes")
 	})
+	t.Run("memory of requests", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[limits]\nmemory_mb = 88\n")
+		if err != nil || s.RequestBytes() != 22<<20 || s.MaxConnections() != 1408 {
+			t.Errorf("%d bytes, %d connections, error %v", s.RequestBytes(), s.MaxConnections(), err)
+		}
+		s, err = machine.Parse(valid + "[limits]\nmax_connections = 7\n")
+		if err != nil || s.MaxConnections() != 7 {
+			t.Errorf("%d connections, error %v", s.MaxConnections(), err)
+		}
+		assertProblem(t, valid+"[limits]\nmax_connections = 0\n", "limits.max_connections: want a positive number")
+	})
 	t.Run("unknown key", func(t *testing.T) { assertProblem(t, valid+"[log]\nsamples = 1\n", "log.samples: unknown key") })
 	t.Run("wrong type", func(t *testing.T) { assertProblem(t, valid+"[log]\nsample = \"x\"\n", "sample") })
 	t.Run("address without a port", func(t *testing.T) { assertProblem(t, valid+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
