--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -16,10 +15,6 @@
 	"hawthornrail.example/hawthornrail/internal/policy/placement"
 )
 
-// fullRetryAfter is the shortest retry delay of a request that is refused because the
-// turns in flight hold too much memory.
-const fullRetryAfter = 200 * time.Millisecond
-
 var (
 	errNotStream  = errors.New("response is no stream")
 	errResumed    = errors.New("stream is resumed by its caller, so that this VM lacks its first events")
@@ -96,7 +91,7 @@
 	}
 	if held := f.held.Load(); held >= f.deps.MaxHeldBytes {
 		err := hawthornrail.NotRun(hawthornrail.CodeOverload, "the turns in flight hold %d bytes", held)
-		return "", err.WithRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
+		return "", err.WithRetryAfter(fullRetryAfter())
 	}
 	chain, err := f.deps.Conversations.Chain(ctx, hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
 	if err != nil {
@@ -105,6 +100,9 @@
 	if size := int64(len(chain.Content()) + len(r.Body())); size > f.deps.MaxChainBytes {
 		return "", hawthornrail.NotRun(hawthornrail.CodeBodyTooLarge, "the chain of %d turns has %d bytes with the new input, at most %d are allowed", chain.Turns(), size, f.deps.MaxChainBytes)
 	}
+	if err := r.Reserve(len(chain.Content())); err != nil {
+		return "", err
+	}
 	r.SetBody(slices.Concat(chain.Content(), r.Body()), len(chain.Content()))
 	return chain.PlacementKey(), nil
 }
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -26,8 +26,8 @@
 
 const maxChainBytes = 400
 
-// memory is stored conversations in a map.
-type memory struct {
+// turnStore is stored conversations in a map.
+type turnStore struct {
 	mu      sync.Mutex
 	turns   map[hawthornrail.TurnRef]hawthornrail.Turn
 	calls   int
@@ -36,16 +36,18 @@
 	away    error
 }
 
-func newMemory() *memory { return &memory{turns: make(map[hawthornrail.TurnRef]hawthornrail.Turn)} }
+func newTurnStore() *turnStore {
+	return &turnStore{turns: make(map[hawthornrail.TurnRef]hawthornrail.Turn)}
+}
 
-func (m *memory) Available() error {
+func (m *turnStore) Available() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
 	return m.away
 }
 
-func (m *memory) Chain(_ context.Context, ref hawthornrail.TurnRef, _ string) (hawthornrail.Chain, error) {
+func (m *turnStore) Chain(_ context.Context, ref hawthornrail.TurnRef, _ string) (hawthornrail.Chain, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -62,7 +64,7 @@
 	return hawthornrail.NewChain(content, key, turns), nil
 }
 
-func (m *memory) Save(_ context.Context, t hawthornrail.Turn) error {
+func (m *turnStore) Save(_ context.Context, t hawthornrail.Turn) error {
 	time.Sleep(m.latency)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -74,7 +76,7 @@
 }
 
 // ids returns the IDs of the turns that are stored.
-func (m *memory) ids() []string {
+func (m *turnStore) ids() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
@@ -110,14 +112,14 @@
 
 // bed is a filter between callers and an endpoint.
 type bed struct {
-	memory   *memory
+	memory   *turnStore
 	endpoint *endpoint
 	filter   *proxy.Conversations
 	route    hawthornrail.Route
 }
 
 func newBed() *bed {
-	b := &bed{memory: newMemory(), endpoint: &endpoint{status: http.StatusOK, end: io.EOF}}
+	b := &bed{memory: newTurnStore(), endpoint: &endpoint{status: http.StatusOK, end: io.EOF}}
 	b.filter = proxy.NewConversations(proxy.ConversationDependencies{
 		Conversations: b.memory, Clock: clock.Real(), Metrics: metrics.NewConversations(gometrics.NewRegistry()),
 		MaxChainBytes: maxChainBytes, MaxHeldBytes: 2 * maxChainBytes,
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	nethttp "net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 )
 
 const (
@@ -39,6 +41,8 @@
 	unreached []string
 	// refusedBy are the VMs that did not take the request.
 	refusedBy []string
+	// messageReserved is set once the memory of a message to another VM is reserved.
+	messageReserved bool
 }
 
 // attempt is one send of a request to one endpoint, or through another VM.
@@ -79,7 +83,11 @@
 	for {
 		a, err := d.try(ctx)
 		if err == nil {
-			return a, nil
+			err = http.CheckStatus(a.exchange.Status())
+			if err == nil {
+				return a, nil
+			}
+			err = d.failMayHaveRun(ctx, a, err)
 		}
 		if !d.mayRetry(ctx, err) {
 			return nil, d.withEarlierRuns(err)
@@ -91,7 +99,7 @@
 
 // mayRetry reports whether the request may be sent again after err.
 func (d *dispatch) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft {
+	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft || errors.Is(err, memory.ErrFull) {
 		return false
 	}
 	if d.progress.Exhausted(d.request.Route().Attempts()) {
@@ -316,10 +324,10 @@
 	return a.pace > 0 && a.exchange != nil && a.exchange.Status() == statusOK && d.progress.LastEvent() == ""
 }
 
-// readWhole reads a response to its end before any of it reaches the caller.
+// readWhole reads a response to its end before any of it reaches the caller; its body is
+// held until the response is released.
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	buffer := d.deps.Buffers.Body()
-	defer buffer.Release()
 	for {
 		body, err := buffer.ReadAll(a.exchange)
 		if err == nil && d.brokenOff(a) {
@@ -328,8 +336,9 @@
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
-			return response, nil
+			return response.WithRelease(buffer.Release), nil
 		}
+		buffer.Release()
 		err = d.failMayHaveRun(ctx, a, err)
 		if !d.mayRetry(ctx, err) {
 			return nil, err
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -74,6 +74,13 @@
 	TurnsUncertain    = register(2148, zerolog.WarnLevel, "VM may lack turns; it does not reply that turns do not exist", "check the VMs that do not respond")
 )
 
+// The events of the memory that callers use.
+var (
+	MemoryFull         = register(2150, zerolog.WarnLevel, "request refused, not run: the requests or responses in flight hold too much memory", "check the callers of the VM; if they are sound, raise limits.memory_mb")
+	RequestEvicted     = register(2151, zerolog.WarnLevel, "request ended, not run: it made no progress while its memory was needed", "check its caller")
+	ConnectionsRefused = register(2152, zerolog.WarnLevel, "connections of callers refused since the previous line: too many are open", "check the callers of the VM; if they are sound, raise limits.max_connections")
+)
+
 // The events of choosing endpoints.
 var (
 	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
