--- a/internal/conversation/store/disk_test.go
+++ b/internal/conversation/store/disk_test.go
@@ -62,6 +62,15 @@
 	return &faultyFile{File: f, disk: d, path: path}, err
 }
 
+func (d *faultyDisk) Open(path string) (store.File, error) {
+	f, err := d.Disk.Open(path)
+	info, statErr := os.Stat(path)
+	if err = errors.Join(err, statErr); err == nil {
+		d.set(func() { d.written[path], d.synced[path] = info.Size(), info.Size() })
+	}
+	return &faultyFile{File: f, disk: d, path: path}, err
+}
+
 type faultyFile struct {
 	store.File
 	disk *faultyDisk
@@ -75,6 +84,7 @@
 	if fails {
 		// A full disk takes a part of the data.
 		n, _ := f.File.Write(data[:len(data)/2])
+		f.disk.set(func() { f.disk.written[f.path] += int64(n) })
 		return n, errDisk
 	}
 	n, err := f.File.Write(data)
@@ -88,6 +98,8 @@
 	if f.disk.failTruncate {
 		return errDisk
 	}
+	f.disk.written[f.path] = size
+	f.disk.synced[f.path] = min(f.disk.synced[f.path], size)
 	return f.File.Truncate(size)
 }
 
@@ -110,6 +122,12 @@
 func (d *faultyDisk) afterPowerLoss(t testing.TB, folder string, keep func(unsynced int64) int64) string {
 	t.Helper()
 	lost := t.TempDir()
+	d.copySynced(t, folder, lost, keep)
+	return lost
+}
+
+// copySynced copies what a power loss leaves of a folder.
+func (d *faultyDisk) copySynced(t fataler, folder, lost string, keep func(unsynced int64) int64) {
 	files, err := os.ReadDir(folder)
 	if err != nil {
 		t.Fatal(err)
@@ -129,5 +147,9 @@
 			t.Fatal(err)
 		}
 	}
-	return lost
+}
+
+// fataler is what a test and a property fail by.
+type fataler interface {
+	Fatal(args ...any)
 }
--- a/internal/conversation/store/store_test.go
+++ b/internal/conversation/store/store_test.go
@@ -281,6 +281,38 @@
 	}
 }
 
+// Guards against an ancestor that loses the retention of its descendant when it is written
+// again after it, also when the log is read.
+func TestCompactedAncestorIsKept(t *testing.T) {
+	const limit = 64 << 10
+	folder := t.TempDir()
+	clock := clockwork.NewFakeClockAt(startTime)
+	s := open(t, folder, quickDisk{store.NewDisk()}, clock, limit)
+	filler := hawthornrail.NewTurn(ref("filler"), make([]byte, limit*3/4), nil).WithRetention(startTime, retention)
+	mustAppend(t, s, filler, newTurn("a", ""))
+	restart := func() {
+		t.Helper()
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		s = open(t, folder, quickDisk{store.NewDisk()}, clock, limit)
+	}
+	restart()
+	mustAppend(t, s, newTurn("b", "a").WithRetention(startTime.Add(50*time.Second), retention))
+	clock.Advance(retention + expiryMargin + time.Second)
+	for range 2 {
+		if err := s.Expire(); err != nil {
+			t.Fatal(err)
+		}
+		assertChain(t, s, "a", "b")
+	}
+	if size := s.Stats().Bytes(); size > limit/2 {
+		t.Errorf("%d bytes after the compaction", size)
+	}
+	restart()
+	assertChain(t, s, "a", "b")
+}
+
 // Guards against a jump of the time of day that takes turns along which have to be kept.
 func TestClockStep(t *testing.T) {
 	folder := t.TempDir()
