--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -52,6 +52,17 @@
 		assertProblem(t, valid+"[limits]\nmax_response_body_bytes = 20000000\n", "limits.max_response_body_bytes")
 		assertProblem(t, valid+"[limits]\nmax_event_bytes = 0\n", "limits.max_event_bytes")
 	})
+	t.Run("size of stored conversations", func(t *testing.T) {
+		s, err := machine.Parse(valid)
+		if err != nil || s.ConversationBytes() != 128<<20 {
+			t.Errorf("default of %d bytes, error %v", s.ConversationBytes(), err)
+		}
+		s, err = machine.Parse(valid + "[disk]\nconversations_mb = 64\n")
+		if err != nil || s.ConversationBytes() != 64<<20 {
+			t.Errorf("%d bytes, error %v", s.ConversationBytes(), err)
+		}
+		assertProblem(t, valid+"[disk]\nconversations_mb = 0\n", "disk.conversations_mb")
+	})
 	t.Run("unknown key", func(t *testing.T) { assertProblem(t, valid+"[log]\nsamples = 1\n", "log.samples: unknown key") })
 	t.Run("wrong type", func(t *testing.T) { assertProblem(t, valid+"[log]\nsample = \"x\"\n", "sample") })
 	t.Run("address without a port", func(t *testing.T) { assertProblem(t, valid+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
