--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -16,10 +14,6 @@
 	"hawthornrail.example/hawthornrail/internal/policy/placement"
 )
 
-// fullRetryAfter is the shortest retry delay of a request that is refused because the
-// turns in flight hold too much memory.
-const fullRetryAfter = 200 * time.Millisecond
-
 var (
 	errNotStream  = errors.New("response is no stream")
 	errResumed    = errors.New("stream is resumed by its caller, so that this VM lacks its first events")
@@ -35,16 +29,12 @@
 	// MaxChainBytes bounds a chain with the new input, and the input and output of one
 	// turn.
 	MaxChainBytes int64
-	// MaxHeldBytes is the size of all turns in flight from which on no further chain is
-	// loaded.
-	MaxHeldBytes int64
 }
 
 // Conversations adds the chain of a conversation to the requests of its route, and stores
 // their turns.
 type Conversations struct {
 	deps ConversationDependencies
-	held atomic.Int64
 }
 
 // NewConversations returns the filter with the given dependencies.
@@ -52,9 +42,6 @@
 	return &Conversations{deps: deps}
 }
 
-// Held returns the size of the chains, inputs and outputs of the turns in flight.
-func (f *Conversations) Held() int64 { return f.held.Load() }
-
 // Filter loads the chain before a request uses its program's budget and its team's rate,
 // and lets a stream end once its turn is stored.
 func (f *Conversations) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
@@ -70,10 +57,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &turnStream{filter: f, ctx: ctx, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
+	s := &turnStream{filter: f, ctx: ctx, request: r, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
 		WithParent(r.Call().Parent()).WithPlacementKey(key)}
 	s.events.limit = max(0, int(f.deps.MaxChainBytes)-len(input))
-	s.hold(int64(len(r.Body())))
 	response, err := next.Forward(ctx, r)
 	if err == nil {
 		err := notTurn(r, response)
@@ -83,7 +69,6 @@
 		}
 		trail.From(ctx).Event(events.ResponseNoTurn).Int("status", response.Status()).Err(err).Emit()
 	}
-	s.release()
 	return response, err
 }
 
@@ -94,10 +79,6 @@
 	if call.Parent() == "" {
 		return placement.Key(call.Program(), r.ID()), nil
 	}
-	if held := f.held.Load(); held >= f.deps.MaxHeldBytes {
-		err := hawthornrail.NotRun(hawthornrail.CodeOverload, "the turns in flight hold %d bytes", held)
-		return "", err.WithRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
-	}
 	chain, err := f.deps.Conversations.Chain(ctx, hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
 	if err != nil {
 		return "", err
@@ -105,6 +86,9 @@
 	if size := int64(len(chain.Content()) + len(r.Body())); size > f.deps.MaxChainBytes {
 		return "", hawthornrail.NotRun(hawthornrail.CodeBodyTooLarge, "the chain of %d turns has %d bytes with the new input, at most %d are allowed", chain.Turns(), size, f.deps.MaxChainBytes)
 	}
+	if err := r.Reserve(len(chain.Content())); err != nil {
+		return "", err
+	}
 	r.SetBody(slices.Concat(chain.Content(), r.Body()), len(chain.Content()))
 	return chain.PlacementKey(), nil
 }
@@ -128,11 +112,13 @@
 	io.ReadCloser
 	filter    *Conversations
 	ctx       context.Context
+	request   *hawthornrail.ForwardRequest
 	turn      hawthornrail.Turn
 	retention time.Duration
 	events    eventData
-	held      int64
-	err       error
+	// reserved is how many bytes of the events are counted in the memory of the request.
+	reserved int
+	err      error
 }
 
 // Read returns events as soon as they arrive; their end waits until the turn is stored.
@@ -141,9 +127,7 @@
 		return 0, s.err
 	}
 	n, err := s.ReadCloser.Read(p)
-	before := s.events.size()
-	s.events.add(p[:n])
-	s.hold(int64(s.events.size() - before))
+	s.collect(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -153,14 +137,28 @@
 	return n, s.err
 }
 
+// collect collects the data of a part of the stream, unless it does not fit in memory.
+func (s *turnStream) collect(part []byte) {
+	s.events.add(part)
+	missing := s.events.size() - s.reserved
+	if missing <= 0 {
+		return
+	}
+	if err := s.request.Reserve(missing); err != nil {
+		s.events.discard(err)
+		return
+	}
+	s.reserved += missing
+}
+
 // store stores the turn. Its failure does not wrap the cause: the end of a connection,
 // io.EOF, would mean that the stream is complete.
 func (s *turnStream) store() error {
-	output, ok := s.events.output()
-	if !ok {
+	output, err := s.events.output()
+	if err != nil {
 		s.filter.deps.Metrics.BrokenOff()
-		trail.From(s.ctx).Event(events.ResponseNoTurn).Err(errTurnTooBig).Emit()
-		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errTurnTooBig)
+		trail.From(s.ctx).Event(events.ResponseNoTurn).Err(err).Emit()
+		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errors.New(err.Error()))
 	}
 	turn := s.turn.WithOutput(output).WithRetention(s.filter.deps.Clock.Now(), s.retention)
 	if err := s.filter.deps.Conversations.Save(s.ctx, turn); err != nil {
@@ -168,16 +166,3 @@
 	}
 	return nil
 }
-
-// Close ends the stream; one that is closed before its end is not stored.
-func (s *turnStream) Close() error {
-	s.release()
-	return s.ReadCloser.Close()
-}
-
-func (s *turnStream) hold(bytes int64) {
-	s.held += bytes
-	s.filter.held.Add(bytes)
-}
-
-func (s *turnStream) release() { s.hold(-s.held) }
--- a/internal/caller/proxy/event_data.go
+++ b/internal/caller/proxy/event_data.go
@@ -9,15 +9,16 @@
 	// limit is the largest number of bytes that is collected.
 	limit int
 	// line is a line that is incomplete, and event the data of the incomplete event.
-	line    []byte
-	event   []byte
-	all     []byte
-	tooLong bool
+	line  []byte
+	event []byte
+	all   []byte
+	// err is why nothing is collected.
+	err error
 }
 
 // add adds a part of the stream.
 func (d *eventData) add(part []byte) {
-	for len(part) > 0 && !d.tooLong {
+	for len(part) > 0 && d.err == nil {
 		line, rest, ended := bytes.Cut(part, []byte{'\n'})
 		if !ended {
 			d.line = append(d.line, part...)
@@ -52,12 +53,15 @@
 // bound stops collecting once the stream is too long.
 func (d *eventData) bound() {
 	if d.size() > d.limit {
-		*d = eventData{limit: d.limit, tooLong: true}
+		d.discard(errTurnTooBig)
 	}
 }
 
+// discard drops what was collected, and collects nothing from now on.
+func (d *eventData) discard(err error) { *d = eventData{err: err} }
+
 // size returns the number of collected bytes.
 func (d *eventData) size() int { return len(d.line) + len(d.event) + len(d.all) }
 
-// output returns the data of all complete events, unless it is too long.
-func (d *eventData) output() (data []byte, ok bool) { return d.all, !d.tooLong }
+// output returns the data of all complete events, or why it was not collected.
+func (d *eventData) output() (data []byte, err error) { return d.all, d.err }
