Send short turns over the stream for all requests

A stream for each message costs 0.31 ms of processor time at both ends together, a message of 8 KB on the stream for all requests 0.13 ms (trial with both ends in one process, load average 13). Turns below 16 KiB are no hindrance there, so that three copies of a turn cost 0.39 ms in place of 0.93 ms. Chains, whose length is not known before, keep streams of their own.

--- a/internal/conversation/client/streams.go
+++ b/internal/conversation/client/streams.go
@@ -12,12 +12,17 @@
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
+// longTurn is the size from which on a turn gets a stream of its own. That costs more than
+// twice the processor time of a message on the stream for all requests (0.31 ms in place of
+// 0.13 ms at both ends together, with 8 KB).
+const longTurn = 16 << 10
+
 // Opener opens a stream for one request; peer.Client implements it.
 type Opener interface {
 	Open(ctx context.Context, address string, open *vmpb.Open) (*peer.Exchange, error)
 }
 
-// Streams sends each request with turns over a stream of its own: a long one would hold up
+// Streams sends requests for chains, and long turns, over a stream each: they would hold up
 // the small requests to the same VM, such as the probe that shows that it is up. It sends
 // them directly, since copies of long messages through other VMs would add to the load that
 // makes them late; only requests to a VM that this one does not connect to are relayed. It
@@ -27,15 +32,21 @@
 	relay  peer.Invoker
 }
 
-// NewStreams returns an invoker over direct connections; relay sends probes, and requests to
-// VMs that this one does not connect to.
+// NewStreams returns an invoker over direct connections; relay sends probes and short turns,
+// and requests to VMs that this one does not connect to.
 func NewStreams(direct Opener, relay peer.Invoker) *Streams {
 	return &Streams{direct: direct, relay: relay}
 }
 
+// mayBeLong reports whether a request or its reply may be long.
+func mayBeLong(open *vmpb.Open) bool {
+	turn := open.GetTurnSave().GetTurn()
+	return open.GetChainLoad() != nil || len(turn.GetInput())+len(turn.GetOutput()) >= longTurn
+}
+
 // Invoke sends a request and decodes its reply.
 func (s *Streams) Invoke(ctx context.Context, address string, open *vmpb.Open, reply proto.Message) (hawthornrail.Instance, error) {
-	if open.GetTurnSave() == nil && open.GetChainLoad() == nil {
+	if !mayBeLong(open) {
 		return s.relay.Invoke(ctx, address, open, reply)
 	}
 	exchange, err := s.direct.Open(ctx, address, open)
--- a/internal/conversation/client/streams_test.go
+++ b/internal/conversation/client/streams_test.go
@@ -94,12 +94,16 @@
 
 // Guards against a VM that others reach and this one does not.
 func TestUnreachedVMIsAskedThroughOthers(t *testing.T) {
-	streams, r, _ := newStreams(t, nil)
+	streams, r, address := newStreams(t, nil)
 	if _, err := streams.Invoke(t.Context(), "127.0.0.1:1", chainLoad(), &vmpb.ChainLoadReply{}); !errors.Is(err, peer.ErrNoReply) || r.requests != 1 {
 		t.Errorf("error %v after %d relayed requests", err, r.requests)
 	}
+	short := &vmpb.Open{Kind: &vmpb.Open_TurnSave{TurnSave: &vmpb.TurnSave{Turn: &vmpb.Turn{Input: make([]byte, 8<<10), Output: make([]byte, 4<<10)}}}}
+	if _, err := streams.Invoke(t.Context(), address, short, &vmpb.TurnSaveReply{}); !errors.Is(err, peer.ErrNoReply) || r.requests != 2 {
+		t.Errorf("error %v after %d relayed requests", err, r.requests)
+	}
 	probe := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: &vmpb.ObjectsAsk{}}}
-	if _, err := streams.Invoke(t.Context(), "127.0.0.1:1", probe, &vmpb.ObjectsReply{}); !errors.Is(err, peer.ErrNoReply) || r.requests != 2 {
+	if _, err := streams.Invoke(t.Context(), "127.0.0.1:1", probe, &vmpb.ObjectsReply{}); !errors.Is(err, peer.ErrNoReply) || r.requests != 3 {
 		t.Errorf("error %v after %d relayed requests", err, r.requests)
 	}
 }
