Keep a small buffer for requests with short heads

With streamed bodies the library keeps the buffer of the head, 20 KiB, as long as a request is in flight: 15 MB with the 765 programs a VM that the design counts with, where a request held none of it before. A connection now reads ahead until the head is whole, and requests with heads up to 4 KiB go to a server of the library whose buffer has that size. The reservation of a head falls from 32 to 16 KiB, the larger buffer is reserved when it is needed, and head and body together still have 15 s.

--- a/internal/caller/proxy/body.go
+++ b/internal/caller/proxy/body.go
@@ -76,9 +76,15 @@
 
 // writeReadError writes the response to a request whose head could not be read.
 func (s *Server) writeReadError(ctx *fasthttp.RequestCtx, err error) {
-	ctx.Conn().(*conn).lingers = true
+	c := ctx.Conn().(*conn)
+	c.lingers = true
 	code := hawthornrail.CodeBadRequest
 	switch {
+	case strings.Contains(err.Error(), "small read buffer") && c.headBytes < s.deps.MaxHeaderBytes+connBytes:
+		// A long head right behind an earlier request has the small buffer of that one; on a
+		// connection of its own it gets a larger one.
+		s.fillFailure(&ctx.Response, full(err))
+		return
 	case strings.Contains(err.Error(), "small read buffer"):
 		code = hawthornrail.CodeHeadTooLarge
 	case isSlow(err):
--- a/internal/caller/proxy/conn.go
+++ b/internal/caller/proxy/conn.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -22,6 +23,10 @@
 	lingerBytes   = 256 << 10
 )
 
+// smallHeadBytes is the size up to which a head gets a small buffer, which it keeps until
+// its response has been written: nearly all heads are shorter.
+const smallHeadBytes = 4 << 10
+
 // expired is a deadline that ends reads at once.
 var expired = time.Unix(1, 0)
 
@@ -35,6 +40,10 @@
 	now func() time.Time
 	// memory is what the requests of the connection hold.
 	memory *memory.Reservation
+	// headBytes is what a request holds besides its body, and deadline the time until which
+	// it has to arrive.
+	headBytes int
+	deadline  time.Time
 	// release is called once the response has been written; it may be nil.
 	release func()
 	// idle is set between two requests, and parked once the library is done with the
@@ -60,7 +69,9 @@
 	c.mu.Lock()
 	if len(c.ahead) > 0 {
 		n := copy(p, c.ahead)
-		c.ahead = c.ahead[n:]
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
 		c.mu.Unlock()
 		return n, nil
 	}
@@ -73,6 +84,11 @@
 		c.parked = true
 		return 0, io.EOF
 	}
+	return c.readArriving(p)
+}
+
+// readArriving reads a part of a request that is arriving.
+func (c *conn) readArriving(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.memory.Progress(n, c.now())
 	if err != nil && c.isEvicted() {
@@ -81,12 +97,16 @@
 	return n, err
 }
 
-// SetReadDeadline sets the deadline of reads unless the request was evicted.
+// SetReadDeadline sets the deadline of reads, which is not after that of the request that
+// is arriving.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.evicted {
+	switch {
+	case c.evicted:
 		t = expired
+	case !c.deadline.IsZero() && t.After(c.deadline):
+		t = c.deadline
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -123,6 +143,33 @@
 	return true
 }
 
+// readHead reads ahead until the head is whole, and reports whether it fits in a small
+// buffer. An error is kept for the read of the library.
+func (c *conn) readHead() bool {
+	if c.deadline = c.now().Add(readTimeout); c.SetReadDeadline(c.deadline) != nil {
+		return true
+	}
+	buffer := make([]byte, len(c.ahead), smallHeadBytes)
+	copy(buffer, c.ahead)
+	for len(buffer) < cap(buffer) && !holdsHead(buffer) {
+		n, err := c.readArriving(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil {
+			c.readErr = err
+			break
+		}
+	}
+	c.ahead = buffer
+	return len(buffer) < cap(buffer) || holdsHead(buffer)
+}
+
+// holdsHead reports whether data holds a head with its end; a request may begin with
+// empty lines.
+func holdsHead(data []byte) bool {
+	data = bytes.TrimLeft(data, "\r\n")
+	return bytes.Contains(data, []byte("\n\r\n")) || bytes.Contains(data, []byte("\n\n"))
+}
+
 // setState records the state of the connection in the library.
 func (c *conn) setState(state fasthttp.ConnState) {
 	c.idle = state == fasthttp.StateIdle
@@ -130,6 +177,7 @@
 	case fasthttp.StateActive:
 		c.memory.Arriving(c.now())
 	case fasthttp.StateIdle:
+		c.deadline = time.Time{}
 		c.endResponse()
 	}
 }
--- a/internal/caller/proxy/connections.go
+++ b/internal/caller/proxy/connections.go
@@ -140,21 +140,20 @@
 	go s.serveConn(c)
 }
 
-// serveConn serves the requests of a connection. The library holds buffers from the first
-// byte of a request to the end of its response.
+// serveConn serves the requests of a connection. The library holds buffers from the head
+// of a request to the end of its response.
 func (s *Server) serveConn(c *conn) {
 	defer s.conns.remove(c)
 	for timeout := readTimeout; c.await(timeout); timeout = idleTimeout {
 		c.memory, c.idle, c.parked = s.deps.Memory.Reserve(c.evict), false, false
-		if err := c.memory.Grow(s.headBytes(), c.now()); err != nil {
+		err := s.serveRequests(c)
+		c.endResponse()
+		c.memory.Release()
+		if err != nil {
 			s.refuse(c.Conn, full(err))
 			linger(c.Conn, c.now())
 			break
 		}
-		// Its errors are those of the connection.
-		_ = s.http.ServeConn(c)
-		c.endResponse()
-		c.memory.Release()
 		if !c.parked {
 			return
 		}
@@ -162,8 +161,27 @@
 	_ = c.Conn.Close()
 }
 
-// headBytes returns what a connection holds during a request without a body.
-func (s *Server) headBytes() int { return s.deps.MaxHeaderBytes + connBytes }
+// serveRequests serves the request that has begun to arrive, and those that come with it.
+// It returns an error if there is no memory for the head.
+func (s *Server) serveRequests(c *conn) error {
+	c.headBytes = min(smallHeadBytes, s.deps.MaxHeaderBytes) + connBytes
+	if err := c.memory.Grow(c.headBytes, c.now()); err != nil {
+		return err
+	}
+	c.memory.Arriving(c.now())
+	library := s.http
+	if !c.readHead() {
+		added := s.deps.MaxHeaderBytes - smallHeadBytes
+		if err := c.memory.Grow(max(0, added), c.now()); err != nil {
+			return err
+		}
+		c.headBytes += max(0, added)
+		library = s.longHeads
+	}
+	// Its errors are those of the connection.
+	_ = library.ServeConn(c)
+	return nil
+}
 
 // refuseConnection refuses a connection beyond the limit.
 func (s *Server) refuseConnection(c net.Conn) {
--- a/internal/caller/proxy/exchange.go
+++ b/internal/caller/proxy/exchange.go
@@ -58,7 +58,7 @@
 	}
 	e.ended = true
 	e.stopWatch()
-	e.conn.memory.ShrinkTo(e.server.headBytes())
+	e.conn.memory.ShrinkTo(e.conn.headBytes)
 	disconnected := errors.Is(context.Cause(e.ctx), errCallerDisconnected)
 	e.cancelDeadline()
 	e.cancel(nil)
--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -64,10 +64,12 @@
 
 // Server serves callers whose requests are forwarded.
 type Server struct {
-	deps     Dependencies
-	http     *fasthttp.Server
-	inFlight atomic.Int64
-	draining atomic.Bool
+	deps Dependencies
+	// http serves requests with short heads, and longHeads others.
+	http      *fasthttp.Server
+	longHeads *fasthttp.Server
+	inFlight  atomic.Int64
+	draining  atomic.Bool
 	// requests is the parent of the contexts of all requests.
 	requests context.Context
 	abort    context.CancelCauseFunc
@@ -82,8 +84,15 @@
 func New(deps Dependencies) *Server {
 	s := &Server{deps: deps, conns: newConnections(deps.MaxConnections)}
 	s.requests, s.abort = context.WithCancelCause(context.Background())
-	s.http = &fasthttp.Server{
-		Handler: s.handle, ReadBufferSize: deps.MaxHeaderBytes,
+	s.http = s.newLibrary(min(smallHeadBytes, deps.MaxHeaderBytes))
+	s.longHeads = s.newLibrary(deps.MaxHeaderBytes)
+	return s
+}
+
+// newLibrary returns a server of the library that reads heads up to a size.
+func (s *Server) newLibrary(headBytes int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: s.handle, ReadBufferSize: headBytes,
 		// The handler reads the body as far as memory allows; the library reads a byte of it
 		// before.
 		StreamRequestBody: true, MaxRequestBodySize: 1, ExpectHandler: s.expect,
@@ -94,7 +103,6 @@
 		// A parsed form is written anew, which changes the body.
 		DisablePreParseMultipartForm: true,
 	}
-	return s
 }
 
 // StartDraining starts draining: every response closes its connection, so that
@@ -158,7 +166,7 @@
 	}
 	e.trail.Event(event).Int("held_bytes", int(s.deps.Memory.Held())).Err(err).Emit()
 	e.trail.Close(true)
-	e.conn.memory.ShrinkTo(s.headBytes())
+	e.conn.memory.ShrinkTo(e.conn.headBytes)
 }
 
 // readRequest returns a request with the parts that are forwarded unchanged, and a
--- a/internal/caller/proxy/server_test.go
+++ b/internal/caller/proxy/server_test.go
@@ -27,9 +27,9 @@
 const (
 	budgetBytes = 1 << 20
 	bodyBytes   = 400 << 10
-	headerBytes = 4 << 10
-	// heldByHead is what a connection holds during a request without a body.
-	heldByHead  = headerBytes + 12<<10
+	headerBytes = 20 << 10
+	// heldByHead is what a connection holds during a request with a short head and no body.
+	heldByHead  = 4<<10 + 12<<10
 	connections = 4
 	// stallTime is a time after which a request that makes no progress loses its place.
 	stallTime = 1200 * time.Millisecond
@@ -46,7 +46,8 @@
 func (codec) Failure(f *hawthornrail.Failure) (int, []hawthornrail.Header) {
 	statuses := map[hawthornrail.Code]int{
 		hawthornrail.CodeBodyTooLarge: http.StatusRequestEntityTooLarge, hawthornrail.CodeRequestTimeout: http.StatusRequestTimeout,
-		hawthornrail.CodeOverload: http.StatusServiceUnavailable, hawthornrail.CodeBadRequest: http.StatusBadRequest,
+		hawthornrail.CodeHeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+		hawthornrail.CodeOverload:     http.StatusServiceUnavailable, hawthornrail.CodeBadRequest: http.StatusBadRequest,
 	}
 	return statuses[f.Code()], []hawthornrail.Header{hawthornrail.NewHeader("Retry-After", strconv.FormatFloat(f.RetryAfter().Seconds(), 'f', 3, 64))}
 }
@@ -198,6 +199,32 @@
 	})
 }
 
+// Guards against heads that are refused or cut at the size of the small buffer, and
+// against an end of a head that is missed at a boundary of reads.
+func TestHeads(t *testing.T) {
+	b := newBed(t)
+	for _, size := range []int{0, 3900, 3990, 4000, 4010, 4096, 4097, 8 << 10, 20_000} {
+		for _, part := range []int{1 << 20, 1000, 7} {
+			c := b.dial(t)
+			request := "\r\nPOST /x HTTP/1.1\r\nHost: a\r\nX-Padding: " + strings.Repeat("a", size) + "\r\nContent-Length: 4\r\n\r\ntext"
+			for len(request) > 0 {
+				n := min(part, len(request))
+				c.send(request[:n])
+				request = request[n:]
+			}
+			if _, got := c.response(t, http.StatusOK); got != "text" {
+				t.Errorf("padding of %d in parts of %d: got %q", size, part, got)
+			}
+			_ = c.Close()
+		}
+	}
+	t.Run("too long", func(t *testing.T) {
+		c := b.dial(t)
+		c.send("POST /x HTTP/1.1\r\nHost: a\r\nX-Padding: " + strings.Repeat("a", headerBytes) + "\r\n\r\n")
+		c.assertRefused(t, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
+
 // Guards against bodies over the limit that are read, or whose callers get no response.
 func TestLongBodies(t *testing.T) {
 	b := newBed(t)
