--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -30,16 +29,12 @@
 	// MaxChainBytes bounds a chain with the new input, and the input and output of one
 	// turn.
 	MaxChainBytes int64
-	// MaxHeldBytes is the size of all turns in flight from which on no further chain is
-	// loaded.
-	MaxHeldBytes int64
 }
 
 // Conversations adds the chain of a conversation to the requests of its route, and stores
 // their turns.
 type Conversations struct {
 	deps ConversationDependencies
-	held atomic.Int64
 }
 
 // NewConversations returns the filter with the given dependencies.
@@ -47,9 +42,6 @@
 	return &Conversations{deps: deps}
 }
 
-// Held returns the size of the chains, inputs and outputs of the turns in flight.
-func (f *Conversations) Held() int64 { return f.held.Load() }
-
 // Filter loads the chain before a request uses its program's budget and its team's rate,
 // and lets a stream end once its turn is stored.
 func (f *Conversations) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
@@ -65,10 +57,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &turnStream{filter: f, ctx: ctx, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
+	s := &turnStream{filter: f, ctx: ctx, request: r, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
 		WithParent(r.Call().Parent()).WithPlacementKey(key)}
 	s.events.limit = max(0, int(f.deps.MaxChainBytes)-len(input))
-	s.hold(int64(len(r.Body())))
 	response, err := next.Forward(ctx, r)
 	if err == nil {
 		err := notTurn(r, response)
@@ -78,7 +69,6 @@
 		}
 		trail.From(ctx).Event(events.ResponseNoTurn).Int("status", response.Status()).Err(err).Emit()
 	}
-	s.release()
 	return response, err
 }
 
@@ -89,10 +79,6 @@
 	if call.Parent() == "" {
 		return placement.Key(call.Program(), r.ID()), nil
 	}
-	if held := f.held.Load(); held >= f.deps.MaxHeldBytes {
-		err := hawthornrail.NotRun(hawthornrail.CodeOverload, "the turns in flight hold %d bytes", held)
-		return "", err.WithRetryAfter(fullRetryAfter())
-	}
 	chain, err := f.deps.Conversations.Chain(ctx, hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
 	if err != nil {
 		return "", err
@@ -126,11 +112,13 @@
 	io.ReadCloser
 	filter    *Conversations
 	ctx       context.Context
+	request   *hawthornrail.ForwardRequest
 	turn      hawthornrail.Turn
 	retention time.Duration
 	events    eventData
-	held      int64
-	err       error
+	// reserved is how many bytes of the events are counted in the memory of the request.
+	reserved int
+	err      error
 }
 
 // Read returns events as soon as they arrive; their end waits until the turn is stored.
@@ -139,9 +127,7 @@
 		return 0, s.err
 	}
 	n, err := s.ReadCloser.Read(p)
-	before := s.events.size()
-	s.events.add(p[:n])
-	s.hold(int64(s.events.size() - before))
+	s.collect(p[:n])
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -151,14 +137,28 @@
 	return n, s.err
 }
 
+// collect collects the data of a part of the stream, unless it does not fit in memory.
+func (s *turnStream) collect(part []byte) {
+	s.events.add(part)
+	missing := s.events.size() - s.reserved
+	if missing <= 0 {
+		return
+	}
+	if err := s.request.Reserve(missing); err != nil {
+		s.events.discard(err)
+		return
+	}
+	s.reserved += missing
+}
+
 // store stores the turn. Its failure does not wrap the cause: the end of a connection,
 // io.EOF, would mean that the stream is complete.
 func (s *turnStream) store() error {
-	output, ok := s.events.output()
-	if !ok {
+	output, err := s.events.output()
+	if err != nil {
 		s.filter.deps.Metrics.BrokenOff()
-		trail.From(s.ctx).Event(events.ResponseNoTurn).Err(errTurnTooBig).Emit()
-		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errTurnTooBig)
+		trail.From(s.ctx).Event(events.ResponseNoTurn).Err(err).Emit()
+		return hawthornrail.NewFailure(hawthornrail.CodeResponseTruncated, hawthornrail.VerdictMayHaveRun, errors.New(err.Error()))
 	}
 	turn := s.turn.WithOutput(output).WithRetention(s.filter.deps.Clock.Now(), s.retention)
 	if err := s.filter.deps.Conversations.Save(s.ctx, turn); err != nil {
@@ -166,16 +166,3 @@
 	}
 	return nil
 }
-
-// Close ends the stream; one that is closed before its end is not stored.
-func (s *turnStream) Close() error {
-	s.release()
-	return s.ReadCloser.Close()
-}
-
-func (s *turnStream) hold(bytes int64) {
-	s.held += bytes
-	s.filter.held.Add(bytes)
-}
-
-func (s *turnStream) release() { s.hold(-s.held) }
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -26,8 +26,8 @@
 
 const maxChainBytes = 400
 
-// turnStore is stored conversations in a map.
-type turnStore struct {
+// turnMemory is stored conversations in a map.
+type turnMemory struct {
 	mu      sync.Mutex
 	turns   map[hawthornrail.TurnRef]hawthornrail.Turn
 	calls   int
@@ -36,18 +36,18 @@
 	away    error
 }
 
-func newTurnStore() *turnStore {
-	return &turnStore{turns: make(map[hawthornrail.TurnRef]hawthornrail.Turn)}
+func newTurnMemory() *turnMemory {
+	return &turnMemory{turns: make(map[hawthornrail.TurnRef]hawthornrail.Turn)}
 }
 
-func (m *turnStore) Available() error {
+func (m *turnMemory) Available() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
 	return m.away
 }
 
-func (m *turnStore) Chain(_ context.Context, ref hawthornrail.TurnRef, _ string) (hawthornrail.Chain, error) {
+func (m *turnMemory) Chain(_ context.Context, ref hawthornrail.TurnRef, _ string) (hawthornrail.Chain, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
@@ -64,7 +64,7 @@
 	return hawthornrail.NewChain(content, key, turns), nil
 }
 
-func (m *turnStore) Save(_ context.Context, t hawthornrail.Turn) error {
+func (m *turnMemory) Save(_ context.Context, t hawthornrail.Turn) error {
 	time.Sleep(m.latency)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -76,7 +76,7 @@
 }
 
 // ids returns the IDs of the turns that are stored.
-func (m *turnStore) ids() []string {
+func (m *turnMemory) ids() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ids []string
@@ -110,25 +110,25 @@
 
 func (f failing) Read([]byte) (int, error) { return 0, f.err }
 
-// bed is a filter between callers and an endpoint.
-type bed struct {
-	memory   *turnStore
+// turnBed is a filter between callers and an endpoint.
+type turnBed struct {
+	memory   *turnMemory
 	endpoint *endpoint
 	filter   *proxy.Conversations
 	route    hawthornrail.Route
 }
 
-func newBed() *bed {
-	b := &bed{memory: newTurnStore(), endpoint: &endpoint{status: http.StatusOK, end: io.EOF}}
+func newTurnBed() *turnBed {
+	b := &turnBed{memory: newTurnMemory(), endpoint: &endpoint{status: http.StatusOK, end: io.EOF}}
 	b.filter = proxy.NewConversations(proxy.ConversationDependencies{
 		Conversations: b.memory, Clock: clock.Real(), Metrics: metrics.NewConversations(gometrics.NewRegistry()),
-		MaxChainBytes: maxChainBytes, MaxHeldBytes: 2 * maxChainBytes,
+		MaxChainBytes: maxChainBytes,
 	})
 	b.route = hawthornrail.NewRoute("turns", "host", "/turns/", hawthornrail.StreamRoute, nil).WithConversations(time.Minute)
 	return b
 }
 
-func (b *bed) request(team, id, parent, input string) *hawthornrail.ForwardRequest {
+func (b *turnBed) request(team, id, parent, input string) *hawthornrail.ForwardRequest {
 	r := hawthornrail.NewForwardRequest("POST", "host", "/turns/x", "/turns/x", []byte(input), time.Now())
 	r.SetID(id)
 	r.SetCall(hawthornrail.NewProgramCall("program", "", 0, 0).WithParent(parent))
@@ -139,7 +139,7 @@
 
 // send returns the body that a caller gets, and the error that ends or refuses the
 // response.
-func (b *bed) send(r *hawthornrail.ForwardRequest) (string, error) {
+func (b *turnBed) send(r *hawthornrail.ForwardRequest) (string, error) {
 	response, err := b.filter.Filter(context.Background(), r, b.endpoint)
 	if err != nil || response.Stream() == nil {
 		return "", err
@@ -149,7 +149,7 @@
 	return string(body), err
 }
 
-func (b *bed) turn(t *testing.T, id, parent, input, stream string) {
+func (b *turnBed) turn(t *testing.T, id, parent, input, stream string) {
 	t.Helper()
 	b.endpoint.stream = stream
 	if body, err := b.send(b.request("team", id, parent, input)); err != nil || body != stream {
@@ -158,7 +158,7 @@
 }
 
 // lastBody returns the body that the endpoint got last.
-func (b *bed) lastBody() string { return b.endpoint.bodies[len(b.endpoint.bodies)-1] }
+func (b *turnBed) lastBody() string { return b.endpoint.bodies[len(b.endpoint.bodies)-1] }
 
 func assertFailure(t *testing.T, err error, code hawthornrail.Code) {
 	t.Helper()
@@ -168,7 +168,7 @@
 	}
 }
 
-func (b *bed) assertTurns(t *testing.T, ids ...string) {
+func (b *turnBed) assertTurns(t *testing.T, ids ...string) {
 	t.Helper()
 	if got := b.memory.ids(); !slices.Equal(got, ids) {
 		t.Errorf("turns %v, want %v", got, ids)
@@ -178,7 +178,7 @@
 // Guards against an endpoint that gets a part of a conversation, or another order, and
 // against forks that mix.
 func TestEndpointGetsWholeChain(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.turn(t, "t1", "", "one", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	b.turn(t, "t2", "t1", "two", "data:c\n\n")
 	if got, want := b.lastBody(), "onea\nb\ntwo"; got != want {
@@ -203,15 +203,12 @@
 	if key := b.memory.turns[hawthornrail.NewTurnRef("team", "t5")].PlacementKey(); key != "program" {
 		t.Errorf("placement key %q", key)
 	}
-	if held := b.filter.Held(); held != 0 {
-		t.Errorf("%d bytes held", held)
-	}
 }
 
 // Guards against a caller's retry with an ID of its own that changes the chain of the
 // first attempt.
 func TestTurnIsSentTwice(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.turn(t, "t1", "", "one", "data: a\n\n")
 	b.turn(t, "t2a", "t1", "two", "data: first\n\n")
 	b.turn(t, "t2b", "t1", "two", "data: second\n\n")
@@ -223,7 +220,7 @@
 
 // Guards against a team that continues from another team's turn.
 func TestTurnOfAnotherTeam(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.turn(t, "t1", "", "secret", "data: a\n\n")
 	_, err := b.send(b.request("other", "t2", "t1", "two"))
 	assertFailure(t, err, hawthornrail.CodeUnknownTurn)
@@ -235,7 +232,7 @@
 // Guards against a request that is changed, or that waits for other VMs, although its
 // route has no conversations.
 func TestRouteWithoutConversations(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.route = b.route.WithConversations(0)
 	b.memory.away = errors.New("no VM with a disk")
 	b.turn(t, "t1", "unknown", "one", "data: a\n\n")
@@ -247,7 +244,7 @@
 // Guards against a request that runs although its turn can't be stored, and whose response
 // has to be broken off.
 func TestNoVMWithDisk(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.memory.away = hawthornrail.NotRun(hawthornrail.CodeTurnUncertain, "no VM with a disk")
 	_, err := b.send(b.request("team", "t1", "", "one"))
 	assertFailure(t, err, hawthornrail.CodeTurnUncertain)
@@ -260,7 +257,7 @@
 // stored.
 func TestOnlyTheEndWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBed()
+		b := newTurnBed()
 		b.memory.latency = 80 * time.Millisecond
 		b.endpoint.stream = "data: a\n\n"
 		start := time.Now()
@@ -289,7 +286,7 @@
 // cause may be the end of a connection to a VM, which must not look like that of the
 // stream.
 func TestTurnThatIsNotStored(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.memory.saveErr = fmt.Errorf("VM with a disk: %w", io.EOF)
 	b.endpoint.stream = "data: a\n\n"
 	response, err := b.filter.Filter(context.Background(), b.request("team", "t1", "", "one"), b.endpoint)
@@ -313,15 +310,15 @@
 // Guards against turns that do not count and are stored nevertheless: later ones would
 // continue from a part of a response.
 func TestNoTurns(t *testing.T) {
-	for name, prepare := range map[string]func(b *bed, r *hawthornrail.ForwardRequest){
-		"broken off":     func(b *bed, _ *hawthornrail.ForwardRequest) { b.endpoint.end = errors.New("endpoint failed") },
-		"whole response": func(b *bed, _ *hawthornrail.ForwardRequest) { b.endpoint.whole = "data: a\n\n" },
-		"refused":        func(b *bed, _ *hawthornrail.ForwardRequest) { b.endpoint.status = http.StatusServiceUnavailable },
-		"resumed":        func(_ *bed, r *hawthornrail.ForwardRequest) { r.SetResumed("7", "t0") },
-		"no id":          func(_ *bed, r *hawthornrail.ForwardRequest) { r.SetID("") },
+	for name, prepare := range map[string]func(b *turnBed, r *hawthornrail.ForwardRequest){
+		"broken off":     func(b *turnBed, _ *hawthornrail.ForwardRequest) { b.endpoint.end = errors.New("endpoint failed") },
+		"whole response": func(b *turnBed, _ *hawthornrail.ForwardRequest) { b.endpoint.whole = "data: a\n\n" },
+		"refused":        func(b *turnBed, _ *hawthornrail.ForwardRequest) { b.endpoint.status = http.StatusServiceUnavailable },
+		"resumed":        func(_ *turnBed, r *hawthornrail.ForwardRequest) { r.SetResumed("7", "t0") },
+		"no id":          func(_ *turnBed, r *hawthornrail.ForwardRequest) { r.SetID("") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newTurnBed()
 			b.endpoint.stream = "data: a\n\n"
 			r := b.request("team", "t1", "", "one")
 			prepare(b, r)
@@ -330,13 +327,10 @@
 				t.Errorf("error %v", err)
 			}
 			b.assertTurns(t)
-			if held := b.filter.Held(); held != 0 {
-				t.Errorf("%d bytes held", held)
-			}
 		})
 	}
 	t.Run("caller leaves", func(t *testing.T) {
-		b := newBed()
+		b := newTurnBed()
 		b.endpoint.stream = "data: a\n\n"
 		response, err := b.filter.Filter(context.Background(), b.request("team", "t1", "", "one"), b.endpoint)
 		if err != nil {
@@ -347,15 +341,12 @@
 		}
 		_ = response.Stream().Close()
 		b.assertTurns(t)
-		if held := b.filter.Held(); held != 0 {
-			t.Errorf("%d bytes held", held)
-		}
 	})
 }
 
 // Guards against a chain or a turn that fills the memory of a VM.
 func TestChainIsBounded(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.turn(t, "t1", "", strings.Repeat("a", 390), "data: b\n\n")
 	b.turn(t, "t2", "t1", "12345678", "")
 	_, err := b.send(b.request("team", "t3", "t1", "123456789"))
@@ -365,37 +356,48 @@
 		t.Error("the response of a turn that is too long ended as if complete")
 	}
 	b.assertTurns(t, "team/t1", "team/t2")
-	if held := b.filter.Held(); held != 0 {
-		t.Errorf("%d bytes held", held)
+}
+
+// room is the memory of a request; it implements hawthornrail.RequestMemory.
+type room struct{ left int }
+
+func (r *room) Grow(bytes int) error {
+	if bytes > r.left {
+		return hawthornrail.NotRun(hawthornrail.CodeOverload, "%d bytes are left", r.left)
 	}
+	r.left -= bytes
+	return nil
 }
 
-// Guards against turns in flight that fill the memory of a VM together. Those without a
-// chain, whose bodies are bounded anyway, go on.
-func TestTurnsInFlightAreBounded(t *testing.T) {
-	b := newBed()
-	b.turn(t, "t1", "", strings.Repeat("a", 390), "")
-	var streams []io.Closer
-	for n := range 3 {
-		response, err := b.filter.Filter(context.Background(), b.request("team", fmt.Sprintf("child%d", n), "t1", "more"), b.endpoint)
-		if err != nil {
-			t.Fatal(err)
+// Guards against chains and outputs that fill the memory of a VM together. A response whose
+// turn does not fit reaches its caller, and does not end as if it were stored.
+func TestTurnsCountInMemory(t *testing.T) {
+	b := newTurnBed()
+	b.turn(t, "t1", "", "one", "data: a\n\n")
+	for _, c := range []struct{ left, rest int }{{4, 0}, {5, 0}, {12, 0}, {13, 0}, {20, 7}} {
+		memory := &room{left: c.left}
+		r := b.request("team", fmt.Sprintf("child%d", c.left), "t1", "more")
+		r.SetMemory(memory)
+		b.endpoint.stream = "data: 1234567\n\n"
+		body, err := b.send(r)
+		switch {
+		case c.left < 5:
+			assertFailure(t, err, hawthornrail.CodeOverload)
+		case c.left < 13:
+			if body != b.endpoint.stream || err == nil || hawthornrail.VerdictOf(err) == hawthornrail.VerdictNotRun {
+				t.Errorf("body %q, error %v with %d bytes", body, err, c.left)
+			}
+		case err != nil || memory.left != c.rest:
+			t.Errorf("error %v, %d bytes left, want %d", err, memory.left, c.rest)
 		}
-		streams = append(streams, response.Stream())
-	}
-	_, err := b.send(b.request("team", "t2", "t1", "more"))
-	assertFailure(t, err, hawthornrail.CodeOverload)
-	b.turn(t, "t3", "", "one", "")
-	for _, s := range streams {
-		_ = s.Close()
 	}
-	b.turn(t, "t4", "t1", "more", "")
+	b.assertTurns(t, "team/child13", "team/child20", "team/t1")
 }
 
 // Guards against a conversation whose turns are all taken for other content, so that one
 // that crashes endpoints is not found out, or for the same.
 func TestDigestsLeaveOutChain(t *testing.T) {
-	b := newBed()
+	b := newTurnBed()
 	b.turn(t, "t1", "", "one", "data: a\n\n")
 	b.turn(t, "t2", "t1", "two", "")
 	want := b.request("team", "t9", "", "two").Digests()
@@ -426,7 +428,7 @@
 		"bytes that are no text":  {"data: \x00\xff\xfe\n\n", "\x00\xff\xfe\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newTurnBed()
 			b.turn(t, "t1", "", "", c.stream)
 			if got := b.memory.turns[hawthornrail.NewTurnRef("team", "t1")].Output(); string(got) != c.want {
 				t.Errorf("output %q, want %q", got, c.want)
@@ -449,7 +451,7 @@
 			}
 			stream.WriteString(end)
 		}
-		b := newBed()
+		b := newTurnBed()
 		b.endpoint.stream = stream.String()
 		response, err := b.filter.Filter(context.Background(), b.request("team", "t1", "", ""), b.endpoint)
 		if err != nil {
--- a/internal/caller/proxy/server_test.go
+++ b/internal/caller/proxy/server_test.go
@@ -27,9 +27,9 @@
 const (
 	budgetBytes = 1 << 20
 	bodyBytes   = 400 << 10
-	headerBytes = 4 << 10
-	// heldByHead is what a connection holds during a request without a body.
-	heldByHead  = headerBytes + 12<<10
+	headerBytes = 20 << 10
+	// heldByHead is what a connection holds during a request with a short head and no body.
+	heldByHead  = 4<<10 + 12<<10
 	connections = 4
 	// stallTime is a time after which a request that makes no progress loses its place.
 	stallTime = 1200 * time.Millisecond
@@ -46,13 +46,14 @@
 func (codec) Failure(f *hawthornrail.Failure) (int, []hawthornrail.Header) {
 	statuses := map[hawthornrail.Code]int{
 		hawthornrail.CodeBodyTooLarge: http.StatusRequestEntityTooLarge, hawthornrail.CodeRequestTimeout: http.StatusRequestTimeout,
-		hawthornrail.CodeOverload: http.StatusServiceUnavailable, hawthornrail.CodeBadRequest: http.StatusBadRequest,
+		hawthornrail.CodeHeadTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+		hawthornrail.CodeOverload:     http.StatusServiceUnavailable, hawthornrail.CodeBadRequest: http.StatusBadRequest,
 	}
 	return statuses[f.Code()], []hawthornrail.Header{hawthornrail.NewHeader("Retry-After", strconv.FormatFloat(f.RetryAfter().Seconds(), 'f', 3, 64))}
 }
 
-// serverBed is a server whose handler returns the body that it got.
-type serverBed struct {
+// bed is a server whose handler returns the body that it got.
+type bed struct {
 	address string
 	memory  *memory.Budget
 	server  *proxy.Server
@@ -65,7 +66,7 @@
 }
 
 // Forward returns the request's body.
-func (b *serverBed) Forward(_ context.Context, r *hawthornrail.ForwardRequest) (*hawthornrail.ForwardResponse, error) {
+func (b *bed) Forward(_ context.Context, r *hawthornrail.ForwardRequest) (*hawthornrail.ForwardResponse, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.served++
@@ -75,19 +76,19 @@
 	return hawthornrail.NewForwardResponse(http.StatusOK, nil, r.Body()), nil
 }
 
-func (b *serverBed) full() bool {
+func (b *bed) full() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.responsesFull
 }
 
-func newServerBed(t *testing.T) *serverBed {
+func newBed(t *testing.T) *bed {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &serverBed{address: l.Addr().String(), memory: memory.NewBudget(budgetBytes)}
+	b := &bed{address: l.Addr().String(), memory: memory.NewBudget(budgetBytes)}
 	b.server = proxy.New(proxy.Dependencies{
 		Handler: b, Codec: codec{}, Clock: clock.Real(), Recorder: trail.NewRecorder(io.Discard, "vm1", 1),
 		Forwards: metrics.NewForwards(gometrics.NewRegistry()), Log: events.Discard(), Memory: b.memory, ResponsesFull: b.full,
@@ -117,7 +118,7 @@
 	reader *bufio.Reader
 }
 
-func (b *serverBed) dial(t *testing.T) *caller {
+func (b *bed) dial(t *testing.T) *caller {
 	t.Helper()
 	c, err := net.Dial("tcp", b.address)
 	if err != nil {
@@ -166,7 +167,7 @@
 // Guards against requests on one connection that are lost, changed or mixed up since the
 // connection holds no buffer between them.
 func TestRequestsOnOneConnection(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	c := b.dial(t)
 	large := strings.Repeat("ab", bodyBytes/2)
 	for n, body := range []string{"one", large, "", "two", large} {
@@ -198,9 +199,35 @@
 	})
 }
 
+// Guards against heads that are refused or cut at the size of the small buffer, and
+// against an end of a head that is missed at a boundary of reads.
+func TestHeads(t *testing.T) {
+	b := newBed(t)
+	for _, size := range []int{0, 3900, 3990, 4000, 4010, 4096, 4097, 8 << 10, 20_000} {
+		for _, part := range []int{1 << 20, 1000, 7} {
+			c := b.dial(t)
+			request := "\r\nPOST /x HTTP/1.1\r\nHost: a\r\nX-Padding: " + strings.Repeat("a", size) + "\r\nContent-Length: 4\r\n\r\ntext"
+			for len(request) > 0 {
+				n := min(part, len(request))
+				c.send(request[:n])
+				request = request[n:]
+			}
+			if _, got := c.response(t, http.StatusOK); got != "text" {
+				t.Errorf("padding of %d in parts of %d: got %q", size, part, got)
+			}
+			_ = c.Close()
+		}
+	}
+	t.Run("too long", func(t *testing.T) {
+		c := b.dial(t)
+		c.send("POST /x HTTP/1.1\r\nHost: a\r\nX-Padding: " + strings.Repeat("a", headerBytes) + "\r\n\r\n")
+		c.assertRefused(t, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
+
 // Guards against bodies over the limit that are read, or whose callers get no response.
 func TestLongBodies(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	for name, request := range map[string]string{
 		"announced":     fmt.Sprintf(announced, bodyBytes+1) + "a",
 		"waits for 100": fmt.Sprintf("POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", bodyBytes+1),
@@ -220,7 +247,7 @@
 // Guards against bodies that exceed the memory together, and against the refusal of
 // small requests beside them.
 func TestBodiesBeyondTheMemory(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	stalled := b.dial(t)
 	stalled.send(fmt.Sprintf(announced, bodyBytes) + strings.Repeat("a", bodyBytes-1))
 	awaitHeld(t, b, bodyBytes)
@@ -241,7 +268,7 @@
 }
 
 // awaitHeld waits until requests hold a number of bytes.
-func awaitHeld(t *testing.T, b *serverBed, bytes int64) {
+func awaitHeld(t *testing.T, b *bed, bytes int64) {
 	t.Helper()
 	for end := time.Now().Add(readTimeout); b.memory.Held() < bytes; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -250,9 +277,19 @@
 	}
 }
 
+// awaitReleased waits until requests hold nothing.
+func awaitReleased(t *testing.T, b *bed) {
+	t.Helper()
+	for end := time.Now().Add(readTimeout); b.memory.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes held", b.memory.Held())
+		}
+	}
+}
+
 // Guards against requests that run although no memory is left for their responses.
 func TestUnreadResponsesStopRequests(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	b.mu.Lock()
 	b.responsesFull = true
 	b.mu.Unlock()
@@ -266,7 +303,7 @@
 
 // Guards against a response that no longer counts although its caller has not read it.
 func TestResponseCountsUntilItIsRead(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	const unreadBytes = 32 << 20
 	released := make(chan struct{})
 	b.response = hawthornrail.NewForwardResponse(http.StatusOK, nil, make([]byte, unreadBytes)).WithRelease(func() { close(released) })
@@ -290,16 +327,17 @@
 // Guards against idle connections that keep new callers out, and against connections
 // without a bound.
 func TestConnectionsAreBounded(t *testing.T) {
-	b := newServerBed(t)
+	b := newBed(t)
 	var idle []*caller
 	for range connections {
 		c := b.dial(t)
 		c.send(fmt.Sprintf(announced, 0))
 		c.response(t, http.StatusOK)
 		idle = append(idle, c)
+		// The connection begins to wait once it holds nothing; the first one waits longest.
+		awaitReleased(t, b)
+		time.Sleep(20 * time.Millisecond)
 	}
-	// The first connection waits longest.
-	time.Sleep(50 * time.Millisecond)
 	c := b.dial(t)
 	c.send(fmt.Sprintf(announced, 4) + "te")
 	if _, err := idle[0].reader.ReadByte(); err == nil {
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -194,11 +194,9 @@
 }
 
 func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
-	filter := proxy.NewConversations(proxy.ConversationDependencies{
-		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().HeldTurnBytes(),
+	return proxy.NewConversations(proxy.ConversationDependencies{
+		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(),
 	})
-	metrics.Gauge(n.Metrics(), "conversations.held_bytes", filter.Held)
-	return filter
 }
 
 // serverIn are the dependencies of the server for callers.
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -33,11 +33,9 @@
 	defaultInForce   = 2 * time.Second
 	// chainBytesBound leaves room for a chain in a message between VMs.
 	chainBytesBound = 32 << 20
-	// conversationShare is the part of the memory limit, one in so many bytes, from which
-	// on the turns in flight let no further chain be loaded, and backgroundShare that of
-	// the turns that are stored after the end of their responses.
-	conversationShare = 8
-	backgroundShare   = 32
+	// backgroundShare is the fraction of the memory limit, as a divisor, that turns may hold
+	// which are stored after the end of their responses.
+	backgroundShare = 32
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
 	// defaultConversationsMB is half of the smallest disk of a deployment, 260 MB. The
@@ -291,10 +289,6 @@
 // MaxChainBytes returns the maximum size of the chain of a conversation with the new input.
 func (s Settings) MaxChainBytes() int64 { return int64(s.file.Limits.MaxChainBytes) }
 
-// HeldTurnBytes returns the size of the turns in flight from which on no further chain is
-// loaded.
-func (s Settings) HeldTurnBytes() int64 { return s.MemoryBytes() / conversationShare }
-
 // BackgroundTurnBytes returns how many bytes of turns may be stored after the end of their
 // responses.
 func (s Settings) BackgroundTurnBytes() int64 { return s.MemoryBytes() / backgroundShare }
