Respect evacuations of data centres and limit cold endpoints

An evacuated data centre must get no requests, and an endpoint that has just started crashes above a rate from all VMs together. Neither was known to the VMs.

Evacuations are one more kind of object, mirrored only where the settings have [evacuations] in_force_ms. Its watches are short and a VM counts as up to date only if the kind is confirmed too; a reply to another VM names the kinds that its confirmation covers, so that a VM of an older build is not relied on. Every choice of an endpoint asks Table.admits. The mirror passes the revision of a change on, because a withdrawal is compared with the revision of entries.

The test of a named endpoint in limit_test.go calls ChooseNamed, which replaces RecordSent, with the same assertion.

--- a/accepted.go
+++ b/accepted.go
@@ -89,4 +89,7 @@
 	VMs(objects []Object) ([]VM, []error)
 	// DiskVMs decodes the VMs that store turns of conversations.
 	DiskVMs(objects []Object) []VM
+	// Evacuations decodes the evacuations of data centres. It returns an error for each
+	// malformed object, which counts as an evacuation too.
+	Evacuations(objects []Object) ([]Evacuation, []error)
 }
--- a/config.go
+++ b/config.go
@@ -151,6 +151,7 @@
 	draining   bool
 	fenced     bool
 	instance   string
+	entry      EndpointEntry
 }
 
 // NewEndpoint returns an endpoint at an IP address and port that serves the
@@ -198,6 +199,17 @@
 	return e
 }
 
+// WithEntry returns a copy with what its entry in the platform's store says apart from
+// the endpoint itself.
+func (e Endpoint) WithEntry(entry EndpointEntry) Endpoint {
+	e.entry = entry
+	return e
+}
+
+// Entry returns what the endpoint's entry in the platform's store says apart from the
+// endpoint itself.
+func (e Endpoint) Entry() EndpointEntry { return e.entry }
+
 // Instance returns the instance id that the endpoint's process reports.
 func (e Endpoint) Instance() string { return e.instance }
 
--- a/internal/config/catalogue/catalogue.go
+++ b/internal/config/catalogue/catalogue.go
@@ -102,3 +102,14 @@
 	defer c.mu.Unlock()
 	c.snapshot.Store(c.Snapshot().WithVMs(vms).WithDiskVMs(diskVMs))
 }
+
+// SetEvacuations puts the evacuations of a list in force, as of a revision of the
+// platform's store. It returns those before and those now in force.
+func (c *Catalogue) SetEvacuations(list []hawthornrail.Evacuation, revision uint64) (before, now hawthornrail.Evacuations) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before = c.Snapshot().Evacuations()
+	now = before.Next(list, revision, c.clock.Now())
+	c.snapshot.Store(c.Snapshot().WithEvacuations(now))
+	return before, now
+}
--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -130,7 +130,9 @@
 	status.watching = reply.GetWatching()
 	// The time counts from the request, since the reply may have been held up on
 	// its way.
-	status.confirmed = sent.Add(time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
+	if e.storeHealth.covers(reply.GetConfirmedKinds()) {
+		status.confirmed = sent.Add(time.Duration(reply.GetConfirmedMs()) * time.Millisecond)
+	}
 	report(from.DataCentre(), status, e.clock.Now())
 	applied := e.applyAll(address, reply.GetKinds())
 	// A kind that was not requested may be missing here.
@@ -239,7 +241,7 @@
 	confirmed, _ := e.storeHealth.LastConfirmation()
 	reply := &vmpb.ObjectsReply{
 		InContact: status.InContact(), Lost: status.Lost(), SettlingMs: uint32(status.Settling().Milliseconds()), Watching: watching,
-		ConfirmedMs: int32(max(math.MinInt32, confirmed.Sub(arrived).Milliseconds())),
+		ConfirmedMs: int32(max(math.MinInt32, confirmed.Sub(arrived).Milliseconds())), ConfirmedKinds: e.storeHealth.RequiredKinds(),
 	}
 	for _, held := range request.GetHeld() {
 		if changes := e.changesFor(held); changes != nil {
--- a/internal/config/mirror/exchange_test.go
+++ b/internal/config/mirror/exchange_test.go
@@ -43,7 +43,7 @@
 			storeHealth.Failed(kind)
 		}
 		e := mirror.NewExchange(mirror.ExchangeDependencies{
-			Mirror: mirror.New(func(string, string, []hawthornrail.Object) {}), StoreHealth: storeHealth, WatchRole: mirror.NewWatchRole(),
+			Mirror: mirror.New(func(string, string, uint64, []hawthornrail.Object) {}), StoreHealth: storeHealth, WatchRole: mirror.NewWatchRole(),
 			Kinds: []string{kind}, Peers: func() []string { return []string{"10.0.0.1:1"} }, Invoker: invoker, Clock: clock.Real(),
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -131,7 +131,7 @@
 func newSimFleet(ctx context.Context, addresses []string) *simFleet {
 	f := &simFleet{store: newSimStore(), inForce: inForceTimeout, vms: make(map[string]*simVM)}
 	for _, address := range addresses {
-		f.vms[address] = &simVM{fleet: f, address: address, mirror: mirror.New(func(string, string, []hawthornrail.Object) {})}
+		f.vms[address] = &simVM{fleet: f, address: address, mirror: mirror.New(func(string, string, uint64, []hawthornrail.Object) {})}
 	}
 	for _, address := range addresses {
 		f.vms[address].start(ctx, addresses)
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -44,9 +44,12 @@
 	// heartbeatKind is the kind that is watched with short waits.
 	heartbeatKind    string
 	heartbeatTimeout time.Duration
-	source           hawthornrail.ObjectSource
-	clock            hawthornrail.Clock
-	log              events.Logger
+	// boundedTimeouts are how long the watches of the further kinds wait whose changes
+	// have to be in force within a time.
+	boundedTimeouts map[string]time.Duration
+	source          hawthornrail.ObjectSource
+	clock           hawthornrail.Clock
+	log             events.Logger
 }
 
 // FollowerDependencies are the dependencies of a Follower.
@@ -59,21 +62,34 @@
 	HeartbeatKind string
 	// InForce is how long a change may take until it is in force.
 	InForce time.Duration
-	Source  hawthornrail.ObjectSource
-	Clock   hawthornrail.Clock
-	Log     events.Logger
+	// BoundedKinds are further kinds, each with how long a change may take until it is
+	// in force.
+	BoundedKinds map[string]time.Duration
+	Source       hawthornrail.ObjectSource
+	Clock        hawthornrail.Clock
+	Log          events.Logger
 }
 
 // NewFollower returns a follower that has not called the store yet; it records
 // in storeHealth how the store responds.
 func NewFollower(p FollowerDependencies) *Follower {
+	boundedTimeouts := make(map[string]time.Duration, len(p.BoundedKinds))
+	for kind, inForce := range p.BoundedKinds {
+		boundedTimeouts[kind] = timeoutFor(inForce)
+	}
 	return &Follower{
 		mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, heartbeatKind: p.HeartbeatKind,
-		heartbeatTimeout: max(minHeartbeatTimeout, time.Duration(heartbeatShare*float64(p.InForce))),
-		source:           p.Source, clock: p.Clock, log: p.Log,
+		heartbeatTimeout: timeoutFor(p.InForce), boundedTimeouts: boundedTimeouts,
+		source: p.Source, clock: p.Clock, log: p.Log,
 	}
 }
 
+// timeoutFor returns how long the watches of a kind wait whose changes have to be in
+// force after a time.
+func timeoutFor(inForce time.Duration) time.Duration {
+	return max(minHeartbeatTimeout, time.Duration(heartbeatShare*float64(inForce)))
+}
+
 // Follow keeps one kind up to date until ctx ends: it lists the kind once, and
 // watches it while this VM has to watch the store.
 func (f *Follower) Follow(ctx context.Context, kind string) {
@@ -104,7 +120,11 @@
 	case !caughtUp:
 		return f.watch(ctx, kind, catchUpTimeout)
 	default:
-		f.awaitWatchRole(ctx, kind)
+		if waited := f.awaitWatchRole(ctx, kind); waited && f.boundedTimeouts[kind] > 0 {
+			// Other VMs follow this one only once the kind is confirmed, which its long
+			// watch would delay.
+			return f.watch(ctx, kind, catchUpTimeout)
+		}
 		return f.watch(ctx, kind, f.watchTimeout(kind))
 	}
 }
@@ -138,11 +158,12 @@
 
 type listFunc func(ctx context.Context, kind string) (hawthornrail.ObjectChanges, error)
 
-// awaitWatchRole returns once this VM has to watch the store.
-func (f *Follower) awaitWatchRole(ctx context.Context, kind string) {
+// awaitWatchRole returns once this VM has to watch the store, and whether it had to
+// wait.
+func (f *Follower) awaitWatchRole(ctx context.Context, kind string) (waited bool) {
 	watching, changed := f.watchRole.Watching()
 	if watching {
-		return
+		return false
 	}
 	f.storeHealth.StopTracking(kind)
 	f.log.Event(events.WatchStopped).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
@@ -150,11 +171,12 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return
+			return true
 		}
 		watching, changed = f.watchRole.Watching()
 	}
 	f.log.Event(events.WatchStarted).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
+	return true
 }
 
 func (f *Follower) watch(ctx context.Context, kind string, timeout time.Duration) error {
@@ -180,13 +202,18 @@
 func (f *Follower) confirm(kind string, at time.Time) {
 	if kind == f.heartbeatKind {
 		f.storeHealth.Confirmed(at)
+		return
 	}
+	f.storeHealth.ConfirmedKind(kind, at)
 }
 
 func (f *Follower) watchTimeout(kind string) time.Duration {
 	if kind == f.heartbeatKind {
 		return f.heartbeatTimeout
 	}
+	if timeout, ok := f.boundedTimeouts[kind]; ok {
+		return timeout
+	}
 	return watchTimeout
 }
 
--- a/internal/config/mirror/history_test.go
+++ b/internal/config/mirror/history_test.go
@@ -73,7 +73,7 @@
 		var history storeHistory
 		var mirrors []*mirror.Mirror
 		for range 3 {
-			mirrors = append(mirrors, mirror.New(func(string, string, []hawthornrail.Object) {}))
+			mirrors = append(mirrors, mirror.New(func(string, string, uint64, []hawthornrail.Object) {}))
 		}
 		drawMirror := func(label string) *mirror.Mirror { return rapid.SampledFrom(mirrors).Draw(t, label) }
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -128,7 +128,7 @@
 	for i := range endpoints {
 		list = append(list, hawthornrail.NewObject(strconv.Itoa(i), []byte("ready")))
 	}
-	m := mirror.New(func(string, string, []hawthornrail.Object) {})
+	m := mirror.New(func(string, string, uint64, []hawthornrail.Object) {})
 	m.Replace(kind, hawthornrail.NewObjectChanges(10, list, nil))
 	m.ApplyChanges(kind, 10, hawthornrail.NewObjectChanges(11, []hawthornrail.Object{hawthornrail.NewObject("7", []byte("draining"))}, nil))
 	changes, complete := m.ChangesSince(kind, 10)
--- a/internal/config/mirror/mirror.go
+++ b/internal/config/mirror/mirror.go
@@ -24,9 +24,9 @@
 	nextChange chan struct{}
 }
 
-// ChangeFunc receives all objects of a kind after a change, and where the change
-// was read from.
-type ChangeFunc func(kind, source string, objects []hawthornrail.Object)
+// ChangeFunc receives all objects of a kind after a change, their revision, and where
+// the change was read from.
+type ChangeFunc func(kind, source string, revision uint64, objects []hawthornrail.Object)
 
 // collection holds the objects of one kind.
 type collection struct {
@@ -178,7 +178,7 @@
 // notifyLocked calls onChange and wakes those who wait for a change; m.mu must
 // be held.
 func (m *Mirror) notifyLocked(kind, source string, c *collection) {
-	m.onChange(kind, source, c.sorted())
+	m.onChange(kind, source, c.revision, c.sorted())
 	close(m.nextChange)
 	m.nextChange = make(chan struct{})
 }
--- a/internal/config/mirror/mirror_test.go
+++ b/internal/config/mirror/mirror_test.go
@@ -29,7 +29,7 @@
 func TestMirror(t *testing.T) {
 	newMirror := func() (*mirror.Mirror, *int) {
 		calls := 0
-		m := mirror.New(func(string, string, []hawthornrail.Object) { calls++ })
+		m := mirror.New(func(string, string, uint64, []hawthornrail.Object) { calls++ })
 		m.Replace(kind, listAt(5, "a", "b"))
 		return m, &calls
 	}
@@ -70,7 +70,7 @@
 func TestRevisionNeverDecreases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := []map[string]string{{}}
-		m := mirror.New(func(string, string, []hawthornrail.Object) {})
+		m := mirror.New(func(string, string, uint64, []hawthornrail.Object) {})
 		listFrom := func(revision int) hawthornrail.ObjectChanges {
 			var list []hawthornrail.Object
 			for name, value := range history[revision] {
@@ -159,7 +159,7 @@
 // has relayed changes to this one meanwhile.
 func TestChangesMayOverlap(t *testing.T) {
 	newMirror := func() *mirror.Mirror {
-		m := mirror.New(func(string, string, []hawthornrail.Object) {})
+		m := mirror.New(func(string, string, uint64, []hawthornrail.Object) {})
 		m.Replace(kind, listAt(5, "a"))
 		m.ApplyChanges(kind, 5, listAt(8, "b"))
 		return m
--- a/internal/config/mirror/start_test.go
+++ b/internal/config/mirror/start_test.go
@@ -25,7 +25,7 @@
 	for a := range fleet.vms {
 		addresses = append(addresses, a)
 	}
-	v := &simVM{fleet: fleet, address: address, turnedAway: turnedAway, mirror: mirror.New(func(string, string, []hawthornrail.Object) {})}
+	v := &simVM{fleet: fleet, address: address, turnedAway: turnedAway, mirror: mirror.New(func(string, string, uint64, []hawthornrail.Object) {})}
 	v.cachedRevision, _ = fleet.store.state()
 	for range cacheLag {
 		fleet.store.change()
--- a/internal/config/mirror/store_health.go
+++ b/internal/config/mirror/store_health.go
@@ -60,6 +60,11 @@
 
 	mu        sync.Mutex
 	responded time.Time
+	// configConfirmed is when the store last confirmed that the configuration of this
+	// VM is up to date, and bounded holds the further kinds whose changes have to be in
+	// force within a time.
+	configConfirmed time.Time
+	bounded         map[string]boundedKind
 	// confirmed is when the store last confirmed that this VM is up to date, and
 	// relayed is the same for the VMs that this VM follows.
 	confirmed time.Time
@@ -100,11 +105,24 @@
 	return regained
 }
 
-// Confirmed records that the store confirmed that this VM is up to date.
+// Confirmed records that the store confirmed that this VM has the configuration of a
+// time.
 func (h *StoreHealth) Confirmed(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.confirmed = now
+	h.configConfirmed = now
+	h.updateConfirmationLocked()
+}
+
+// updateConfirmationLocked recomputes when this VM was last up to date; h.mu must be
+// held.
+func (h *StoreHealth) updateConfirmationLocked() {
+	h.confirmed = h.configConfirmed
+	for _, k := range h.bounded {
+		if at := k.confirmed.Add(k.extra); at.Before(h.confirmed) {
+			h.confirmed = at
+		}
+	}
 	close(h.nextConfirmation)
 	h.nextConfirmation = make(chan struct{})
 }
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -201,9 +201,13 @@
 		q = q.WithVersion(version)
 	}
 	if next := d.progress.NextEndpoint(); next != "" {
-		if e, ok := d.deps.Config.Snapshot().Endpoint(next); ok && q.Allows(e) {
+		e, listed, err := d.deps.Pool.PickNamed(next, q)
+		if err != nil {
+			return nil, err
+		}
+		if listed {
 			d.progress.SetNextEndpoint("")
-			return &attempt{endpoint: d.deps.Pool.RecordSent(e, q), query: q}, nil
+			return &attempt{endpoint: e, query: q}, nil
 		}
 	}
 	e, err := d.deps.Pool.Pick(q)
--- a/internal/endpoint/pool/pool.go
+++ b/internal/endpoint/pool/pool.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -26,6 +27,11 @@
 	vm         string
 	params     endpoint.Params
 
+	// evacuatedRefusals and limitRefusals count requests that were refused because all
+	// endpoints were in evacuated data centres, or had exhausted their rate limits.
+	evacuatedRefusals atomic.Int64
+	limitRefusals     atomic.Int64
+
 	mu       sync.Mutex
 	snapshot *hawthornrail.Snapshot
 	groups   map[groupKey]*group
@@ -62,14 +68,58 @@
 			return e, nil
 		}
 		if perSecond := g.table.ExhaustedRate(q, now); perSecond > 0 {
+			p.limitRefusals.Add(1)
 			f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "all endpoints that serve %s have exhausted their rate limits", q.Target())
 			return hawthornrail.Endpoint{}, f.WithRetryAfter(timeSlotRetryAfter(perSecond))
 		}
+		if g.table.Evacuated(q) {
+			return hawthornrail.Endpoint{}, p.refuseEvacuated("the endpoints that serve %s are in evacuated data centres", q.Target())
+		}
 	}
 	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "no endpoint serves %s", q.Target())
 	return hawthornrail.Endpoint{}, f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
 }
 
+// refuseEvacuated counts a refusal. How long an evacuation lasts is not known; the retry
+// delay spreads the callers over the first seconds after its end.
+func (p *Pool) refuseEvacuated(format, name string) error {
+	p.evacuatedRefusals.Add(1)
+	f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, format, name)
+	return f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
+}
+
+// PickNamed returns the endpoint that alone may run a request, or a Failure if it may not
+// be sent a request now. listed is false if no such endpoint is listed.
+func (p *Pool) PickNamed(name string, q hawthornrail.PickQuery) (e hawthornrail.Endpoint, listed bool, err error) {
+	g := p.group(groupKey{q.Kind(), q.Target()})
+	if g == nil {
+		return hawthornrail.Endpoint{}, false, nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, refusal := g.table.ChooseNamed(name, q, p.clock.Now())
+	switch refusal {
+	case endpoint.NotListed:
+		return hawthornrail.Endpoint{}, false, nil
+	case endpoint.InEvacuation:
+		return hawthornrail.Endpoint{}, true, p.refuseEvacuated("endpoint %s is in an evacuated data centre", name)
+	case endpoint.StillCold:
+		p.limitRefusals.Add(1)
+		f := hawthornrail.NotRun(hawthornrail.CodeNoEndpoint, "endpoint %s is cold", name)
+		return hawthornrail.Endpoint{}, true, f.WithRetryAfter(noEndpointRetryAfter + rand.N(noEndpointRetryAfter))
+	case endpoint.NotRefused:
+	}
+	return e, true, nil
+}
+
+// EvacuatedRefusals returns how many requests were refused because all endpoints were in
+// evacuated data centres.
+func (p *Pool) EvacuatedRefusals() int64 { return p.evacuatedRefusals.Load() }
+
+// LimitRefusals returns how many requests were refused because all endpoints had
+// exhausted their rate limits.
+func (p *Pool) LimitRefusals() int64 { return p.limitRefusals.Load() }
+
 // timeSlotRetryAfter returns the retry delay for a request that has to wait for a
 // time slot, of which the VMs together have perSecond. The request may come back
 // to any of them; a random part spreads the callers.
@@ -78,12 +128,6 @@
 	return interval + rand.N(interval)
 }
 
-// RecordSent counts a request as sent to an endpoint that was chosen without Pick.
-func (p *Pool) RecordSent(e hawthornrail.Endpoint, q hawthornrail.PickQuery) hawthornrail.Endpoint {
-	p.forEachTable(e, func(t *endpoint.Table, now time.Time) { t.RecordSent(e.Name(), q, now) })
-	return e
-}
-
 // Done records the result of a request and the tokens that its endpoint now
 // caches for the program.
 func (p *Pool) Done(name string, q hawthornrail.PickQuery, err error, usage hawthornrail.Usage, duration time.Duration) {
@@ -193,7 +237,7 @@
 		if _, ok := members[k]; !ok {
 			members[k] = nil
 		}
-		p.setEndpoints(g, members[k], snapshot)
+		p.setEndpoints(g, k, members[k], snapshot)
 	}
 	for k, endpoints := range members {
 		if _, ok := p.groups[k]; ok {
@@ -202,16 +246,23 @@
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		g := &group{table: endpoint.NewTable(p.params, p.dataCentre, random)}
 		p.groups[k] = g
-		p.setEndpoints(g, endpoints, snapshot)
+		p.setEndpoints(g, k, endpoints, snapshot)
 	}
 	p.snapshot = snapshot
 }
 
-func (p *Pool) setEndpoints(g *group, endpoints []hawthornrail.Endpoint, snapshot *hawthornrail.Snapshot) {
+func (p *Pool) setEndpoints(g *group, k groupKey, endpoints []hawthornrail.Endpoint, snapshot *hawthornrail.Snapshot) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.SetSenders(len(snapshot.VMs()))
 	g.table.SetTimeSlots(p.timeSlots(snapshot.VMs()))
+	conditions := endpoint.NewConditions(snapshot.Evacuations(), p.clock.Now())
+	if service, ok := snapshot.Service(k.target); ok {
+		if duration, perSecond, limited := service.ColdStart(); limited {
+			conditions = conditions.WithColdStart(duration, perSecond)
+		}
+	}
+	g.table.SetConditions(conditions)
 	g.table.Set(endpoints)
 }
 
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -53,6 +53,8 @@
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
+	EvacuationInForce  = register(2124, zerolog.WarnLevel, "data centre is evacuated; its endpoints receive no requests", "see docs/operators/zones.md")
+	EvacuationEnded    = register(2125, zerolog.InfoLevel, "evacuation of a data centre was withdrawn; its endpoints receive requests again, as cold ones at first", "")
 )
 
 // The events of programs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -56,6 +56,9 @@
 // Run serves until ctx is done or a listener fails, then shuts down gracefully.
 func Run(ctx context.Context, s machine.Settings, a node.Adapter) error {
 	kinds := []string{a.Kinds.Config, a.Kinds.Endpoints, a.Kinds.VMs}
+	if s.EvacuationsInForce() > 0 {
+		kinds = append(kinds, a.Kinds.Evacuations)
+	}
 	n := node.New(s, a, s.VM(), kinds)
 	c, err := container(n)
 	if err != nil {
@@ -157,6 +160,8 @@
 	n := in.Node
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", in.Transport.Dialed)
 	metrics.Gauge(n.Metrics(), "endpoints.held_bytes", in.Buffers.Held)
+	metrics.Gauge(n.Metrics(), "endpoints.refused_evacuated", in.Pool.EvacuatedRefusals)
+	metrics.Gauge(n.Metrics(), "endpoints.refused_limited", in.Pool.LimitRefusals)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Buffers: in.Buffers, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
 		Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -42,6 +42,7 @@
 	Limits limitsSection `toml:"limits"`
 	Config configSection `toml:"config"`
 
+	Evacuations    evacuationsSection    `toml:"evacuations"`
 	FaultTolerance faultToleranceSection `toml:"fault_tolerance"`
 
 	Log      logSection      `toml:"log"`
@@ -88,6 +89,11 @@
 	InForceMS float64 `toml:"in_force_ms"`
 }
 
+// evacuationsSection has no default: without it evacuations are not watched.
+type evacuationsSection struct {
+	InForceMS float64 `toml:"in_force_ms"`
+}
+
 type faultToleranceSection struct {
 	Disks int `toml:"disks"`
 }
@@ -170,6 +176,7 @@
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
+	require(f.Evacuations.InForceMS >= 0, "evacuations.in_force_ms", "a number that is not negative")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
 	require(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
@@ -260,6 +267,12 @@
 	return time.Duration(s.file.Config.InForceMS * float64(time.Millisecond))
 }
 
+// EvacuationsInForce returns how long an evacuation of a data centre may take until it
+// is in force, or 0 if evacuations are not watched.
+func (s Settings) EvacuationsInForce() time.Duration {
+	return time.Duration(s.file.Evacuations.InForceMS * float64(time.Millisecond))
+}
+
 // ToleratedDiskLosses returns how many disks may be lost at once without a loss of data.
 func (s Settings) ToleratedDiskLosses() int { return s.file.FaultTolerance.Disks }
 
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -72,6 +72,8 @@
 	Config    string
 	Endpoints string
 	VMs       string
+	// Evacuations is mirrored only if the settings say how long an evacuation may take.
+	Evacuations string
 }
 
 // Node is the part that all kinds of process have in common.
@@ -123,10 +125,14 @@
 	n.server = peer.NewServer(self, nil, nil, n.clock, n.log.Layer("peer"))
 	n.mirror = mirror.New(n.applyObjects)
 	n.storeHealth = mirror.NewStoreHealth(s.DataCentre(), s.ConfigInForce())
+	bounded := n.boundedKinds()
+	for kind, inForce := range bounded {
+		n.storeHealth.RequireKind(kind, inForce)
+	}
 	n.freshness = mirror.NewFreshness(n.storeHealth, n.clock)
 	n.watchRole = mirror.NewWatchRole()
 	n.follower = mirror.NewFollower(mirror.FollowerDependencies{
-		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config, InForce: s.ConfigInForce(),
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, HeartbeatKind: a.Kinds.Config, InForce: s.ConfigInForce(), BoundedKinds: bounded,
 		Source: a.Source, Clock: n.clock, Log: n.log.Layer("config"),
 	})
 	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
@@ -144,8 +150,18 @@
 	return n
 }
 
+// boundedKinds returns the mirrored kinds besides the configuration whose changes have
+// to be in force within a time.
+func (n *Node) boundedKinds() map[string]time.Duration {
+	kind, inForce := n.adapter.Kinds.Evacuations, n.settings.EvacuationsInForce()
+	if inForce == 0 || !slices.Contains(n.kinds, kind) {
+		return nil
+	}
+	return map[string]time.Duration{kind: inForce}
+}
+
 // applyObjects applies changed objects of the platform.
-func (n *Node) applyObjects(kind, source string, objects []hawthornrail.Object) {
+func (n *Node) applyObjects(kind, source string, revision uint64, objects []hawthornrail.Object) {
 	switch kind {
 	case n.adapter.Kinds.Config:
 		n.applyConfig(source, objects)
@@ -163,6 +179,27 @@
 		n.catalogue.SetVMs(n.addMissingHolders(vms), n.adapter.Decoder.DiskVMs(objects))
 		n.watchRole.SetPredecessors(n.precedingWatchers(vms), n.clock.Now())
 		n.log.Event(events.VMsChanged).Int("vms", len(vms)).Emit()
+	case n.adapter.Kinds.Evacuations:
+		n.applyEvacuations(source, revision, objects)
+	}
+}
+
+// applyEvacuations puts evacuations in force and logs which begin and end.
+func (n *Node) applyEvacuations(source string, revision uint64, objects []hawthornrail.Object) {
+	list, problems := n.adapter.Decoder.Evacuations(objects)
+	n.logMalformed(problems)
+	before, now := n.catalogue.SetEvacuations(list, revision)
+	for _, e := range now.InForce() {
+		if !before.Evacuated(e.DataCentre()) {
+			n.log.Event(events.EvacuationInForce).Str("evacuated", e.DataCentre()).Uint64("revision", e.Revision()).Str("source", source).
+				Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
+		}
+	}
+	for _, e := range before.InForce() {
+		if !now.Evacuated(e.DataCentre()) {
+			n.log.Event(events.EvacuationEnded).Str("evacuated", e.DataCentre()).Uint64("revision", revision).Str("source", source).
+				Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
+		}
 	}
 }
 
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -41,7 +41,7 @@
 	var best *endpointState
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if !q.Allows(s.endpoint) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
+			if !t.admits(s, q) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
 				continue
 			}
 			if best == nil || s.retryAt.Before(best.retryAt) {
@@ -52,13 +52,6 @@
 	return best
 }
 
-// RecordSent counts a request as sent to an endpoint that was not chosen by Choose.
-func (t *Table) RecordSent(name string, q hawthornrail.PickQuery, now time.Time) {
-	if s, ok := t.states[name]; ok {
-		t.recordSent(s, q, now)
-	}
-}
-
 func (t *Table) recordSent(s *endpointState, q hawthornrail.PickQuery, now time.Time) {
 	s.limit.use(t.timeSlots, now)
 	s.inFlight++
@@ -84,11 +77,6 @@
 	return t.appendSample(list, t.remote, q, now)
 }
 
-// eligible reports whether an endpoint may be chosen for a query.
-func (t *Table) eligible(s *endpointState, q hawthornrail.PickQuery, now time.Time) bool {
-	return !s.unavailable(now) && q.Allows(s.endpoint) && !s.limit.exhausted(t.timeSlots, now)
-}
-
 // appendSample appends eligible endpoints from a random sample, or from all if
 // there are at most Params.SampleSize. If no sampled endpoint is eligible, it
 // appends the first eligible one from a random start.
@@ -179,9 +167,9 @@
 	}
 	c := s.confidence(now, t.params.ReportHalfLife)
 	mean := float64(t.otherRequests) / float64(t.reporting)
-	if s.limit.perSecond > 0 {
+	if perSecond := s.limit.current(now); perSecond > 0 {
 		// Others send no more than the limit either.
-		mean = min(mean, s.limit.perSecond*t.expectedServiceTime(s))
+		mean = min(mean, perSecond*t.expectedServiceTime(s))
 	}
 	return float64(s.inFlight) + c*float64(s.otherRequests()) + (1-c)*mean
 }
--- a/internal/policy/endpoint/limit_test.go
+++ b/internal/policy/endpoint/limit_test.go
@@ -227,7 +227,7 @@
 		f := newLimitedFleet(1, 1, 1)
 		first := f.firstTimeSlot(0)
 		f.restart(0)
-		f.tables[0].RecordSent(limitedName, query(), f.now)
+		f.tables[0].ChooseNamed(limitedName, query(), f.now)
 		if delay := f.firstTimeSlot(0) - first; delay != time.Second {
 			t.Errorf("the time slot moves by %v, want 1s", delay)
 		}
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -90,6 +90,7 @@
 	random       *rand.Rand
 	senders      int
 	timeSlots    TimeSlots
+	conditions   Conditions
 	states       map[string]*endpointState
 	listed       []hawthornrail.Endpoint
 	draining     *drainingSet
@@ -103,7 +104,7 @@
 	sums
 }
 
-// sums are totals over the endpoints that neither are draining nor have failed.
+// sums are totals over the endpoints that neither are draining, evacuated nor have failed.
 // All but slots cover only endpoints with a report.
 type sums struct {
 	slots             int
@@ -146,13 +147,15 @@
 			s = &endpointState{limit: t.unlisted.take(e.Name())}
 		}
 		delete(old, e.Name())
+		previous := s.endpoint.Entry()
 		s.endpoint, s.slots = e, e.Slots()
+		t.updateCold(s, previous, ok)
 		if s.slots <= 0 {
 			t.withoutSlots++
 			s.slots = assumedSlots
 		}
 		t.states[e.Name()] = s
-		if e.Draining() {
+		if e.Draining() || t.evacuated(e) {
 			continue
 		}
 		if e.DataCentre() == t.dataCentre {
@@ -198,8 +201,8 @@
 func (t *Table) ExhaustedRate(q hawthornrail.PickQuery, now time.Time) (perSecond float64) {
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if !s.unavailable(now) && q.Allows(s.endpoint) && s.limit.exhausted(t.timeSlots, now) {
-				perSecond += s.limit.perSecond
+			if !s.unavailable(now) && t.admits(s, q) && s.limit.exhausted(t.timeSlots, now) {
+				perSecond += s.limit.current(now)
 			}
 		}
 	}
@@ -217,7 +220,7 @@
 // addToSums adds an endpoint to the sums, or subtracts it if sign is -1. Callers
 // subtract an endpoint before they change it and add it again afterwards.
 func (t *Table) addToSums(s *endpointState, sign int) {
-	if s.endpoint.Draining() || s.failures > 0 {
+	if s.endpoint.Draining() || t.evacuated(s.endpoint) || s.failures > 0 {
 		return
 	}
 	t.slots += sign * s.slots
@@ -385,7 +388,7 @@
 	s.retryAt = now.Add(backoff)
 }
 
-// Names returns the names of the endpoints that are not draining.
+// Names returns the names of the endpoints that are neither draining nor evacuated.
 func (t *Table) Names() []string {
 	names := make([]string, 0, len(t.local)+len(t.remote))
 	for _, list := range [][]*endpointState{t.local, t.remote} {
--- a/route.go
+++ b/route.go
@@ -153,6 +153,8 @@
 	slots          int
 	memoryTokens   int
 	tokensPerEvent int
+	coldStart      time.Duration
+	coldPerSecond  float64
 }
 
 // NewService returns a service whose endpoints accept at most maxConns
@@ -166,6 +168,19 @@
 	return s
 }
 
+// WithColdStart returns a copy whose endpoints accept perSecond requests a second from
+// all VMs together while they are cold, which lasts for duration after their start.
+func (s Service) WithColdStart(duration time.Duration, perSecond float64) Service {
+	s.coldStart, s.coldPerSecond = duration, perSecond
+	return s
+}
+
+// ColdStart returns how long an endpoint is cold after its start and how many requests a
+// second it then accepts from all VMs together; ok is false if endpoints are never cold.
+func (s Service) ColdStart() (duration time.Duration, perSecond float64, ok bool) {
+	return s.coldStart, s.coldPerSecond, s.coldStart > 0 && s.coldPerSecond > 0
+}
+
 // Name returns the name of the service.
 func (s Service) Name() string { return s.name }
 
--- a/snapshot.go
+++ b/snapshot.go
@@ -19,6 +19,7 @@
 	services     map[string]Service
 	// conversations is set if a route has conversations.
 	conversations bool
+	evacuations   Evacuations
 }
 
 // NewSnapshot returns a snapshot of the given objects at a revision.
@@ -96,6 +97,13 @@
 	return &c
 }
 
+// WithEvacuations returns a copy with the given evacuations of data centres instead.
+func (s *Snapshot) WithEvacuations(evacuations Evacuations) *Snapshot {
+	c := *s
+	c.evacuations = evacuations
+	return &c
+}
+
 // AtRevision returns a copy with the same objects at a later revision.
 func (s *Snapshot) AtRevision(revision uint64) *Snapshot {
 	c := *s
@@ -197,6 +205,9 @@
 	return v, ok
 }
 
+// Evacuations returns the evacuations of data centres.
+func (s *Snapshot) Evacuations() Evacuations { return s.evacuations }
+
 // HasTeams reports whether any team is configured; without any, callers need
 // no key.
 func (s *Snapshot) HasTeams() bool { return len(s.deployments) > 0 }
