Test and describe evacuations over sockets and in the mirror

The mirror's simulated fleet got a second kind. Watches of the length of other kinds leave a change unseen for 20 s, and so does a VM that relies on VMs of an older build.

--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -103,6 +103,9 @@
 	exchange    *mirror.Exchange
 	// cachedRevision is the revision of cached lists if it is not the newest one.
 	cachedRevision uint64
+	// bounded is how long a change of boundedKindName may take until it is in force, or
+	// 0 if the VM does not mirror that kind.
+	bounded time.Duration
 	// turnedAway is set if the store refuses all calls of the VM but cached lists.
 	turnedAway bool
 
@@ -113,6 +116,8 @@
 	storeSilent bool
 	// unreadable is set if the VM can't read the changes that the store sends.
 	unreadable bool
+	// silentKind is the kind whose watches the store does not respond to.
+	silentKind string
 }
 
 // simFleet is a fleet of VMs in two data centres, without a network.
@@ -128,11 +133,16 @@
 
 // newSimFleet starts VMs with the given addresses; the first letter of an
 // address is its data centre.
-func newSimFleet(ctx context.Context, addresses []string) *simFleet {
+func newSimFleet(ctx context.Context, addresses []string, setUp func(*simVM)) *simFleet {
 	f := &simFleet{store: newSimStore(), inForce: inForceTimeout, vms: make(map[string]*simVM)}
 	for _, address := range addresses {
 		f.vms[address] = &simVM{fleet: f, address: address, mirror: mirror.New(func(string, string, uint64, []hawthornrail.Object) {})}
 	}
+	for _, address := range addresses {
+		if setUp != nil {
+			setUp(f.vms[address])
+		}
+	}
 	for _, address := range addresses {
 		f.vms[address].start(ctx, addresses)
 	}
@@ -165,17 +175,25 @@
 		}
 	}
 	log := events.NewLogger(io.Discard, zerolog.Disabled)
+	kinds, boundedKinds := []string{kind}, make(map[string]time.Duration)
+	if v.bounded > 0 {
+		kinds = append(kinds, boundedKindName)
+		boundedKinds[boundedKindName] = v.bounded
+		v.storeHealth.RequireKind(boundedKindName, v.bounded)
+	}
 	v.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
-		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, Kinds: []string{kind},
+		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, Kinds: kinds,
 		Peers: func() []string { return peers }, Invoker: v, Clock: clock.Real(),
 	})
 	v.watchRole.SetPredecessors(predecessors, time.Now())
 	follower := mirror.NewFollower(mirror.FollowerDependencies{
 		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, HeartbeatKind: kind, InForce: v.fleet.inForce,
-		Source: v, Clock: clock.Real(), Log: log,
+		BoundedKinds: boundedKinds, Source: v, Clock: clock.Real(), Log: log,
 	})
 	subscriber := mirror.NewSubscriber(v.watchRole, v.exchange, v.storeHealth, clock.Real(), log)
-	v.fleet.running.Go(func() { follower.Follow(ctx, kind) })
+	for _, k := range kinds {
+		v.fleet.running.Go(func() { follower.Follow(ctx, k) })
+	}
 	v.fleet.running.Go(func() { v.exchange.Run(ctx) })
 	v.fleet.running.Go(func() { subscriber.ExpireSources(ctx) })
 	for slot := range mirror.FollowedVMs {
@@ -195,6 +213,18 @@
 	v.unreadable = unreadable
 }
 
+func (v *simVM) silence(kind string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.silentKind = kind
+}
+
+func (v *simVM) isSilent(kind string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.silentKind == kind
+}
+
 func (v *simVM) canRead() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -239,7 +269,7 @@
 
 // Watch waits for a change. If the store falls silent meanwhile, nothing shows
 // it before the timeout.
-func (v *simVM) Watch(ctx context.Context, _ string, since uint64, timeout time.Duration) (hawthornrail.ObjectChanges, error) {
+func (v *simVM) Watch(ctx context.Context, kind string, since uint64, timeout time.Duration) (hawthornrail.ObjectChanges, error) {
 	v.fleet.store.countCall()
 	if v.turnedAway {
 		time.Sleep(2 * hop)
@@ -259,7 +289,7 @@
 			}
 		}
 		time.Sleep(2 * hop)
-		if !v.storeResponds() {
+		if !v.storeResponds() || v.isSilent(kind) {
 			return hawthornrail.ObjectChanges{}, waitOut(ctx, timeout+watchMargin-time.Since(start))
 		}
 		if revision <= since {
@@ -299,6 +329,10 @@
 // awaitRevision waits until the VM holds a revision, giveUp at most, and returns
 // how long that took.
 func (v *simVM) awaitRevision(revision uint64) time.Duration {
+	return v.awaitRevisionOf(kind, revision)
+}
+
+func (v *simVM) awaitRevisionOf(kind string, revision uint64) time.Duration {
 	const step = 10 * time.Millisecond
 	start := time.Now()
 	for v.mirror.Revision(kind) < revision && time.Since(start) < giveUp {
@@ -309,10 +343,16 @@
 
 // simulate runs a fleet in simulated time.
 func simulate(t *testing.T, addresses []string, run func(ctx context.Context, fleet *simFleet)) {
+	t.Helper()
+	simulateWith(t, addresses, nil, run)
+}
+
+// simulateWith is like simulate with VMs that set up changes before they start.
+func simulateWith(t *testing.T, addresses []string, setUp func(*simVM), run func(ctx context.Context, fleet *simFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		fleet := newSimFleet(ctx, addresses)
+		fleet := newSimFleet(ctx, addresses, setUp)
 		defer fleet.running.Wait()
 		defer cancel()
 		run(ctx, fleet)
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -120,11 +120,7 @@
 	case !caughtUp:
 		return f.watch(ctx, kind, catchUpTimeout)
 	default:
-		if waited := f.awaitWatchRole(ctx, kind); waited && f.boundedTimeouts[kind] > 0 {
-			// Other VMs follow this one only once the kind is confirmed, which its long
-			// watch would delay.
-			return f.watch(ctx, kind, catchUpTimeout)
-		}
+		f.awaitWatchRole(ctx, kind)
 		return f.watch(ctx, kind, f.watchTimeout(kind))
 	}
 }
@@ -158,12 +154,11 @@
 
 type listFunc func(ctx context.Context, kind string) (hawthornrail.ObjectChanges, error)
 
-// awaitWatchRole returns once this VM has to watch the store, and whether it had to
-// wait.
-func (f *Follower) awaitWatchRole(ctx context.Context, kind string) (waited bool) {
+// awaitWatchRole returns once this VM has to watch the store.
+func (f *Follower) awaitWatchRole(ctx context.Context, kind string) {
 	watching, changed := f.watchRole.Watching()
 	if watching {
-		return false
+		return
 	}
 	f.storeHealth.StopTracking(kind)
 	f.log.Event(events.WatchStopped).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
@@ -171,12 +166,11 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return true
+			return
 		}
 		watching, changed = f.watchRole.Watching()
 	}
 	f.log.Event(events.WatchStarted).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).Emit()
-	return true
 }
 
 func (f *Follower) watch(ctx context.Context, kind string, timeout time.Duration) error {
--- a/internal/endpoint/pool/pool_test.go
+++ b/internal/endpoint/pool/pool_test.go
@@ -105,3 +105,56 @@
 		}
 	})
 }
+
+// Guards against a refusal without an accurate retry time, and against an endpoint of an
+// evacuated data centre that alone may run a request.
+func TestEvacuatedEndpoints(t *testing.T) {
+	evacuate := func(config *fixedConfig, dataCentres ...string) {
+		var list []hawthornrail.Evacuation
+		for _, dc := range dataCentres {
+			list = append(list, hawthornrail.NewEvacuation(dc, 1))
+		}
+		before := config.snapshot.Evacuations()
+		config.snapshot = config.snapshot.WithEvacuations(before.Next(list, 2, time.Unix(1_000_000, 0)))
+	}
+	p, config := newPool()
+	evacuate(config, "dc1")
+	if _, err := p.Pick(query()); hawthornrail.AsFailure(err).Verdict() != hawthornrail.VerdictNotRun || hawthornrail.AsFailure(err).RetryAfter() <= 0 {
+		t.Errorf("error %v", err)
+	}
+	if _, listed, err := p.PickNamed("e1", query()); !listed || hawthornrail.AsFailure(err).RetryAfter() <= 0 {
+		t.Errorf("listed %t, error %v", listed, err)
+	}
+	if got := p.EvacuatedRefusals(); got != 2 {
+		t.Errorf("%d refusals are counted, want 2", got)
+	}
+	evacuate(config)
+	if e, listed, err := p.PickNamed("e1", query()); !listed || err != nil || e.Name() != "e1" {
+		t.Errorf("%q is picked, listed %t, error %v", e.Name(), listed, err)
+	}
+	if _, err := p.Pick(query()); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a service whose cold endpoints are not limited, and against a limit for
+// services that have none.
+func TestColdEndpointIsLimited(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		service := hawthornrail.NewService("m", 0)
+		if limited {
+			service = service.WithColdStart(3*time.Second, 27)
+		}
+		config := &fixedConfig{}
+		config.set(engine("new"))
+		config.snapshot = config.snapshot.WithRoutes(nil, []hawthornrail.Service{service})
+		p := pool.New(config, clockwork.NewFakeClock(), "dc1", "vm1", endpoint.DefaultParams())
+		_, err := p.Pick(query())
+		if refused := err != nil; refused != limited {
+			t.Errorf("limited %t, error %v", limited, err)
+		}
+		if got := p.LimitRefusals() > 0; got != limited {
+			t.Errorf("limited %t, refusal counted %t", limited, got)
+		}
+	}
+}
--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -44,6 +44,16 @@
 		}
 		assertProblem(t, valid+"[config]\nin_force_ms = 0\n", "config.in_force_ms: want a positive number")
 	})
+	t.Run("time until an evacuation is in force", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[evacuations]\nin_force_ms = 5000\n")
+		if err != nil || s.EvacuationsInForce() != 5*time.Second {
+			t.Errorf("got %v %v, want 5s", s.EvacuationsInForce(), err)
+		}
+		if s, err = machine.Parse(valid); err != nil || s.EvacuationsInForce() != 0 {
+			t.Errorf("got %v %v, want that evacuations are not watched", s.EvacuationsInForce(), err)
+		}
+		assertProblem(t, valid+"[evacuations]\nin_force_ms = -1\n", "evacuations.in_force_ms: want a number")
+	})
 	t.Run("size of responses", func(t *testing.T) {
 		s, err := machine.Parse(valid + "[limits]\nmemory_mb = 16\n")
 		if err != nil || s.MaxResponseBodyBytes() != 2<<20 || s.ResponseBytes() != 2<<20 || s.MaxEventBytes() != 256<<10 {
--- a/internal/policy/endpoint/zones_test.go
+++ b/internal/policy/endpoint/zones_test.go
@@ -373,6 +373,7 @@
 		})
 		f.assertCold(t)
 		got := f.gotIn(started.Add(time.Second), f.now)
+		t.Logf("%d requests in 2 s at a cold endpoint", got)
 		// Of 27 time slots those are lost whose VM gets no request within a second; at 340
 		// VMs about a third are.
 		if least := 13; got < least {
