--- a/endpointentry.go
+++ b/endpointentry.go
@@ -6,6 +6,7 @@
 // moment at which it was written.
 type EndpointEntry struct {
 	revision uint64
+	started  time.Time
 	coldLeft time.Duration
 	statesIt bool
 }
@@ -21,6 +22,16 @@
 	return e
 }
 
+// WithStarted returns a copy that says when the endpoint started.
+func (e EndpointEntry) WithStarted(at time.Time) EndpointEntry {
+	e.started = at
+	return e
+}
+
+// Started returns when the endpoint started by its own clock, or the zero time if the
+// entry does not say so.
+func (e EndpointEntry) Started() time.Time { return e.started }
+
 // Revision returns the revision of the entry's last change.
 func (e EndpointEntry) Revision() uint64 { return e.revision }
 
--- a/internal/policy/endpoint/choose.go
+++ b/internal/policy/endpoint/choose.go
@@ -41,7 +41,7 @@
 	var best *endpointState
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if !t.admits(s, q) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
+			if !admits(s, q) || s.unresponsive || s.limit.exhausted(t.timeSlots, now) {
 				continue
 			}
 			if best == nil || s.retryAt.Before(best.retryAt) {
--- a/internal/policy/endpoint/cold.go
+++ b/internal/policy/endpoint/cold.go
@@ -18,6 +18,9 @@
 	// constant within a step, because a VM's time slots move with it.
 	rampStep  = 500 * time.Millisecond
 	rampSteps = 4
+	// maxClockDifference is by how much the clock of an endpoint may differ from that of
+	// a VM. Only an endpoint that started longer ago is taken for warm by its start.
+	maxClockDifference = 10 * time.Second
 	// goldenRatio spreads the time slots of VMs that are neighbours in the list.
 	goldenRatio = 0.618
 	// maxShift bounds the shift of time slots; it far exceeds the number of VMs.
@@ -111,7 +114,7 @@
 			current = c.at.Add(left)
 		case stated && current.After(c.at):
 			current = c.at
-		case !stated && !listed:
+		case !stated && !listed && c.mayHaveStarted(entry):
 			current = c.at.Add(c.coldStart)
 		}
 	}
@@ -126,6 +129,12 @@
 	return current
 }
 
+// mayHaveStarted reports whether an endpoint may have started so recently that it is
+// cold. A VM that starts itself lists all endpoints for the first time.
+func (c Conditions) mayHaveStarted(entry hawthornrail.EndpointEntry) bool {
+	return entry.Started().IsZero() || c.at.Sub(entry.Started()) < c.coldStart+maxClockDifference
+}
+
 // SetConditions sets what the configuration says of all endpoints; it applies from the
 // next call of Set on.
 func (t *Table) SetConditions(c Conditions) { t.conditions = c }
--- a/internal/policy/endpoint/eligibility.go
+++ b/internal/policy/endpoint/eligibility.go
@@ -9,18 +9,13 @@
 // admits reports whether an endpoint may be sent a request at all, whatever its load and
 // its failures: the query allows it, and its data centre is not evacuated. Every choice
 // of an endpoint asks it.
-func (t *Table) admits(s *endpointState, q hawthornrail.PickQuery) bool {
-	return q.Allows(s.endpoint) && !t.evacuated(s.endpoint)
-}
-
-// evacuated reports whether the data centre of an endpoint is evacuated.
-func (t *Table) evacuated(e hawthornrail.Endpoint) bool {
-	return t.conditions.evacuations.Evacuated(e.DataCentre())
+func admits(s *endpointState, q hawthornrail.PickQuery) bool {
+	return !s.evacuated && q.Allows(s.endpoint)
 }
 
 // eligible reports whether an endpoint may be chosen for a query.
 func (t *Table) eligible(s *endpointState, q hawthornrail.PickQuery, now time.Time) bool {
-	return !s.unavailable(now) && t.admits(s, q) && !s.limit.exhausted(t.timeSlots, now)
+	return !s.unavailable(now) && admits(s, q) && !s.limit.exhausted(t.timeSlots, now)
 }
 
 // Refusal says why a request may not be sent to the endpoint that alone may run it.
@@ -46,7 +41,7 @@
 	switch {
 	case !ok || !q.Allows(s.endpoint):
 		return hawthornrail.Endpoint{}, NotListed
-	case !t.admits(s, q):
+	case !admits(s, q):
 		return hawthornrail.Endpoint{}, InEvacuation
 	case s.limit.cold.rate(now) > 0 && s.limit.exhausted(t.timeSlots, now):
 		return hawthornrail.Endpoint{}, StillCold
@@ -59,7 +54,7 @@
 // evacuated.
 func (t *Table) Evacuated(q hawthornrail.PickQuery) bool {
 	for _, s := range t.states {
-		if t.evacuated(s.endpoint) && q.Allows(s.endpoint) && !s.endpoint.Draining() {
+		if s.evacuated && q.Allows(s.endpoint) && !s.endpoint.Draining() {
 			return true
 		}
 	}
--- a/internal/policy/endpoint/eligibility_test.go
+++ b/internal/policy/endpoint/eligibility_test.go
@@ -96,6 +96,8 @@
 		coldUntil time.Duration
 	}{
 		{"entry that states nothing", hawthornrail.Evacuations{}, []state{{0, entry(1)}}, coldStart},
+		{"entry of an endpoint that has just started", hawthornrail.Evacuations{}, []state{{0, entry(1).WithStarted(start.Add(-9 * time.Second))}}, coldStart},
+		{"entry of an endpoint that started long ago", hawthornrail.Evacuations{}, []state{{0, entry(1).WithStarted(start.Add(-time.Minute))}}, 0},
 		{"warm entry", hawthornrail.Evacuations{}, []state{{0, entry(1).WithColdLeft(0)}}, 0},
 		{"entry of a cold endpoint", hawthornrail.Evacuations{}, []state{{0, entry(1).WithColdLeft(time.Second)}}, time.Second},
 		{"same entry again", hawthornrail.Evacuations{}, []state{{0, entry(1).WithColdLeft(time.Second)}, {900 * time.Millisecond, entry(1).WithColdLeft(time.Second)}}, time.Second},
--- a/internal/policy/endpoint/limit.go
+++ b/internal/policy/endpoint/limit.go
@@ -65,6 +65,9 @@
 // current returns the rate in force: the lower of the one that the endpoint names and
 // the one of a cold endpoint, or 0 if there is no limit.
 func (l *rateLimit) current(now time.Time) float64 {
+	if l.cold.perSecond == 0 {
+		return l.perSecond
+	}
 	if cold := l.cold.rate(now); cold > 0 && (l.perSecond == 0 || cold < l.perSecond) {
 		return cold
 	}
--- a/internal/policy/endpoint/state.go
+++ b/internal/policy/endpoint/state.go
@@ -24,7 +24,9 @@
 // endpointState is this VM's state of one endpoint.
 type endpointState struct {
 	endpoint hawthornrail.Endpoint
-	slots    int
+	// evacuated is set while the data centre of the endpoint is evacuated.
+	evacuated bool
+	slots     int
 	// inFlight is the number of this VM's requests at the endpoint, and
 	// inFlightAtReport its value at the time of the report.
 	inFlight         int
--- a/internal/policy/endpoint/table.go
+++ b/internal/policy/endpoint/table.go
@@ -149,13 +149,14 @@
 		delete(old, e.Name())
 		previous := s.endpoint.Entry()
 		s.endpoint, s.slots = e, e.Slots()
+		s.evacuated = t.conditions.evacuations.Evacuated(e.DataCentre())
 		t.updateCold(s, previous, ok)
 		if s.slots <= 0 {
 			t.withoutSlots++
 			s.slots = assumedSlots
 		}
 		t.states[e.Name()] = s
-		if e.Draining() || t.evacuated(e) {
+		if e.Draining() || s.evacuated {
 			continue
 		}
 		if e.DataCentre() == t.dataCentre {
@@ -201,7 +202,7 @@
 func (t *Table) ExhaustedRate(q hawthornrail.PickQuery, now time.Time) (perSecond float64) {
 	for _, list := range [][]*endpointState{t.local, t.remote} {
 		for _, s := range list {
-			if !s.unavailable(now) && t.admits(s, q) && s.limit.exhausted(t.timeSlots, now) {
+			if !s.unavailable(now) && admits(s, q) && s.limit.exhausted(t.timeSlots, now) {
 				perSecond += s.limit.current(now)
 			}
 		}
@@ -220,7 +221,7 @@
 // addToSums adds an endpoint to the sums, or subtracts it if sign is -1. Callers
 // subtract an endpoint before they change it and add it again afterwards.
 func (t *Table) addToSums(s *endpointState, sign int) {
-	if s.endpoint.Draining() || t.evacuated(s.endpoint) || s.failures > 0 {
+	if s.endpoint.Draining() || s.evacuated || s.failures > 0 {
 		return
 	}
 	t.slots += sign * s.slots
