--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -55,6 +55,30 @@
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
 	EvacuationInForce  = register(2124, zerolog.WarnLevel, "data centre is evacuated; its endpoints receive no requests", "see docs/operators/zones.md")
 	EvacuationEnded    = register(2125, zerolog.InfoLevel, "evacuation of a data centre was withdrawn; its endpoints receive requests again, as cold ones at first", "")
+
+	ChainLoaded        = register(2130, zerolog.InfoLevel, "chain of a conversation searched", "if found is false and no_reply or uncertain is not 0, check the VMs with a disk; see docs/operators/conversations.md")
+	TurnSaved          = register(2131, zerolog.InfoLevel, "turn of a conversation stored before the end of its response, or its response broken off", "if stored is false, check the VMs with a disk")
+	ResponseNoTurn     = register(2132, zerolog.InfoLevel, "response on a route with conversations is no turn: it is no stream, the end of a resumed one, without an ID, or too long", "if it is too long, raise limits.max_chain_bytes")
+	DiskVMUnresponsive = register(2133, zerolog.WarnLevel, "VM with a disk does not respond; it is skipped for turns of conversations", "check the VM")
+	DiskVMResponsive   = register(2134, zerolog.InfoLevel, "VM with a disk responds again", "")
+)
+
+// The events of stored conversations at VMs with a disk.
+var (
+	TurnStoreOpened   = register(2140, zerolog.InfoLevel, "store of conversations opened", "")
+	TurnStoreFailed   = register(2141, zerolog.ErrorLevel, "store of conversations could not be opened; this is retried", "check the disk")
+	TurnNotStored     = register(2142, zerolog.WarnLevel, "turns can't be stored on this VM's disk; other VMs store them", "check the disk; if it has space, raise disk.conversations_mb")
+	TurnsStored       = register(2143, zerolog.InfoLevel, "turns are stored on this VM's disk again", "")
+	TurnUnreadable    = register(2144, zerolog.ErrorLevel, "turns could not be read from the disk", "check the disk")
+	SegmentNotRemoved = register(2145, zerolog.WarnLevel, "expired turns could not be removed from the disk", "check the disk")
+	RepairDelayed     = register(2146, zerolog.WarnLevel, "turns of another VM could not be read or stored; repair goes on later", "check the other VM and the network")
+	TurnsCertain      = register(2147, zerolog.InfoLevel, "VM holds each turn that it should; it replies that others do not exist", "")
+	TurnsUncertain    = register(2148, zerolog.WarnLevel, "VM may lack turns; it does not reply that turns do not exist", "check the VMs that do not respond")
+)
+
+// The events of choosing endpoints.
+var (
+	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
 )
 
 // The events of programs.
