Require every VM's reply before another team's turn means 404

One VM that holds another team's turn with the same ID does not show that the VMs that do not respond hold none of the caller's team. The search returned 404 then, for a turn that may be stored. It now does so only if each listed VM replies that it holds none or another team's.

TestForeignTurnWhileVMIsDown fails before (404 in place of 503).

--- a/internal/conversation/client/load_test.go
+++ b/internal/conversation/client/load_test.go
@@ -154,6 +154,18 @@
 	})
 }
 
+// Guards against 404 because of another team's turn with the same ID, while the VM that
+// holds the caller's own turn does not respond.
+func TestForeignTurnWhileVMIsDown(t *testing.T) {
+	n := newNetwork(1, 1, 1)
+	run(t, n, 2, func(t *testing.T, c *client.Client) {
+		n.set(holds(foreign), n.vms...)
+		n.set(isDown, n.vms[1])
+		_, err := load(c)
+		assertCode(t, err, hawthornrail.CodeTurnUncertain)
+	})
+}
+
 // Guards against a request that waits for a VM that is down: the first one finds out by a
 // probe, and later ones ask it last and wait for it briefly.
 func TestVMThatIsDown(t *testing.T) {
--- a/internal/conversation/client/search.go
+++ b/internal/conversation/client/search.go
@@ -55,11 +55,10 @@
 // finished reports whether all VMs were asked and none is waited for.
 func (s *search) finished() bool { return s.allAsked() && s.pending == 0 }
 
-// absent reports whether it is certain that the team has no such turn. A reply that the
-// turn is another team's counts only after all VMs were asked, since the IDs of turns are
-// the callers' and two teams may use the same one.
+// absent reports whether it is certain that the team has no such turn: every VM has
+// replied that it holds none, or only another team's. The IDs of turns are the callers',
+// so two teams may use the same one.
 func (s *search) absent() bool {
-	foreign := s.replies[vmpb.ChainState_CHAIN_STATE_FOREIGN]
-	known := foreign + s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN]
-	return len(s.order) > 0 && s.allAsked() && (foreign > 0 || known == len(s.order))
+	known := s.replies[vmpb.ChainState_CHAIN_STATE_FOREIGN] + s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN]
+	return len(s.order) > 0 && s.allAsked() && known == len(s.order)
 }
