Let only unread responses keep new requests out

A VM refused new requests with 503 while responses held more than three quarters of their memory, those that it still received included. Only whole responses that their callers have not read yet count now; what is received is bounded as before. TestOnlyUnreadResponsesKeepRequestsOut.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -340,6 +340,7 @@
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
+			buffer.AwaitCaller()
 			return response.WithRelease(buffer.Release), nil
 		}
 		buffer.Release()
--- a/internal/endpoint/http/buffer.go
+++ b/internal/endpoint/http/buffer.go
@@ -38,6 +38,8 @@
 type Buffers struct {
 	limits BufferLimits
 	held   atomic.Int64
+	// unread are the bytes of whole responses that their callers have not read yet.
+	unread atomic.Int64
 }
 
 // NewBuffers returns buffers that hold nothing yet.
@@ -50,13 +52,16 @@
 // Held returns the number of bytes that all responses hold.
 func (b *Buffers) Held() int64 { return b.held.Load() }
 
-// fullShare is the fraction of the memory limit, as a divisor, that has to be free for
-// further requests to be sent: the size of their responses is not known before.
+// fullShare is the fraction of the memory limit, as a divisor, that unread responses have
+// to leave free for further requests to be sent: the size of their responses is not known
+// before.
 const fullShare = 4
 
-// Full reports whether the responses hold so much that no further request should be sent.
+// Full reports whether unread responses hold so much that no further request should be
+// sent. Responses that are still received do not count: an endpoint that sends without end
+// would keep requests from all others.
 func (b *Buffers) Full() bool {
-	return b.Held() > b.limits.TotalBytes-b.limits.TotalBytes/fullShare
+	return b.unread.Load() > b.limits.TotalBytes-b.limits.TotalBytes/fullShare
 }
 
 // Body returns the buffer of a body that is collected.
@@ -67,9 +72,10 @@
 
 // Buffer counts the bytes that one response holds. It must be released.
 type Buffer struct {
-	all   *Buffers
-	limit int
-	held  int64
+	all    *Buffers
+	limit  int
+	held   int64
+	unread int64
 }
 
 // Hold records that the response holds a number of bytes now; it returns ErrOversized
@@ -87,10 +93,17 @@
 	return nil
 }
 
+// AwaitCaller records that the response is whole and waits for its caller to read it.
+func (b *Buffer) AwaitCaller() {
+	b.unread = b.held
+	b.all.unread.Add(b.unread)
+}
+
 // Release records that the response holds nothing any more.
 func (b *Buffer) Release() {
 	b.all.held.Add(-b.held)
-	b.held = 0
+	b.all.unread.Add(-b.unread)
+	b.held, b.unread = 0, 0
 }
 
 // ReadAll reads a body to its end.
--- a/internal/endpoint/http/buffer_test.go
+++ b/internal/endpoint/http/buffer_test.go
@@ -73,3 +73,24 @@
 	second.Release()
 	assertHeld(t, buffers, 0)
 }
+
+// Guards against an endpoint that sends without end and thereby keeps requests from all
+// other endpoints: only what callers leave unread does.
+func TestOnlyUnreadResponsesKeepRequestsOut(t *testing.T) {
+	buffers := http.NewBuffers(http.BufferLimits{BodyBytes: 100, EventBytes: 100, TotalBytes: 100})
+	body := buffers.Body()
+	if err := body.Hold(90); err != nil {
+		t.Fatal(err)
+	}
+	if buffers.Full() {
+		t.Error("a response that is still received keeps requests out")
+	}
+	body.AwaitCaller()
+	if !buffers.Full() {
+		t.Error("an unread response of 90 of 100 bytes does not keep requests out")
+	}
+	body.Release()
+	if buffers.Full() || buffers.Held() != 0 {
+		t.Errorf("full: %t, %d bytes are held after the release", buffers.Full(), buffers.Held())
+	}
+}
