--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -54,6 +54,7 @@
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
 	EndpointEstimated  = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
+	LoadDecided        = register(2156, zerolog.InfoLevel, "request admitted or refused by the load of the endpoints", "")
 )
 
 // The events of programs.
--- a/internal/policy/overload/controller.go
+++ b/internal/policy/overload/controller.go
@@ -8,15 +8,21 @@
 // Request is what the decision on a request depends on.
 type Request struct {
 	sender    string
-	priority  int
+	priority  float64
 	started   bool
 	objective time.Duration
 }
 
-// NewRequest returns a request of a team on a route with a priority, 0 for the
-// highest, and with whether its program has run a request before.
-func NewRequest(team, route string, priority int, started bool, objective time.Duration) Request {
-	return Request{sender: team + "/" + route, priority: min(max(priority, 0), lowestPriority), started: started, objective: objective}
+// NewRequest returns a request of a team on a route with a priority and with whether
+// its program has run a request before.
+func NewRequest(team, route string, priority float64, started bool, objective time.Duration) Request {
+	return Request{sender: team + "/" + route, priority: clamp(priority, 0, lowestPriority), started: started, objective: objective}
+}
+
+// Priority returns the priority of a request, from 0 for the highest, by those of its
+// team and its route. The team's counts more.
+func Priority(team, route int) float64 {
+	return teamWeight*float64(team) + (1-teamWeight)*float64(route)
 }
 
 // Decision is the decision on a request, with what it was based on.
@@ -31,12 +37,19 @@
 	balance    float64
 }
 
+// Admitted returns the decision to admit a request without any observations.
+func Admitted() Decision { return Decision{admitted: true} }
+
 // Admitted reports whether the request may be sent.
 func (d Decision) Admitted() bool { return d.admitted }
 
 // RetryAfter returns the retry delay of a refused request.
 func (d Decision) RetryAfter() time.Duration { return d.retryAfter }
 
+// Informed reports whether reports and a calm time are known; without them a request
+// is admitted.
+func (d Decision) Informed() bool { return d.slowdown > 0 }
+
 // Load returns the reported load of the endpoints in their slots.
 func (d Decision) Load() float64 { return d.load }
 
@@ -166,7 +179,7 @@
 	if r.started {
 		share = c.params.StartedShare
 	}
-	share -= c.params.PriorityStep * float64(r.priority)
+	share -= c.params.PriorityStep * r.priority
 	return max(1, limit*share*c.senders.fairness(r.sender, now, c.params.FlowAge))
 }
 
@@ -174,7 +187,7 @@
 func (c *Controller) requiredBalance(r Request, load float64, now time.Time) float64 {
 	unfair := 1 - c.senders.fairness(r.sender, now, c.params.FlowAge)
 	backlog := max(0, load-1)
-	return c.params.HighestBalance.Seconds() + backlog*c.params.BacklogBalance.Seconds() + float64(r.priority)*c.params.PriorityBalance.Seconds() + unfair*c.params.UnfairBalance.Seconds()
+	return c.params.HighestBalance.Seconds() + backlog*c.params.BacklogBalance.Seconds() + r.priority*c.params.PriorityBalance.Seconds() + unfair*c.params.UnfairBalance.Seconds()
 }
 
 func (c *Controller) floor(r Request) float64 {
--- a/internal/policy/overload/params.go
+++ b/internal/policy/overload/params.go
@@ -85,6 +85,8 @@
 	minCalm  = 20
 	// lowestPriority is the number of the lowest priority; 0 is the highest.
 	lowestPriority = 9
+	// teamWeight is the weight of the team's priority against that of the route.
+	teamWeight = 0.7
 	// maxSenders is the maximum number of teams and routes that are counted; others
 	// count together.
 	maxSenders = 1024
