--- a/internal/endpoint/forward/admission.go
+++ b/internal/endpoint/forward/admission.go
@@ -40,8 +40,9 @@
 	return overload.NewRequest(team.Team(), route.Name(), overload.Priority(team.Priority(), route.Priority()), d.started(), route.Objective())
 }
 
-// started reports whether the request goes on with what has run already: a program
-// or a stream.
+// started reports whether the request goes on with what has run already: a program,
+// a conversation or a stream.
 func (d *dispatch) started() bool {
-	return d.request.LastEvent() != "" || d.request.Call().Program() != "" && !d.request.FirstOfProgram()
+	call := d.request.Call()
+	return d.request.LastEvent() != "" || call.Parent() != "" || call.Program() != "" && !d.request.FirstOfProgram()
 }
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -53,8 +53,31 @@
 	ResponseOversized  = register(2121, zerolog.WarnLevel, "response given up: it is too long, or the responses in flight hold too much memory", "check the endpoint; if its responses are sound, raise the limit in the settings")
 	LossExplained      = register(2122, zerolog.WarnLevel, "endpoint that broke off the request is gone; it counts as crashed", "check the endpoint; if the same content or resource recurs, check its caller")
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
-	EndpointEstimated  = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
-	LoadDecided        = register(2156, zerolog.InfoLevel, "request admitted or refused by the load of the endpoints", "")
+
+	ChainLoaded        = register(2130, zerolog.InfoLevel, "chain of a conversation searched", "if found is false and no_reply or uncertain is not 0, check the VMs with a disk; see docs/operators/conversations.md")
+	TurnSaved          = register(2131, zerolog.InfoLevel, "turn of a conversation stored before the end of its response, or its response broken off", "if stored is false, check the VMs with a disk")
+	ResponseNoTurn     = register(2132, zerolog.InfoLevel, "response on a route with conversations is no turn: it is no stream, the end of a resumed one, without an ID, or too long", "if it is too long, raise limits.max_chain_bytes")
+	DiskVMUnresponsive = register(2133, zerolog.WarnLevel, "VM with a disk does not respond; it is skipped for turns of conversations", "check the VM")
+	DiskVMResponsive   = register(2134, zerolog.InfoLevel, "VM with a disk responds again", "")
+)
+
+// The events of stored conversations at VMs with a disk.
+var (
+	TurnStoreOpened   = register(2140, zerolog.InfoLevel, "store of conversations opened", "")
+	TurnStoreFailed   = register(2141, zerolog.ErrorLevel, "store of conversations could not be opened; this is retried", "check the disk")
+	TurnNotStored     = register(2142, zerolog.WarnLevel, "turns can't be stored on this VM's disk; other VMs store them", "check the disk; if it has space, raise disk.conversations_mb")
+	TurnsStored       = register(2143, zerolog.InfoLevel, "turns are stored on this VM's disk again", "")
+	TurnUnreadable    = register(2144, zerolog.ErrorLevel, "turns could not be read from the disk", "check the disk")
+	SegmentNotRemoved = register(2145, zerolog.WarnLevel, "expired turns could not be removed from the disk", "check the disk")
+	RepairDelayed     = register(2146, zerolog.WarnLevel, "turns of another VM could not be read or stored; repair goes on later", "check the other VM and the network")
+	TurnsCertain      = register(2147, zerolog.InfoLevel, "VM holds each turn that it should; it replies that others do not exist", "")
+	TurnsUncertain    = register(2148, zerolog.WarnLevel, "VM may lack turns; it does not reply that turns do not exist", "check the VMs that do not respond")
+)
+
+// The events of choosing endpoints and of overload.
+var (
+	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
+	LoadDecided       = register(2156, zerolog.InfoLevel, "request admitted or refused by the load of the endpoints", "")
 )
 
 // The events of programs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/proxy"
+	"hawthornrail.example/hawthornrail/internal/conversation/client"
 	"hawthornrail.example/hawthornrail/internal/endpoint/admission"
 	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
@@ -44,6 +45,8 @@
 	// abortTimeout is the part of it in which the callers of requests that have not
 	// ended are told.
 	abortTimeout = 500 * time.Millisecond
+	// turnTimeout is the part of it in which copies of turns are still made.
+	turnTimeout = 300 * time.Millisecond
 )
 
 // entry is the running process.
@@ -52,6 +55,7 @@
 	server   *proxy.Server
 	streams  *streams.Controller
 	detours  *detour.Server
+	turns    *client.Client
 	draining atomic.Bool
 }
 
@@ -95,9 +99,12 @@
 		newContact,
 		newForwarder,
 		newDetourServer,
+		func() *metrics.Conversations { return metrics.NewConversations(n.Metrics()) },
+		newTurns,
+		newConversations,
 		newServer,
-		func(s *proxy.Server, o *streams.Controller, d *detour.Server) *entry {
-			return &entry{node: n, server: s, streams: o, detours: d}
+		func(s *proxy.Server, o *streams.Controller, d *detour.Server, c *client.Client) *entry {
+			return &entry{node: n, server: s, streams: o, detours: d, turns: c}
 		},
 	}
 	for _, p := range providers {
@@ -171,15 +178,48 @@
 	})
 }
 
-func newServer(n *node.Node, f *forward.Forwarder, a hawthornrail.Accounts, q hawthornrail.Quarantine, r *trail.Recorder, m *metrics.Forwards) *proxy.Server {
-	chain := proxy.Chain(f,
+func newTurns(n *node.Node, m *metrics.Conversations) *client.Client {
+	c := client.New(client.Dependencies{
+		DataCentre: n.Settings().DataCentre(), DataCentres: n.Settings().DataCentres(), ToleratedDiskLosses: n.Settings().ToleratedDiskLosses(),
+		Config: n.Config(), Freshness: n.Freshness(), Invoker: client.NewStreams(n.DirectClient(), n.RelayClient()), Clock: n.Clock(), Log: n.Log().Layer("conversation"), Metrics: m,
+		BackgroundBytes: n.Settings().BackgroundTurnBytes(),
+	})
+	metrics.Gauge(n.Metrics(), "conversations.background_bytes", c.Background)
+	return c
+}
+
+func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
+	filter := proxy.NewConversations(proxy.ConversationDependencies{
+		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().HeldTurnBytes(),
+	})
+	metrics.Gauge(n.Metrics(), "conversations.held_bytes", filter.Held)
+	return filter
+}
+
+// serverIn are the dependencies of the server for callers.
+type serverIn struct {
+	dig.In
+
+	Node          *node.Node
+	Forwarder     *forward.Forwarder
+	Accounts      hawthornrail.Accounts
+	Quarantine    hawthornrail.Quarantine
+	Conversations *proxy.Conversations
+	Recorder      *trail.Recorder
+	Forwards      *metrics.Forwards
+}
+
+func newServer(in serverIn) *proxy.Server {
+	n := in.Node
+	chain := proxy.Chain(in.Forwarder,
 		proxy.NewIdentify(n.Config(), n.Freshness()),
-		proxy.NewQuarantine(q),
-		proxy.NewBudget(a, n.Config()),
-		proxy.NewAdmit(n.Rates(), n.Clock(), m),
+		proxy.NewQuarantine(in.Quarantine),
+		in.Conversations,
+		proxy.NewBudget(in.Accounts, n.Config()),
+		proxy.NewAdmit(n.Rates(), n.Clock(), in.Forwards),
 	)
 	return proxy.New(proxy.Dependencies{
-		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: r, Forwards: m,
+		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: in.Recorder, Forwards: in.Forwards,
 		MaxHeaderBytes: n.Settings().MaxHeaderBytes(), MaxBodyBytes: n.Settings().MaxBodyBytes(),
 	})
 }
@@ -247,6 +287,9 @@
 		n.Log().Event(events.DrainTimedOut).Int("requests", e.server.InFlight()).Err(err).Emit()
 		e.server.Abort(abortTimeout)
 	}
+	ctx, cancelTurns := context.WithTimeout(context.Background(), turnTimeout)
+	defer cancelTurns()
+	e.turns.Wait(ctx)
 	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
 	n.Stop()
 }
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -18,6 +18,7 @@
 	defaultMaxResponseHeaderBytes = 64 << 10
 	defaultMaxResponseBodyBytes   = 4 << 20
 	defaultMaxEventBytes          = 256 << 10
+	defaultMaxChainBytes          = 16 << 20
 	// responseShare is the fraction of the memory limit that responses in flight may
 	// hold.
 	responseShare   = 8
@@ -25,8 +26,18 @@
 	defaultSample   = 100
 	defaultMemoryMB = 128
 	defaultInForce  = 2 * time.Second
+	// chainBytesBound leaves room for a chain in a message between VMs.
+	chainBytesBound = 32 << 20
+	// conversationShare is the part of the memory limit, one in so many bytes, from which
+	// on the turns in flight let no further chain be loaded, and backgroundShare that of
+	// the turns that are stored after the end of their responses.
+	conversationShare = 8
+	backgroundShare   = 32
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
+	// defaultConversationsMB is half of the smallest disk of a deployment, 260 MB. The
+	// journal of accounts needs 64 MB while it is compacted.
+	defaultConversationsMB = 128
 	// requestLineBytes is the size that is allowed for a request line in addition
 	// to the header fields.
 	requestLineBytes = 4 << 10
@@ -72,6 +83,8 @@
 type diskSection struct {
 	Folder     string `toml:"folder"`
 	FirstStart bool   `toml:"first_start"`
+
+	ConversationsMB int `toml:"conversations_mb"`
 }
 
 type limitsSection struct {
@@ -82,6 +95,7 @@
 	MaxResponseHeaderBytes int `toml:"max_response_header_bytes"`
 	MaxResponseBodyBytes   int `toml:"max_response_body_bytes"`
 	MaxEventBytes          int `toml:"max_event_bytes"`
+	MaxChainBytes          int `toml:"max_chain_bytes"`
 }
 
 type configSection struct {
@@ -126,8 +140,9 @@
 	f := file{
 		Limits: limitsSection{
 			MaxHeaderBytes: defaultMaxHeaderBytes, MaxBodyBytes: defaultMaxBodyBytes, MemoryMB: defaultMemoryMB,
-			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes,
+			MaxResponseHeaderBytes: defaultMaxResponseHeaderBytes, MaxChainBytes: defaultMaxChainBytes,
 		},
+		Disk:           diskSection{ConversationsMB: defaultConversationsMB},
 		FaultTolerance: faultToleranceSection{Disks: defaultToleratedDisks},
 		Config:         configSection{InForceMS: float64(defaultInForce.Milliseconds())},
 		Log:            logSection{Sample: defaultSample},
@@ -169,6 +184,8 @@
 	share := f.Limits.responseBytes()
 	require(f.Limits.MaxResponseBodyBytes > 0 && f.Limits.MaxResponseBodyBytes <= share, "limits.max_response_body_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
+	require(f.Limits.MaxChainBytes > 0 && f.Limits.MaxChainBytes <= chainBytesBound, "limits.max_chain_bytes", "a positive number, 32 MiB at most")
+	require(f.Disk.ConversationsMB > 0, "disk.conversations_mb", "a positive number")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
@@ -231,6 +248,9 @@
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.file.Disk.FirstStart }
 
+// ConversationBytes returns the maximum size of the stored conversations.
+func (s Settings) ConversationBytes() int64 { return int64(s.file.Disk.ConversationsMB) << 20 }
+
 // MaxHeaderBytes returns the maximum size of a request's line and header fields.
 func (s Settings) MaxHeaderBytes() int { return s.file.Limits.MaxHeaderBytes + requestLineBytes }
 
@@ -251,6 +271,17 @@
 // MaxBodyBytes returns the maximum size of a request's body.
 func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
 
+// MaxChainBytes returns the maximum size of the chain of a conversation with the new input.
+func (s Settings) MaxChainBytes() int64 { return int64(s.file.Limits.MaxChainBytes) }
+
+// HeldTurnBytes returns the size of the turns in flight from which on no further chain is
+// loaded.
+func (s Settings) HeldTurnBytes() int64 { return s.MemoryBytes() / conversationShare }
+
+// BackgroundTurnBytes returns how many bytes of turns may be stored after the end of their
+// responses.
+func (s Settings) BackgroundTurnBytes() int64 { return s.MemoryBytes() / backgroundShare }
+
 // MemoryBytes returns the memory limit of the process.
 func (s Settings) MemoryBytes() int64 { return int64(s.file.Limits.MemoryMB) << 20 }
 
