Learn the rate of new programs without the bias of a start

The decaying count of new programs was divided by its whole time constant of 15 s, also seconds after the start of a VM, so that the rate was learnt as half of what it was; a test of priorities with a known rate showed it (credit of 15 programs a second instead of 32).

The rate now covers the time since the first program, 0.6 of the extrapolation counts, and a backlog asks for more credit, the more the lower the priority.

--- a/internal/policy/overload/controller.go
+++ b/internal/policy/overload/controller.go
@@ -117,7 +117,7 @@
 	if load, ok := c.load.mean(); ok && load <= c.params.CalmLoad {
 		c.calmCount++
 		c.calm += max(calmGain, 1/float64(c.calmCount)) * (took.Seconds() - c.calm)
-		c.programs.learn(now, c.params.LearnAge)
+		c.programs.learn(now, c.params.LearnAge, c.params.FullLoadShare)
 	}
 }
 
@@ -185,9 +185,10 @@
 
 // requiredBalance is the balance of credit from which a new program is admitted.
 func (c *Controller) requiredBalance(r Request, load float64, now time.Time) float64 {
-	unfair := 1 - c.senders.fairness(r.sender, now, c.params.FlowAge)
-	backlog := max(0, load-1)
-	return c.params.HighestBalance.Seconds() + backlog*c.params.BacklogBalance.Seconds() + r.priority*c.params.PriorityBalance.Seconds() + unfair*c.params.UnfairBalance.Seconds()
+	p := c.params
+	unfair := 1 - c.senders.fairness(r.sender, now, p.FlowAge)
+	backlog := max(0, load-1) * (p.BacklogBalance.Seconds() + r.priority*p.BacklogPriority.Seconds())
+	return p.HighestBalance.Seconds() + r.priority*p.PriorityBalance.Seconds() + backlog + unfair*p.UnfairBalance.Seconds()
 }
 
 func (c *Controller) floor(r Request) float64 {
--- a/internal/policy/overload/mean.go
+++ b/internal/policy/overload/mean.go
@@ -9,6 +9,7 @@
 type decaying struct {
 	sum       float64
 	weight    float64
+	firstAt   time.Time
 	updatedAt time.Time
 }
 
@@ -17,6 +18,9 @@
 }
 
 func (d *decaying) add(v float64, now time.Time, age time.Duration) {
+	if d.firstAt.IsZero() {
+		d.firstAt = now
+	}
 	keep := decay(d.updatedAt, now, age)
 	d.sum, d.weight, d.updatedAt = d.sum*keep+v, d.weight*keep+1, now
 }
@@ -40,9 +44,14 @@
 	return d.weight * decay(d.updatedAt, now, age)
 }
 
-// rate is the number of terms in a second.
+// rate is the number of terms in a second. Until there have been terms for longer than
+// age, it is that of the time since the first one.
 func (d *decaying) rate(now time.Time, age time.Duration) float64 {
-	return d.count(now, age) / age.Seconds()
+	covered := age.Seconds() * (1 - decay(d.firstAt, now, age))
+	if covered <= 0 {
+		return 0
+	}
+	return d.count(now, age) / covered
 }
 
 func clamp(v, lowest, highest float64) float64 { return min(max(v, lowest), highest) }
--- a/internal/policy/overload/params.go
+++ b/internal/policy/overload/params.go
@@ -23,6 +23,10 @@
 	// StartSlowdown is the duration of requests from which a VM refuses any, in
 	// durations of a calm time.
 	StartSlowdown float64
+	// FullLoadShare is the fraction of the rate of new programs, extrapolated from calm
+	// times to full slots, that endpoints can take. Full batches are slower, and the
+	// backlog that arises before an overload is noticed takes work too.
+	FullLoadShare float64
 	// MaxCredit bounds the credit for new programs, and MaxDebt that which they have had
 	// in advance, as a time at the rate of new programs that endpoints can take.
 	MaxCredit time.Duration
@@ -33,8 +37,10 @@
 	HighestBalance  time.Duration
 	PriorityBalance time.Duration
 	UnfairBalance   time.Duration
-	// BacklogBalance is what a load of as many requests as slots, above one, adds.
-	BacklogBalance time.Duration
+	// BacklogBalance is what a load of as many requests as slots, above one, adds for
+	// the highest priority, and BacklogPriority what each level of priority adds to it.
+	BacklogBalance  time.Duration
+	BacklogPriority time.Duration
 	// StartedShare and NewShare are the requests of started and of new programs that
 	// may be in flight, in those that endpoints complete within the target.
 	StartedShare float64
@@ -69,9 +75,9 @@
 func DefaultParams() Params {
 	return Params{
 		HighLoad: 1.5, StartExcess: 5, EndLoad: 1.1, CalmLoad: 0.9, LowTarget: 1.5, HighTarget: 3, ObjectiveShare: 0.5, StartSlowdown: 1.4,
-		MaxCredit: time.Second, MaxDebt: 4 * time.Second, LearnAge: 15 * time.Second,
+		FullLoadShare: 0.6, MaxCredit: time.Second, MaxDebt: 4 * time.Second, LearnAge: 15 * time.Second,
 		HighestBalance: -time.Second, PriorityBalance: 100 * time.Millisecond, UnfairBalance: time.Second,
-		BacklogBalance: time.Second, StartedShare: 2.5, NewShare: 1.5, PriorityStep: 0.05, StartedFloor: 0.1, NewFloor: 0.02,
+		BacklogBalance: 2 * time.Second, BacklogPriority: 650 * time.Millisecond, StartedShare: 2.5, NewShare: 1.5, PriorityStep: 0.05, StartedFloor: 0.1, NewFloor: 0.02,
 		SignalAge: time.Second, SignalSamples: 20, FlowAge: 500 * time.Millisecond, MaxSilence: time.Second,
 		MinRetryAfter: 300 * time.Millisecond, MaxRetryAfter: 8 * time.Second,
 		RefusedAge: 3 * time.Second, SpareShare: 0.25,
--- a/internal/policy/overload/programs.go
+++ b/internal/policy/overload/programs.go
@@ -23,13 +23,13 @@
 func (p *programs) report(load float64, now time.Time, age time.Duration) { p.load.add(load, now, age) }
 
 // learn updates the rate, in a calm time: the load rises in proportion to new programs.
-func (p *programs) learn(now time.Time, age time.Duration) {
+func (p *programs) learn(now time.Time, age time.Duration, share float64) {
 	load, ok := p.load.mean()
 	if !ok || load <= 0 {
 		return
 	}
 	p.samples++
-	p.perSecond += max(calmGain, 1/float64(p.samples)) * (p.starts.rate(now, age)/load - p.perSecond)
+	p.perSecond += max(calmGain, 1/float64(p.samples)) * (share*p.starts.rate(now, age)/load - p.perSecond)
 }
 
 // refill adds the credit of the time since the last call.
