--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	nethttp "net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 )
 
 const (
@@ -41,6 +43,8 @@
 	refusedBy []string
 	// entered is when the request was admitted, or zero once it has ended.
 	entered time.Time
+	// messageReserved is set once the memory of a message to another VM is reserved.
+	messageReserved bool
 }
 
 // attempt is one send of a request to one endpoint, or through another VM.
@@ -81,7 +85,11 @@
 	for {
 		a, err := d.try(ctx)
 		if err == nil {
-			return a, nil
+			err = http.CheckStatus(a.exchange.Status())
+			if err == nil {
+				return a, nil
+			}
+			err = d.failMayHaveRun(ctx, a, err)
 		}
 		if !d.mayRetry(ctx, err) {
 			return nil, d.withEarlierRuns(err)
@@ -93,7 +101,7 @@
 
 // mayRetry reports whether the request may be sent again after err.
 func (d *dispatch) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft {
+	if ctx.Err() != nil || d.progress.Sends() >= maxSends || d.timeLeft() < minTimeLeft || errors.Is(err, memory.ErrFull) {
 		return false
 	}
 	if d.progress.Exhausted(d.request.Route().Attempts()) {
@@ -210,9 +218,13 @@
 		q = q.WithVersion(version)
 	}
 	if next := d.progress.NextEndpoint(); next != "" {
-		if e, ok := d.deps.Config.Snapshot().Endpoint(next); ok && q.Allows(e) {
+		e, listed, err := d.deps.Pool.PickNamed(next, q)
+		if err != nil {
+			return nil, err
+		}
+		if listed {
 			d.progress.SetNextEndpoint("")
-			return &attempt{endpoint: d.deps.Pool.RecordSent(e, q), query: q}, nil
+			return &attempt{endpoint: e, query: q}, nil
 		}
 	}
 	e, err := d.deps.Pool.Pick(q)
@@ -321,10 +333,10 @@
 	return a.pace > 0 && a.exchange != nil && a.exchange.Status() == statusOK && d.progress.LastEvent() == ""
 }
 
-// readWhole reads a response to its end before any of it reaches the caller.
+// readWhole reads a response to its end before any of it reaches the caller; its body is
+// held until the response is released.
 func (d *dispatch) readWhole(ctx context.Context, a *attempt) (*hawthornrail.ForwardResponse, error) {
 	buffer := d.deps.Buffers.Body()
-	defer buffer.Release()
 	for {
 		body, err := buffer.ReadAll(a.exchange)
 		if err == nil && d.brokenOff(a) {
@@ -333,8 +345,9 @@
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
-			return response, nil
+			return response.WithRelease(buffer.Release), nil
 		}
+		buffer.Release()
 		err = d.failMayHaveRun(ctx, a, err)
 		if !d.mayRetry(ctx, err) {
 			return nil, err
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -26,6 +28,7 @@
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
+	"hawthornrail.example/hawthornrail/internal/policy/memory"
 	"hawthornrail.example/hawthornrail/internal/policy/overload"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/detour"
@@ -47,6 +50,9 @@
 	abortTimeout = 500 * time.Millisecond
 	// turnTimeout is the part of it in which copies of turns are still made.
 	turnTimeout = 300 * time.Millisecond
+	// callerDescriptorShare is the fraction of the descriptors, as a divisor, that
+	// connections of callers may use; the others are for endpoints and VMs.
+	callerDescriptorShare = 2
 )
 
 // entry is the running process.
@@ -62,6 +68,9 @@
 // Run serves until ctx is done or a listener fails, then shuts down gracefully.
 func Run(ctx context.Context, s machine.Settings, a node.Adapter) error {
 	kinds := []string{a.Kinds.Config, a.Kinds.Endpoints, a.Kinds.VMs}
+	if s.EvacuationsInForce() > 0 {
+		kinds = append(kinds, a.Kinds.Evacuations)
+	}
 	n := node.New(s, a, s.VM(), kinds)
 	c, err := container(n)
 	if err != nil {
@@ -91,6 +100,7 @@
 		func() *pool.Pool {
 			return pool.New(n.Config(), n.Clock(), n.Settings().DataCentre(), n.Settings().VM(), policy.ForwardParams())
 		},
+		func() *memory.Budget { return memory.NewBudget(n.Settings().RequestBytes()) },
 		newAccounts,
 		func() hawthornrail.Quarantine { return n.Suspects() },
 		newStreams,
@@ -166,15 +176,17 @@
 	n := in.Node
 	metrics.Gauge(n.Metrics(), "endpoints.dialed", in.Transport.Dialed)
 	metrics.Gauge(n.Metrics(), "endpoints.held_bytes", in.Buffers.Held)
+	metrics.Gauge(n.Metrics(), "endpoints.refused_evacuated", in.Pool.EvacuatedRefusals)
+	metrics.Gauge(n.Metrics(), "endpoints.refused_limited", in.Pool.LimitRefusals)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Buffers: in.Buffers, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
 		Admission: admission.New(n.Clock(), overload.DefaultParams()), Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
 	})
 }
 
-func newDetourServer(n *node.Node, f *forward.Forwarder, c *contact.Tracker, r *trail.Recorder) *detour.Server {
+func newDetourServer(n *node.Node, f *forward.Forwarder, c *contact.Tracker, r *trail.Recorder, m *memory.Budget) *detour.Server {
 	return detour.NewServer(detour.ServerDependencies{
-		Handler: f, Contact: c, Clock: n.Clock(), Recorder: r, MemoryBytes: n.Settings().MemoryBytes(),
+		Handler: f, Contact: c, Clock: n.Clock(), Recorder: r, MemoryBytes: n.Settings().MemoryBytes(), Memory: m,
 	})
 }
 
@@ -189,11 +201,9 @@
 }
 
 func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
-	filter := proxy.NewConversations(proxy.ConversationDependencies{
-		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(), MaxHeldBytes: n.Settings().HeldTurnBytes(),
+	return proxy.NewConversations(proxy.ConversationDependencies{
+		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(),
 	})
-	metrics.Gauge(n.Metrics(), "conversations.held_bytes", filter.Held)
-	return filter
 }
 
 // serverIn are the dependencies of the server for callers.
@@ -207,10 +217,14 @@
 	Conversations *proxy.Conversations
 	Recorder      *trail.Recorder
 	Forwards      *metrics.Forwards
+	Memory        *memory.Budget
+	Buffers       *endpointhttp.Buffers
 }
 
 func newServer(in serverIn) *proxy.Server {
 	n := in.Node
+	metrics.Gauge(n.Metrics(), "requests.held_bytes", in.Memory.Held)
+	metrics.Gauge(n.Metrics(), "requests.evicted", in.Memory.Evicted)
 	chain := proxy.Chain(in.Forwarder,
 		proxy.NewIdentify(n.Config(), n.Freshness()),
 		proxy.NewQuarantine(in.Quarantine),
@@ -219,11 +233,22 @@
 		proxy.NewAdmit(n.Rates(), n.Clock(), in.Forwards),
 	)
 	return proxy.New(proxy.Dependencies{
-		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: in.Recorder, Forwards: in.Forwards,
+		Handler: chain, Codec: n.Adapter().Callers, Clock: n.Clock(), Recorder: in.Recorder, Forwards: in.Forwards, Log: n.Log().Layer("caller"),
+		Memory: in.Memory, ResponsesFull: in.Buffers.Full,
 		MaxHeaderBytes: n.Settings().MaxHeaderBytes(), MaxBodyBytes: n.Settings().MaxBodyBytes(),
+		MaxConnections: min(n.Settings().MaxConnections(), descriptorLimit()/callerDescriptorShare),
 	})
 }
 
+// descriptorLimit returns how many descriptors the process may open.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 func (e *entry) run(ctx context.Context) error {
 	n := e.node
 	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
--- a/internal/operator/machine/settings.go
+++ b/internal/operator/machine/settings.go
@@ -21,18 +21,21 @@
 	defaultMaxChainBytes          = 16 << 20
 	// responseShare is the fraction of the memory limit that responses in flight may
 	// hold.
-	responseShare   = 8
-	defaultGrace    = 8 * time.Second
-	defaultSample   = 100
-	defaultMemoryMB = 128
-	defaultInForce  = 2 * time.Second
+	responseShare = 8
+	// requestShare is the fraction of the memory limit that requests in flight may hold.
+	requestShare = 4
+	// connectionsPerMB is the default of the open connections of callers for each MB of the
+	// memory limit: an idle one holds 8 KB at most.
+	connectionsPerMB = 16
+	defaultGrace     = 8 * time.Second
+	defaultSample    = 100
+	defaultMemoryMB  = 128
+	defaultInForce   = 2 * time.Second
 	// chainBytesBound leaves room for a chain in a message between VMs.
 	chainBytesBound = 32 << 20
-	// conversationShare is the part of the memory limit, one in so many bytes, from which
-	// on the turns in flight let no further chain be loaded, and backgroundShare that of
-	// the turns that are stored after the end of their responses.
-	conversationShare = 8
-	backgroundShare   = 32
+	// backgroundShare is the fraction of the memory limit, as a divisor, that turns may hold
+	// which are stored after the end of their responses.
+	backgroundShare = 32
 	// defaultToleratedDisks is the number of disks that may be lost at once.
 	defaultToleratedDisks = 1
 	// defaultConversationsMB is half of the smallest disk of a deployment, 260 MB. The
@@ -53,6 +56,7 @@
 	Limits limitsSection `toml:"limits"`
 	Config configSection `toml:"config"`
 
+	Evacuations    evacuationsSection    `toml:"evacuations"`
 	FaultTolerance faultToleranceSection `toml:"fault_tolerance"`
 
 	Log      logSection      `toml:"log"`
@@ -96,12 +100,19 @@
 	MaxResponseBodyBytes   int `toml:"max_response_body_bytes"`
 	MaxEventBytes          int `toml:"max_event_bytes"`
 	MaxChainBytes          int `toml:"max_chain_bytes"`
+
+	MaxConnections int `toml:"max_connections"`
 }
 
 type configSection struct {
 	InForceMS float64 `toml:"in_force_ms"`
 }
 
+// evacuationsSection has no default: without it evacuations are not watched.
+type evacuationsSection struct {
+	InForceMS float64 `toml:"in_force_ms"`
+}
+
 type faultToleranceSection struct {
 	Disks int `toml:"disks"`
 }
@@ -186,7 +197,9 @@
 	require(f.Limits.MaxEventBytes > 0 && f.Limits.MaxEventBytes <= share, "limits.max_event_bytes", "a positive number, an eighth of limits.memory_mb at most")
 	require(f.Limits.MaxChainBytes > 0 && f.Limits.MaxChainBytes <= chainBytesBound, "limits.max_chain_bytes", "a positive number, 32 MiB at most")
 	require(f.Disk.ConversationsMB > 0, "disk.conversations_mb", "a positive number")
+	require(f.Limits.MaxConnections > 0, "limits.max_connections", "a positive number")
 	require(f.Config.InForceMS > 0, "config.in_force_ms", "a positive number")
+	require(f.Evacuations.InForceMS >= 0, "evacuations.in_force_ms", "a number that is not negative")
 	require(f.FaultTolerance.Disks >= 0, "fault_tolerance.disks", "a number that is not negative")
 	require(f.Log.Sample > 0, "log.sample", "a positive number")
 	require(f.Shutdown.GraceMS > 0, "shutdown.grace_ms", "a positive number")
@@ -204,6 +217,9 @@
 	if !meta.IsDefined("limits", "max_event_bytes") {
 		l.MaxEventBytes = min(defaultMaxEventBytes, l.responseBytes())
 	}
+	if !meta.IsDefined("limits", "max_connections") {
+		l.MaxConnections = connectionsPerMB * l.MemoryMB
+	}
 }
 
 // responseBytes returns how many bytes responses in flight may hold.
@@ -268,16 +284,18 @@
 // ResponseBytes returns how many bytes responses in flight may hold together.
 func (s Settings) ResponseBytes() int64 { return int64(s.file.Limits.responseBytes()) }
 
+// RequestBytes returns how many bytes requests in flight may hold together.
+func (s Settings) RequestBytes() int64 { return s.MemoryBytes() / requestShare }
+
+// MaxConnections returns the maximum number of open connections of callers.
+func (s Settings) MaxConnections() int { return s.file.Limits.MaxConnections }
+
 // MaxBodyBytes returns the maximum size of a request's body.
 func (s Settings) MaxBodyBytes() int { return s.file.Limits.MaxBodyBytes }
 
 // MaxChainBytes returns the maximum size of the chain of a conversation with the new input.
 func (s Settings) MaxChainBytes() int64 { return int64(s.file.Limits.MaxChainBytes) }
 
-// HeldTurnBytes returns the size of the turns in flight from which on no further chain is
-// loaded.
-func (s Settings) HeldTurnBytes() int64 { return s.MemoryBytes() / conversationShare }
-
 // BackgroundTurnBytes returns how many bytes of turns may be stored after the end of their
 // responses.
 func (s Settings) BackgroundTurnBytes() int64 { return s.MemoryBytes() / backgroundShare }
@@ -291,6 +309,12 @@
 	return time.Duration(s.file.Config.InForceMS * float64(time.Millisecond))
 }
 
+// EvacuationsInForce returns how long an evacuation of a data centre may take until it
+// is in force, or 0 if evacuations are not watched.
+func (s Settings) EvacuationsInForce() time.Duration {
+	return time.Duration(s.file.Evacuations.InForceMS * float64(time.Millisecond))
+}
+
 // ToleratedDiskLosses returns how many disks may be lost at once without a loss of data.
 func (s Settings) ToleratedDiskLosses() int { return s.file.FaultTolerance.Disks }
 
--- a/internal/operator/machine/settings_test.go
+++ b/internal/operator/machine/settings_test.go
@@ -44,6 +44,16 @@
 		}
 		assertProblem(t, valid+"[config]\nin_force_ms = 0\n", "config.in_force_ms: want a positive number")
 	})
+	t.Run("time until an evacuation is in force", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[evacuations]\nin_force_ms = 5000\n")
+		if err != nil || s.EvacuationsInForce() != 5*time.Second {
+			t.Errorf("got %v %v, want 5s", s.EvacuationsInForce(), err)
+		}
+		if s, err = machine.Parse(valid); err != nil || s.EvacuationsInForce() != 0 {
+			t.Errorf("got %v %v, want that evacuations are not watched", s.EvacuationsInForce(), err)
+		}
+		assertProblem(t, valid+"[evacuations]\nin_force_ms = -1\n", "evacuations.in_force_ms: want a number")
+	})
 	t.Run("size of responses", func(t *testing.T) {
 		s, err := machine.Parse(valid + "[limits]\nmemory_mb = 16\n")
 		if err != nil || s.MaxResponseBodyBytes() != 2<<20 || s.ResponseBytes() != 2<<20 || s.MaxEventBytes() != 256<<10 {
@@ -52,6 +62,28 @@
 		assertProblem(t, valid+"[limits]\nmax_response_body_bytes = 20000000\n", "limits.max_response_body_bytes")
 		assertProblem(t, valid+"[limits]\nmax_event_bytes = 0\n", "limits.max_event_bytes")
 	})
+	t.Run("memory of requests", func(t *testing.T) {
+		s, err := machine.Parse(valid + "[limits]\nmemory_mb = 88\n")
+		if err != nil || s.RequestBytes() != 22<<20 || s.MaxConnections() != 1408 {
+			t.Errorf("%d bytes, %d connections, error %v", s.RequestBytes(), s.MaxConnections(), err)
+		}
+		s, err = machine.Parse(valid + "[limits]\nmax_connections = 7\n")
+		if err != nil || s.MaxConnections() != 7 {
+			t.Errorf("%d connections, error %v", s.MaxConnections(), err)
+		}
+		assertProblem(t, valid+"[limits]\nmax_connections = 0\n", "limits.max_connections: want a positive number")
+	})
+	t.Run("size of stored conversations", func(t *testing.T) {
+		s, err := machine.Parse(valid)
+		if err != nil || s.ConversationBytes() != 128<<20 {
+			t.Errorf("default of %d bytes, error %v", s.ConversationBytes(), err)
+		}
+		s, err = machine.Parse(valid + "[disk]\nconversations_mb = 64\n")
+		if err != nil || s.ConversationBytes() != 64<<20 {
+			t.Errorf("%d bytes, error %v", s.ConversationBytes(), err)
+		}
+		assertProblem(t, valid+"[disk]\nconversations_mb = 0\n", "disk.conversations_mb")
+	})
 	t.Run("unknown key", func(t *testing.T) { assertProblem(t, valid+"[log]\nsamples = 1\n", "log.samples: unknown key") })
 	t.Run("wrong type", func(t *testing.T) { assertProblem(t, valid+"[log]\nsample = \"x\"\n", "sample") })
 	t.Run("address without a port", func(t *testing.T) { assertProblem(t, valid+"[peer]\nseeds = [\"127.0.0.1\"]\n", "peer.seeds") })
--- a/internal/policy/endpoint/speed_test.go
+++ b/internal/policy/endpoint/speed_test.go
@@ -12,7 +12,7 @@
 // learn records a request of an endpoint that reports a pace.
 func learn(table *endpoint.Table, name string, prompt, generated int, pace float64, took time.Duration, now time.Time) {
 	q := query("", prompt)
-	table.RecordSent(name, q, now)
+	table.ChooseNamed(name, q, now)
 	table.Report(name, endpoint.NewReport(0, 1, 0, 0).WithPace(pace), now)
 	table.Learn(name, q, endpoint.NewSample(generated, pace, took), now)
 	table.Done(name, endpoint.Served, took, now)
