--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -41,6 +41,8 @@
 	unreached []string
 	// refusedBy are the VMs that did not take the request.
 	refusedBy []string
+	// entered is when the request was admitted, or zero once it has ended.
+	entered time.Time
 	// messageReserved is set once the memory of a message to another VM is reserved.
 	messageReserved bool
 	// entered is when the request was admitted, or zero once it has ended.
@@ -345,6 +347,7 @@
 		if err == nil {
 			response := hawthornrail.NewForwardResponse(a.exchange.Status(), a.exchange.EndToEnd(), body).WithVersion(d.versionOf(a))
 			d.finish(a, nil, 0)
+			buffer.AwaitCaller()
 			return response.WithRelease(buffer.Release), nil
 		}
 		buffer.Release()
