--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -41,8 +41,6 @@
 	unreached []string
 	// refusedBy are the VMs that did not take the request.
 	refusedBy []string
-	// entered is when the request was admitted, or zero once it has ended.
-	entered time.Time
 	// messageReserved is set once the memory of a message to another VM is reserved.
 	messageReserved bool
 	// entered is when the request was admitted, or zero once it has ended.
