Revert early refusal under overload

It applies only to services whose endpoints report a pace, and the collapse was seen on one whose endpoints report none.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -43,8 +43,6 @@
 	refusedBy []string
 	// messageReserved is set once the memory of a message to another VM is reserved.
 	messageReserved bool
-	// entered is when the request was admitted, or zero once it has ended.
-	entered time.Time
 }
 
 // attempt is one send of a request to one endpoint, or through another VM.
@@ -264,9 +262,6 @@
 		d.deps.Pool.Report(a.endpoint, endpoint.NewReport(reading.Waiting, reading.Running, 0, d.service.MemoryTokens()).WithPace(reading.Pace))
 		a.pace = reading.Pace
 	}
-	if reading.Pace > 0 {
-		d.deps.Admission.Report(d.service.Name(), reading.Running, reading.Waiting, reading.Slots)
-	}
 	if reading.InvalidLoad != "" {
 		d.logEvent(events.LoadUnreadable).Str("endpoint", a.endpoint.Name()).Str("load", reading.InvalidLoad).Emit()
 	}
--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -7,7 +7,6 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
-	"hawthornrail.example/hawthornrail/internal/endpoint/admission"
 	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/http"
 	"hawthornrail.example/hawthornrail/internal/endpoint/pool"
@@ -37,8 +36,6 @@
 	Codec    hawthornrail.EndpointCodec
 	Clock    hawthornrail.Clock
 	Forwards *metrics.Forwards
-	// Admission refuses requests while endpoints are overloaded.
-	Admission *admission.Gate
 	// Quarantine decides which requests are sent to endpoints.
 	Quarantine hawthornrail.Quarantine
 	// Origins knows which version of a service began a stream.
@@ -69,14 +66,7 @@
 	if err := f.chooseService(ctx, d); err != nil {
 		return nil, err
 	}
-	if err := d.enter(); err != nil {
-		return nil, err
-	}
-	response, err := d.respond(ctx)
-	if err != nil || response.Stream() == nil {
-		d.leave(err)
-	}
-	return response, err
+	return d.respond(ctx)
 }
 
 // ForwardFor is like Forward for a request of another VM, which has chosen its service.
--- a/internal/endpoint/forward/stream.go
+++ b/internal/endpoint/forward/stream.go
@@ -153,7 +153,6 @@
 	s.splitter.partial = nil
 	s.held.Release()
 	s.dispatch.finish(s.attempt, err, s.splitter.count*s.dispatch.service.TokensPerEvent())
-	s.dispatch.leave(err)
 }
 
 // interrupted returns a failure without its cause: the end of a connection, io.EOF,
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -83,10 +83,9 @@
 	ConnectionsRefused = register(2152, zerolog.WarnLevel, "connections of callers refused since the previous line: too many are open", "check the callers of the VM; if they are sound, raise limits.max_connections")
 )
 
-// The events of choosing endpoints and of overload.
+// The events of choosing endpoints.
 var (
 	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
-	LoadDecided       = register(2156, zerolog.InfoLevel, "request admitted or refused by the load of the endpoints", "")
 )
 
 // The events of programs.
--- a/internal/observe/metrics/forwards.go
+++ b/internal/observe/metrics/forwards.go
@@ -14,8 +14,6 @@
 	nameCrashed   = "forwards.endpoint_crashed"
 	nameOversized = "forwards.oversized"
 	nameDetoured  = "forwards.detoured"
-	nameAdmitted  = "forwards.load_admitted"
-	nameOverload  = "forwards.load_refused"
 	nameDetour    = "forwards.detour_us"
 	nameFirstByte = "forwards.first_byte_us"
 	nameTotal     = "forwards.whole_us"
@@ -73,15 +71,6 @@
 // Oversized counts a response that was given up because it is too long.
 func (f *Forwards) Oversized() { f.oversized.Inc(1) }
 
-// LoadDecided counts a request that was admitted or refused by the load of endpoints.
-func (f *Forwards) LoadDecided(admitted bool) {
-	name := nameOverload
-	if admitted {
-		name = nameAdmitted
-	}
-	metrics.GetOrRegisterCounter(name, f.registry).Inc(1)
-}
-
 // Detoured records the duration of a request that went through another VM.
 func (f *Forwards) Detoured(duration time.Duration) {
 	f.detoured.Inc(1)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -17,7 +17,6 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/caller/proxy"
 	"hawthornrail.example/hawthornrail/internal/conversation/client"
-	"hawthornrail.example/hawthornrail/internal/endpoint/admission"
 	"hawthornrail.example/hawthornrail/internal/endpoint/contact"
 	"hawthornrail.example/hawthornrail/internal/endpoint/forward"
 	endpointhttp "hawthornrail.example/hawthornrail/internal/endpoint/http"
@@ -29,7 +28,6 @@
 	"hawthornrail.example/hawthornrail/internal/operator/node"
 	policy "hawthornrail.example/hawthornrail/internal/policy/endpoint"
 	"hawthornrail.example/hawthornrail/internal/policy/memory"
-	"hawthornrail.example/hawthornrail/internal/policy/overload"
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/vm/detour"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
@@ -180,7 +178,7 @@
 	metrics.Gauge(n.Metrics(), "endpoints.refused_limited", in.Pool.LimitRefusals)
 	return forward.New(forward.Dependencies{
 		Config: n.Config(), Pool: in.Pool, Transport: in.Transport, Buffers: in.Buffers, Codec: n.Adapter().Endpoints, Clock: n.Clock(), Forwards: in.Forwards,
-		Admission: admission.New(n.Clock(), overload.DefaultParams()), Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
+		Quarantine: in.Quarantine, Origins: in.Origins, Contact: in.Contact, Detour: in.Detour, Log: n.Log().Layer("endpoint"),
 	})
 }
 
