--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -292,7 +292,7 @@
 		return
 	}
 	a.finished = true
-	comparable := err == nil && d.comparable(a)
+	learns := err == nil && d.showsSpeed(a)
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
@@ -312,7 +312,7 @@
 		duration = d.deps.Clock.Since(a.sent)
 	}
 	d.deps.Forwards.Attempted(d.service.Name(), a.endpoint.Name(), err, duration)
-	if comparable {
+	if learns {
 		d.deps.Pool.Learn(a.endpoint.Name(), a.query, endpoint.NewSample(generated, a.pace, duration))
 	}
 	d.deps.Pool.Done(a.endpoint.Name(), a.query, err, usage, duration)
@@ -321,10 +321,10 @@
 	}
 }
 
-// comparable reports whether the duration of a served attempt shows the speed of its
+// showsSpeed reports whether the duration of a served attempt shows the speed of its
 // endpoint. A failure is often shorter than the work, and a stream that was resumed has
 // events of several endpoints.
-func (d *dispatch) comparable(a *attempt) bool {
+func (d *dispatch) showsSpeed(a *attempt) bool {
 	return a.pace > 0 && a.exchange != nil && a.exchange.Status() == statusOK && d.progress.LastEvent() == ""
 }
 
