--- a/review/faults/streams.go
+++ b/review/faults/streams.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,7 +90,8 @@
 // takeUp sends a stream to an edge and, once that is killed, takes it up at another one. It
 // counts the streams that are taken up, and those that go on.
 func (f *fleet) takeUp(killed <-chan struct{}, again, goesOn *atomic.Int64) {
-	id, sent := f.nextID("stream"), time.Now()
+	// Which edges are told of a stream follows from its id.
+	id, sent := fmt.Sprintf("%016x", rand.Uint64()), time.Now()
 	first := f.send(0, "/turns/x", id, "input", streamBudget, "tokens", "100,40")
 	<-killed
 	last := strings.Count(first.body, "data: ")
