Show that one tenant's long conversation ends storage processes

Cause: the replies with a chain of turns are not counted in any memory limit, at the VM that reads it and on its way. Tried: 30 turns at once in place of 4 that go on from a conversation of 8 MB, with 144 MB for each machine.

--- a/review/faults/fleet.go
+++ b/review/faults/fleet.go
@@ -30,6 +30,8 @@
 	// range of outgoing connections.
 	firstPort = 20_000
 	ports     = 12_000
+	// memoryMB is the memory of a machine.
+	memoryMB = 144
 	// startTimeout bounds the start of all processes.
 	startTimeout = 30 * time.Second
 )
@@ -104,6 +106,7 @@
 	running []*process
 	closers []func()
 	lastID  int
+	closed  bool
 	// quietSends leaves out the requests of send in the record.
 	quietSends bool
 }
@@ -162,7 +165,7 @@
 		edgePeers = append(edgePeers, freeAddress())
 	}
 	seeds := fmt.Sprintf("[peer]\nseeds = [%q]\n", edgePeers[0])
-	tail := fmt.Sprintf("%s[store]\naddress = %q\n[config]\nin_force_ms = %d\n[fault_tolerance]\ndisks = %d\n[limits]\nmemory_mb = 144\n[shutdown]\ngrace_ms = 8000\n", seeds, l.Addr(), o.configMS, o.disks)
+	tail := fmt.Sprintf("%s[store]\naddress = %q\n[config]\nin_force_ms = %d\n[fault_tolerance]\ndisks = %d\n[limits]\nmemory_mb = %d\n[shutdown]\ngrace_ms = 8000\n", seeds, l.Addr(), o.configMS, o.disks, memoryMB)
 	head := func(name string, zone int) string {
 		return fmt.Sprintf("[vm]\nname = %q\ndata_centre = %q\ndata_centres = [%s]\n", name, f.zones[zone], strings.Join(quoted, ","))
 	}
@@ -198,17 +201,21 @@
 	p.command = exec.Command(program, p.role)
 	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["node_file"] + "=" + path}
 	p.command.Stdout, p.command.Stderr = log, log
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return
+	}
 	check(p.command.Start())
 	p.done = make(chan struct{})
 	command, done := p.command, p.done
+	f.running = append(f.running, p)
+	f.mu.Unlock()
 	go func() {
 		_ = command.Wait()
 		_ = log.Close()
 		close(done)
 	}()
-	f.mu.Lock()
-	f.running = append(f.running, p)
-	f.mu.Unlock()
 	f.record.printf("start %s", p.name)
 }
 
@@ -259,10 +266,18 @@
 	panic(cannotRun{fmt.Errorf("%s: not in time", what)})
 }
 
+// isClosed reports whether the processes have been ended.
+func (f *fleet) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
 // close ends all processes and removes the folder; keepLogs keeps it.
 func (f *fleet) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, p := range f.running {
 		_ = p.command.Process.Kill()
 		<-p.done
--- a/review/faults/main.go
+++ b/review/faults/main.go
@@ -23,7 +23,7 @@
 var cases = map[string]play{
 	"copies":  playCopies,
 	"budget":  playBudget,
-	"long":    playLong,
+	"memory":  playMemory,
 	"repair":  playRepair,
 	"streams": playStreams,
 }
