Put the full store of turns and the memory of chains in their order

Case 9, rule LOST: turns are run and broken off at their end once a VM keeps 128 MiB of them. Cause: whether there is room is not asked before a turn is sent. The memory of chains is case 8 now.

--- a/review/faults/fleet.go
+++ b/review/faults/fleet.go
@@ -107,6 +107,7 @@
 	closers []func()
 	lastID  int
 	closed  bool
+	keepers []*keeper
 	// quietSends leaves out the requests of send in the record.
 	quietSends bool
 }
--- a/review/faults/main.go
+++ b/review/faults/main.go
@@ -22,7 +22,7 @@
 
 var cases = map[string]play{
 	"copies":  playCopies,
-	"budget":  playBudget,
+	"full":    playFull,
 	"memory":  playMemory,
 	"repair":  playRepair,
 	"streams": playStreams,
