End a reply with the request that it belongs to

What callers saw: a VM that cancelled a request for a long chain (its caller had left, or another VM was faster) let the other end hold the reply for 10 s more, until the connection reset the stream; a VM with a disk held 24 such chains of 3 MB at once.

Cause: the handler's context ended with the request, its write did not: it waited for a window that nobody opens any more.

Change: the write ends too.

TestReplyEndsWithItsRequest fails before ("the reply is still held after 5s").

--- a/internal/vm/peer/close_test.go
+++ b/internal/vm/peer/close_test.go
@@ -8,11 +8,17 @@
 
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/dial"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-const closeTimeout = 8 * time.Second
+const (
+	closeTimeout = 8 * time.Second
+	// replyBytes do not fit the window of a stream.
+	replyBytes      = 4 << 20
+	replyEndTimeout = 5 * time.Second
+)
 
 // blockingDialer makes connections that block their second write, the proof,
 // until open is closed.
@@ -79,3 +85,34 @@
 		t.Error("the server did not close")
 	}
 }
+
+// Guards against replies that are held for seconds after the VM that requested them has left.
+func TestReplyEndsWithItsRequest(t *testing.T) {
+	s := peer.NewServer(serverInstance, []byte("secret"), nil, clock.Real(), events.Discard())
+	address, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := make(chan error, 1)
+	go func() {
+		_ = s.Serve(func(_ context.Context, _ *vmpb.Open, stream *peer.Stream) {
+			sent <- stream.Send(&vmpb.ChainLoadReply{Content: make([]byte, replyBytes)})
+		})
+	}()
+	t.Cleanup(s.Close)
+	c := peer.NewClient(clientInstance, []byte("secret"), nil, clock.Real(), dial.New(nil))
+	t.Cleanup(c.Close)
+	e, err := c.Open(t.Context(), address.String(), &vmpb.Open{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Close()
+	select {
+	case err := <-sent:
+		if err == nil {
+			t.Error("the reply was sent")
+		}
+	case <-time.After(replyEndTimeout):
+		t.Errorf("the reply is still held after %v", replyEndTimeout)
+	}
+}
--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
@@ -155,6 +156,8 @@
 	go func() {
 		_, _ = stream.reader.ReadByte()
 		cancel()
+		// The other end reads nothing more; a write would wait for it.
+		_ = stream.conn.SetWriteDeadline(time.Unix(1, 0))
 	}()
 	s.handler(ctx, &open, stream)
 }
