Count chains from the disk to the engine

Cause: three. A VM with a disk gave the place of a read back before its reply was sent, so that the replies that waited for the network were not counted; each was held as the chain, its message and what the connection had not taken yet. An entry VM asked the next VM after 50 ms, which is less than 8 MB take, so that every VM sent each chain. And it counted a chain in its memory only once it had all of it, then copied it to put the input behind it.

Change: an entry VM requests the first 64 KiB with the size of the whole, reserves that size, and gets the rest in parts of 960 KiB from that VM alone, four at once, into the buffer that becomes the body. A VM with a disk holds a place until the reply is sent; short content has places of its own. VMs of an older build send and get chains whole, as before.

The tests of the client need the new query.

--- a/conversation.go
+++ b/conversation.go
@@ -103,7 +103,7 @@
 	return Chain{content: content, placementKey: placementKey, turns: turns}
 }
 
-// Content returns the input and output of each turn, the oldest first.
+// Content returns the input and output of each turn, the oldest first; it is the caller's.
 func (c Chain) Content() []byte { return c.content }
 
 // PlacementKey returns the key that determines which VMs store the chain.
@@ -112,6 +112,55 @@
 // Turns returns the number of turns.
 func (c Chain) Turns() int { return c.turns }
 
+// ChainQuery asks for a turn and all its ancestors.
+type ChainQuery struct {
+	ref     TurnRef
+	program string
+	room    int
+	admit   func(bytes int) error
+}
+
+// NewChainQuery returns a query for a turn that the program with an id continues from.
+func NewChainQuery(ref TurnRef, program string) ChainQuery {
+	return ChainQuery{ref: ref, program: program}
+}
+
+// WithAdmission returns a copy whose content is held only once admit has returned no error for
+// its size in bytes; content that comes in parts is admitted part by part.
+func (q ChainQuery) WithAdmission(admit func(bytes int) error) ChainQuery {
+	q.admit = admit
+	return q
+}
+
+// WithRoom returns a copy whose content has room for further bytes behind it.
+func (q ChainQuery) WithRoom(bytes int) ChainQuery {
+	q.room = bytes
+	return q
+}
+
+// Room returns the number of bytes for which the content has room behind it.
+func (q ChainQuery) Room() int { return q.room }
+
+// At returns a copy for another turn of the same team and another program.
+func (q ChainQuery) At(id, program string) ChainQuery {
+	q.ref, q.program = NewTurnRef(q.ref.team, id), program
+	return q
+}
+
+// Ref returns the identity of the last turn.
+func (q ChainQuery) Ref() TurnRef { return q.ref }
+
+// Program returns the id of the program that continues from the turn.
+func (q ChainQuery) Program() string { return q.program }
+
+// Admit returns the error of the one who asks if content of a size in bytes may not be held.
+func (q ChainQuery) Admit(bytes int) error {
+	if q.admit == nil {
+		return nil
+	}
+	return q.admit(bytes)
+}
+
 // KeptTurn is a turn in the platform's store, with the revision of its object there.
 type KeptTurn struct {
 	turn     Turn
@@ -149,10 +198,10 @@
 	// Available returns a Failure if a turn with an input of a size in bytes can't be
 	// stored durably now.
 	Available(inputBytes int64) error
-	// Chain returns a turn and its ancestors; program is the id of the program that
-	// continues from it. It returns a Failure with CodeUnknownTurn only if it is certain
-	// that the team has no such turn.
-	Chain(ctx context.Context, ref TurnRef, program string) (Chain, error)
+	// Chain returns a turn and its ancestors. It returns a Failure with CodeUnknownTurn only
+	// if it is certain that the team has no such turn, and the error of the query if the
+	// content is not admitted.
+	Chain(ctx context.Context, q ChainQuery) (Chain, error)
 	// Save stores a completed turn and returns once it is durable, or a Failure if it can't
 	// be made so; the turn does not count then.
 	Save(ctx context.Context, t Turn) error
--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -79,20 +78,27 @@
 	if call.Parent() == "" {
 		return placement.Key(call.Program(), r.ID()), nil
 	}
-	chain, err := f.deps.Conversations.Chain(ctx, hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
+	query := hawthornrail.NewChainQuery(hawthornrail.NewTurnRef(r.Deployment().Team(), call.Parent()), call.Program())
+	chain, err := f.deps.Conversations.Chain(ctx, query.WithRoom(len(r.Body())).WithAdmission(f.admission(r)))
 	if err != nil {
 		return "", err
 	}
-	if size := int64(len(chain.Content()) + len(r.Body())); size > f.deps.MaxChainBytes {
-		return "", hawthornrail.NotRun(hawthornrail.CodeBodyTooLarge, "the chain of %d turns has %d bytes with the new input, at most %d are allowed", chain.Turns(), size, f.deps.MaxChainBytes)
-	}
-	if err := r.Reserve(len(chain.Content())); err != nil {
-		return "", err
-	}
-	r.SetBody(slices.Concat(chain.Content(), r.Body()), len(chain.Content()))
+	r.SetBody(append(chain.Content(), r.Body()...), len(chain.Content()))
 	return chain.PlacementKey(), nil
 }
 
+// admission returns what admits the content of the chain that a request continues from: not
+// more than a chain may have, and what fits in memory.
+func (f *Conversations) admission(r *hawthornrail.ForwardRequest) func(bytes int) error {
+	size := len(r.Body())
+	return func(bytes int) error {
+		if size += bytes; int64(size) > f.deps.MaxChainBytes {
+			return hawthornrail.NotRun(hawthornrail.CodeBodyTooLarge, "the chain has %d bytes or more with the new input, at most %d are allowed", size, f.deps.MaxChainBytes)
+		}
+		return r.Reserve(bytes)
+	}
+}
+
 // notTurn returns why a response is not stored as a turn, or nil.
 func notTurn(r *hawthornrail.ForwardRequest, response *hawthornrail.ForwardResponse) error {
 	switch {
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -47,10 +47,11 @@
 	return m.away
 }
 
-func (m *turnMemory) Chain(_ context.Context, ref hawthornrail.TurnRef, _ string) (hawthornrail.Chain, error) {
+func (m *turnMemory) Chain(_ context.Context, q hawthornrail.ChainQuery) (hawthornrail.Chain, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
+	ref := q.Ref()
 	turn, ok := m.turns[ref]
 	if !ok {
 		return hawthornrail.Chain{}, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no turn %s", ref.ID())
@@ -61,6 +62,9 @@
 		content = slices.Concat(turn.Input(), turn.Output(), content)
 		turns++
 	}
+	if err := q.Admit(len(content)); err != nil {
+		return hawthornrail.Chain{}, err
+	}
 	return hawthornrail.NewChain(content, key, turns), nil
 }
 
--- a/internal/conversation/client/client.go
+++ b/internal/conversation/client/client.go
@@ -52,13 +52,16 @@
 	laggards *avoided
 	full     *avoided
 
+	// parts has an element for each part of a chain that is received.
+	parts chan struct{}
+
 	mu         sync.Mutex
 	background int64
 }
 
 // New returns a client with the given dependencies.
 func New(deps Dependencies) *Client {
-	c := &Client{deps: deps, laggards: newAvoided(), full: newAvoided()}
+	c := &Client{deps: deps, laggards: newAvoided(), full: newAvoided(), parts: make(chan struct{}, maxParts)}
 	c.monitor = monitor.New(monitor.Dependencies{
 		Invoker: deps.Invoker, Clock: deps.Clock, Current: c.isListed, Unresponsive: c.logUnresponsive, Responsive: c.logResponsive,
 	})
--- a/internal/conversation/client/kept_test.go
+++ b/internal/conversation/client/kept_test.go
@@ -22,7 +22,7 @@
 }
 
 func loadTurn(c *client.Client, team, id string) (hawthornrail.Chain, error) {
-	return c.Chain(context.Background(), hawthornrail.NewTurnRef(team, id), program)
+	return c.Chain(context.Background(), hawthornrail.NewChainQuery(hawthornrail.NewTurnRef(team, id), program))
 }
 
 // Guards against 404 for a turn that only the platform's store has, and against a chain that
@@ -154,7 +154,7 @@
 		n.keeper.set(func(k *keeper) { k.stuck = true })
 		for range 5 {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
-			_, err := c.Chain(ctx, hawthornrail.NewTurnRef("team", "turn"), program)
+			_, err := c.Chain(ctx, hawthornrail.NewChainQuery(hawthornrail.NewTurnRef("team", "turn"), program))
 			cancel()
 			assertCode(t, err, hawthornrail.CodeTurnUncertain)
 		}
--- a/internal/conversation/client/load.go
+++ b/internal/conversation/client/load.go
@@ -11,7 +11,6 @@
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/observe/trail"
 	"hawthornrail.example/hawthornrail/internal/policy/placement"
-	"hawthornrail.example/hawthornrail/internal/vm/convert"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -42,25 +41,25 @@
 
 // Chain returns a turn and its ancestors: from the first VM that holds them, and those that
 // too few disks have from the platform's store.
-func (c *Client) Chain(ctx context.Context, ref hawthornrail.TurnRef, program string) (hawthornrail.Chain, error) {
+func (c *Client) Chain(ctx context.Context, q hawthornrail.ChainQuery) (hawthornrail.Chain, error) {
 	start := c.deps.Clock.Now()
-	found, err := c.search(ctx, ref, program)
+	found, err := c.search(ctx, q)
 	c.deps.Metrics.Loaded(found.source, c.deps.Clock.Since(start))
 	var newer []hawthornrail.Turn
 	for err == nil && found.source == metrics.ChainFromStore {
 		t := found.kept.Turn()
 		c.deliver(ctx, found.kept)
 		newer = append(newer, t)
-		if t.Parent() == "" {
+		if err = admit(q, int(t.Size())); err != nil || t.Parent() == "" {
 			break
 		}
 		if slices.ContainsFunc(newer, func(n hawthornrail.Turn) bool { return n.Ref().ID() == t.Parent() }) {
 			err = errCycle
 			break
 		}
-		found, err = c.search(ctx, hawthornrail.NewTurnRef(ref.Team(), t.Parent()), t.PlacementKey())
+		found, err = c.search(ctx, q.At(t.Parent(), t.PlacementKey()))
 	}
-	if err != nil && len(newer) > 0 {
+	if err != nil && len(newer) > 0 && !isRefused(err) {
 		// The turns before a kept one exist, wherever they are.
 		err = uncertain("a turn before turn %s is out of reach: %w", newer[len(newer)-1].Ref().ID(), err)
 	}
@@ -72,19 +71,20 @@
 	if len(newer) == 0 {
 		return chain
 	}
-	content := slices.Clone(chain.Content())
+	content := chain.Content()
 	for _, t := range slices.Backward(newer) {
-		content = slices.Concat(content, t.Input(), t.Output())
+		content = append(append(content, t.Input()...), t.Output()...)
 	}
 	return hawthornrail.NewChain(content, newer[0].PlacementKey(), chain.Turns()+len(newer))
 }
 
 // search searches a turn at the VMs with a disk and then in the platform's store.
-func (c *Client) search(ctx context.Context, ref hawthornrail.TurnRef, program string) (searched, error) {
-	found, diskErr := c.fromDisks(ctx, ref, program)
-	if diskErr == nil {
-		return found, nil
+func (c *Client) search(ctx context.Context, q hawthornrail.ChainQuery) (searched, error) {
+	found, diskErr := c.fromDisks(ctx, q)
+	if diskErr == nil || isRefused(diskErr) {
+		return found, diskErr
 	}
+	ref := q.Ref()
 	unknown := hawthornrail.AsFailure(diskErr).Code() == hawthornrail.CodeUnknownTurn
 	kept, ok, err := c.keptTurn(ctx, ref, unknown)
 	switch {
@@ -96,7 +96,7 @@
 		return found, diskErr
 	}
 	// The turn may have moved from the store to the disks after these had been asked.
-	return c.fromDisks(ctx, ref, program)
+	return c.fromDisks(ctx, q)
 }
 
 // keptTurn asks the platform's store for a turn. Only if it would else be said not to exist is
@@ -110,22 +110,35 @@
 
 // fromDisks returns the chain of a turn from a VM that holds it. Otherwise it returns a Failure
 // with CodeUnknownTurn if it is certain that no VM does, and else with CodeTurnUncertain.
-func (c *Client) fromDisks(ctx context.Context, ref hawthornrail.TurnRef, program string) (searched, error) {
+func (c *Client) fromDisks(ctx context.Context, q hawthornrail.ChainQuery) (searched, error) {
 	vms := c.deps.Config.Snapshot().DiskVMs()
-	s := newSearch(vms, placement.Key(program, ref.ID()), c.deps.DataCentre, c.requiredCopies(), c.monitor.Suspected)
-	found, ok := c.findLogged(ctx, s, ref)
-	result := searched{source: c.source(found.vm, ok)}
-	switch {
-	case ok:
-		result.chain = hawthornrail.NewChain(found.chain.GetContent(), found.chain.GetPlacementKey(), int(found.chain.GetTurns()))
-		return result, nil
-	case s.absent() && c.listComplete(vms):
-		return result, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
-	default:
-		return result, uncertain("%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
+	ref := q.Ref()
+	t := &transfer{query: q}
+	for others := vms; ; {
+		s := newSearch(others, placement.Key(q.Program(), ref.ID()), c.deps.DataCentre, c.requiredCopies(), c.monitor.Suspected)
+		found, ok := c.findLogged(ctx, s, ref)
+		if !ok {
+			none := searched{source: metrics.ChainFromNone}
+			if len(others) == len(vms) && s.absent() && c.listComplete(vms) {
+				return none, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
+			}
+			return none, uncertain("%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
+		}
+		err := c.receive(ctx, t, found)
+		if !errors.Is(err, errInterrupted) {
+			return searched{source: c.source(found.vm), chain: t.chain()}, err
+		}
+		trail.From(ctx).Event(events.ChainInterrupted).Str("parent", ref.ID()).Str("from", found.vm.Name()).Err(err).
+			Int("bytes", len(t.content)).Int("total_bytes", int(t.total)).Emit()
+		others = without(others, found.vm.Address())
 	}
 }
 
+// without returns the VMs but the one at an address.
+func without(vms []hawthornrail.VM, address string) []hawthornrail.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(v hawthornrail.VM) bool { return v.Address() == address })
+}
+
 // uncertain returns the Failure of a request whose turn may exist.
 func uncertain(format string, args ...any) error {
 	return hawthornrail.NotRun(hawthornrail.CodeTurnUncertain, format, args...).WithRetryAfter(jittered(minRetryAfter))
@@ -140,7 +153,7 @@
 		Int("vms", len(s.order)).Int("asked", s.asked).Int("unknown", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN]).
 		Int("foreign", s.replies[vmpb.ChainState_CHAIN_STATE_FOREIGN]).Int("uncertain", s.replies[vmpb.ChainState_CHAIN_STATE_UNCERTAIN]).
 		Int("no_reply", s.replies[vmpb.ChainState_CHAIN_STATE_UNSPECIFIED]).Int("config_age_ms", int(c.deps.Config.Age().Milliseconds()))
-	line.Int("turns", int(found.chain.GetTurns())).Int("bytes", len(found.chain.GetContent())).Int("took_ms", int(took.Milliseconds())).Emit()
+	line.Int("turns", int(found.chain.GetTurns())).Int("bytes", int(totalBytes(found.chain))).Int("took_ms", int(took.Milliseconds())).Emit()
 	return found, ok
 }
 
@@ -160,15 +173,11 @@
 }
 
 // source returns where a chain was found.
-func (c *Client) source(vm hawthornrail.VM, found bool) metrics.ChainSource {
-	switch {
-	case !found:
-		return metrics.ChainFromNone
-	case vm.DataCentre() == c.deps.DataCentre:
+func (c *Client) source(vm hawthornrail.VM) metrics.ChainSource {
+	if vm.DataCentre() == c.deps.DataCentre {
 		return metrics.ChainFromOwnDataCentre
-	default:
-		return metrics.ChainFromOther
 	}
+	return metrics.ChainFromOther
 }
 
 // find asks VMs until one has the chain. A VM that is late is still waited for while the
@@ -179,7 +188,7 @@
 	replies := make(chan loadReply, len(s.order))
 	ask := func() <-chan time.Time {
 		for _, vm := range s.next() {
-			go func() { replies <- c.ask(ctx, vm, ref) }()
+			go func() { replies <- c.ask(ctx, vm, firstPart(ref)) }()
 		}
 		if s.allAsked() {
 			return nil
@@ -203,16 +212,15 @@
 	return loadReply{}, false
 }
 
-func (c *Client) ask(ctx context.Context, vm hawthornrail.VM, ref hawthornrail.TurnRef) loadReply {
+func (c *Client) ask(ctx context.Context, vm hawthornrail.VM, m *vmpb.ChainLoad) loadReply {
 	timeout := loadTimeout
 	if c.monitor.Suspected(vm.Address()) {
 		timeout = suspectTimeout
 	}
-	open := &vmpb.Open{Kind: &vmpb.Open_ChainLoad{ChainLoad: &vmpb.ChainLoad{Ref: convert.TurnRefToWire(ref)}}}
-	var reply vmpb.ChainLoadReply
-	if err := c.monitor.Invoke(ctx, timeout, vm.Name(), vm.Address(), open, &reply); err != nil {
+	reply, err := c.loadPart(ctx, timeout, vm, m)
+	if err != nil {
 		// The search counts it as a VM that may have the turn.
 		return loadReply{vm: vm}
 	}
-	return loadReply{vm: vm, chain: &reply}
+	return loadReply{vm: vm, chain: reply}
 }
--- a/internal/conversation/client/load_test.go
+++ b/internal/conversation/client/load_test.go
@@ -25,7 +25,7 @@
 func late(delay time.Duration) func(d *diskVM) { return func(d *diskVM) { d.delay = delay } }
 
 func load(c *client.Client) (hawthornrail.Chain, error) {
-	return c.Chain(context.Background(), hawthornrail.NewTurnRef("team", "turn"), program)
+	return c.Chain(context.Background(), hawthornrail.NewChainQuery(hawthornrail.NewTurnRef("team", "turn"), program))
 }
 
 func assertLoaded(t *testing.T, c *client.Client) {
@@ -207,7 +207,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 		defer cancel()
 		assertTakes(t, 400*time.Millisecond, 400*time.Millisecond, func() {
-			_, err := c.Chain(ctx, hawthornrail.NewTurnRef("team", "turn"), program)
+			_, err := c.Chain(ctx, hawthornrail.NewChainQuery(hawthornrail.NewTurnRef("team", "turn"), program))
 			assertCode(t, err, hawthornrail.CodeTurnUncertain)
 		})
 		assertTakes(t, 2*time.Second, 2*time.Second, func() {
@@ -244,7 +244,7 @@
 		n.set(isStuck, n.vms[1:]...)
 		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Millisecond)
 		defer cancel()
-		_, err := c.Chain(ctx, hawthornrail.NewTurnRef("team", "turn"), program)
+		_, err := c.Chain(ctx, hawthornrail.NewChainQuery(hawthornrail.NewTurnRef("team", "turn"), program))
 		assertCode(t, err, hawthornrail.CodeTurnUncertain)
 	})
 }
--- a/internal/conversation/client/network_test.go
+++ b/internal/conversation/client/network_test.go
@@ -46,6 +46,12 @@
 	holds string
 	asked int
 	turns []*vmpb.Turn
+	// content is a long chain, which a VM of an older build sends whole; the VM is stuck once
+	// partsLeft is 0.
+	content   []byte
+	digest    uint64
+	older     bool
+	partsLeft int
 }
 
 // network is the VMs with a disk, which run in simulated time.
@@ -57,6 +63,7 @@
 	registry gometrics.Registry
 	// keeper is the platform's store.
 	keeper *keeper
+	parts  partCounts
 }
 
 // keeper is the platform's store, which keeps turns in a map.
@@ -207,7 +214,7 @@
 	}
 	switch m := reply.(type) {
 	case *vmpb.ChainLoadReply:
-		d.load(string(open.GetChainLoad().GetRef().GetId()), m)
+		return hawthornrail.Instance{}, n.load(ctx, d, open.GetChainLoad(), m)
 	case *vmpb.TurnSaveReply:
 		m.Saved = !d.full
 		m.Full, m.RoomAfterMs = d.roomAfter > 0, uint64(d.roomAfter.Milliseconds())
@@ -216,6 +223,43 @@
 	return hawthornrail.Instance{}, nil
 }
 
+// load replies to a request for a chain or a part of one.
+func (n *network) load(ctx context.Context, d diskVM, load *vmpb.ChainLoad, m *vmpb.ChainLoadReply) error {
+	if d.content == nil {
+		d.load(string(load.GetRef().GetId()), m)
+		return nil
+	}
+	if d.older {
+		m.State, m.Content, m.PlacementKey, m.Turns = vmpb.ChainState_CHAIN_STATE_FOUND, d.content, "key", 2
+		return nil
+	}
+	defer n.parts.begin(load)()
+	if !n.countPart(d.vm.Address()) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if !clock.Wait(ctx, clock.Real(), partTime) {
+		return ctx.Err()
+	}
+	end := min(load.GetOffset()+load.GetMaxBytes(), uint64(len(d.content)))
+	m.State, m.Content, m.PlacementKey, m.Turns = vmpb.ChainState_CHAIN_STATE_FOUND, d.content[load.GetOffset():end], "key", 2
+	m.TotalBytes, m.Digest = uint64(len(d.content)), d.digest
+	return nil
+}
+
+// countPart reports whether a VM sends a further part.
+func (n *network) countPart(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.vms {
+		if d.vm.Address() == address {
+			d.partsLeft--
+			return d.partsLeft >= 0
+		}
+	}
+	return false
+}
+
 // load replies to a request for a chain: of a first turn that the VM has stored, of one that
 // it holds, or of any as its state says.
 func (d diskVM) load(id string, m *vmpb.ChainLoadReply) {
--- a/internal/conversation/replica/ack_model_test.go
+++ b/internal/conversation/replica/ack_model_test.go
@@ -438,7 +438,7 @@
 // assertContinued checks the chain of a turn, if an entry VM returns it.
 func (m *ackModel) assertContinued(t *rapid.T, turn *modelTurn) error {
 	e := m.entries[len(turn.turn.Ref().ID())%ackEntries]
-	chain, err := e.client.Chain(context.Background(), turn.turn.Ref(), "program")
+	chain, err := e.client.Chain(context.Background(), hawthornrail.NewChainQuery(turn.turn.Ref(), "program"))
 	if err == nil && (string(chain.Content()) != string(turn.content) || chain.Turns() != turn.count) {
 		t.Errorf("%s has %d turns: %q, want %d: %q", turn.turn.Ref().ID(), chain.Turns(), chain.Content(), turn.count, turn.content)
 	}
--- a/internal/conversation/replica/fleet_test.go
+++ b/internal/conversation/replica/fleet_test.go
@@ -307,7 +307,9 @@
 	if unreachable {
 		return errUnreachable
 	}
-	answer, known := r.reply(ctx, open)
+	p := &place{limits: r.limits}
+	defer p.release()
+	answer, known := r.reply(ctx, open, p)
 	switch {
 	case !known:
 		f.t.Fatalf("unknown request %v", open)
--- a/internal/conversation/replica/replica.go
+++ b/internal/conversation/replica/replica.go
@@ -33,9 +33,6 @@
 	// maxPullAge is how long ago the log of another VM may have been read at most. It exceeds
 	// a round with VMs that do not respond and a slow disk.
 	maxPullAge = 10 * time.Second
-	// maxChainReads bounds the chains that are read at once, each of which can be as large as
-	// the prompt of an engine.
-	maxChainReads = 8
 )
 
 // Dependencies are the settings and dependencies of a Replica.
@@ -61,7 +58,7 @@
 type Replica struct {
 	deps     Dependencies
 	detector *detector.Detector
-	reads    chan struct{}
+	limits   *limits
 	// wanted has an element if a chain was asked for that lacks an ancestor.
 	wanted chan struct{}
 	// refusing is set while turns can't be stored.
@@ -93,9 +90,9 @@
 func New(deps Dependencies) *Replica {
 	r := &Replica{
 		deps: deps, detector: detector.New(),
-		room:  &room{store: deps.Store, clock: deps.Clock},
-		pace:  newPace(deps.CatchUp, deps.LinkBytesPerSecond),
-		reads: make(chan struct{}, maxChainReads), wanted: make(chan struct{}, 1),
+		room:   &room{store: deps.Store, clock: deps.Clock},
+		pace:   newPace(deps.CatchUp, deps.LinkBytesPerSecond),
+		limits: newLimits(), wanted: make(chan struct{}, 1),
 		view: newView(nil, placement.Copies(deps.ToleratedLosses), nil), listedAt: deps.Clock.Now(),
 		suspected: make(map[string]time.Time), peers: make(map[string]*progress), whole: deps.Store.Whole(),
 	}
--- a/internal/conversation/replica/serve.go
+++ b/internal/conversation/replica/serve.go
@@ -22,27 +22,33 @@
 	fetchBytes = 1 << 20
 )
 
+// errUncertain means that the turn is not held, and that this VM may lack turns.
+var errUncertain = errors.New("turn may exist")
+
 // Receive serves the requests of other VMs about turns and reports whether open is one. A
 // request without a reply is sent to another VM.
 func (r *Replica) Receive(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
-	reply, known := r.reply(ctx, open)
+	p := &place{limits: r.limits}
+	defer p.release()
+	reply, known := r.reply(ctx, open, p)
 	if known && reply != nil {
 		_ = s.Send(reply)
 	}
 	return known
 }
 
-// reply returns the reply to a request, which is nil if the request is declined.
-func (r *Replica) reply(ctx context.Context, open *vmpb.Open) (reply proto.Message, known bool) {
+// reply returns the reply to a request, which is nil if the request is declined. Its content
+// is held in a place.
+func (r *Replica) reply(ctx context.Context, open *vmpb.Open, p *place) (reply proto.Message, known bool) {
 	switch k := open.GetKind().(type) {
 	case *vmpb.Open_TurnSave:
 		return r.save(k.TurnSave), true
 	case *vmpb.Open_ChainLoad:
-		return r.load(ctx, convert.TurnRefFromWire(k.ChainLoad.GetRef())), true
+		return r.load(ctx, k.ChainLoad, p), true
 	case *vmpb.Open_TurnList:
 		return r.list(k.TurnList), true
 	case *vmpb.Open_TurnFetch:
-		return r.send(k.TurnFetch), true
+		return r.send(ctx, k.TurnFetch, p), true
 	}
 	return nil, false
 }
@@ -75,32 +81,63 @@
 	r.deps.Log.Event(event).Err(err).Int("turns", stats.Turns()).Int("bytes", int(stats.Bytes())).Emit()
 }
 
-// load returns the chain of a turn.
-func (r *Replica) load(ctx context.Context, ref hawthornrail.TurnRef) *vmpb.ChainLoadReply {
-	select {
-	case r.reads <- struct{}{}:
-		defer func() { <-r.reads }()
-	case <-ctx.Done():
+// load returns the chain of a turn or a part of it, which is held in a place.
+func (r *Replica) load(ctx context.Context, m *vmpb.ChainLoad, p *place) *vmpb.ChainLoadReply {
+	located, err := r.locate(convert.TurnRefFromWire(m.GetRef()))
+	if err != nil {
+		return &vmpb.ChainLoadReply{State: r.stateOf(err)}
+	}
+	reply := &vmpb.ChainLoadReply{State: vmpb.ChainState_CHAIN_STATE_FOUND, PlacementKey: located.PlacementKey(), Turns: uint32(located.Turns())}
+	offset, limit := partOf(m, located.Size())
+	if m.GetMaxBytes() > 0 {
+		reply.TotalBytes = uint64(located.Size())
+	}
+	if limit < located.Size() {
+		reply.Digest = located.Digest()
+	}
+	if !p.take(ctx, limit) {
 		return &vmpb.ChainLoadReply{State: vmpb.ChainState_CHAIN_STATE_UNCERTAIN}
 	}
-	chain, err := r.deps.Store.Chain(ref)
-	if errors.Is(err, store.ErrUnknown) && r.isCertain() {
-		// Repair may have stored the turn after the store was asked.
-		if chain, err = r.deps.Store.Chain(ref); errors.Is(err, store.ErrUnknown) {
-			return &vmpb.ChainLoadReply{State: vmpb.ChainState_CHAIN_STATE_UNKNOWN}
-		}
+	if reply.Content, err = located.Read(offset, limit); err != nil {
+		return &vmpb.ChainLoadReply{State: r.stateOf(err)}
+	}
+	return reply
+}
+
+// partOf returns the offset and the size of the part that is requested of a content of a size.
+func partOf(m *vmpb.ChainLoad, size int64) (offset, limit int64) {
+	offset = int64(min(m.GetOffset(), uint64(size)))
+	limit = size - offset
+	if m.GetMaxBytes() > 0 {
+		limit = int64(min(m.GetMaxBytes(), uint64(limit)))
+	}
+	return offset, limit
+}
+
+// locate finds the chain of a turn.
+func (r *Replica) locate(ref hawthornrail.TurnRef) (store.Located, error) {
+	located, err := r.deps.Store.Locate(ref)
+	if !errors.Is(err, store.ErrUnknown) {
+		return located, err
+	}
+	if !r.isCertain() {
+		return located, errUncertain
 	}
+	// Repair may have stored the turn after the store was asked.
+	return r.deps.Store.Locate(ref)
+}
+
+// stateOf returns what is known of a turn whose chain can't be returned.
+func (r *Replica) stateOf(err error) vmpb.ChainState {
 	switch {
-	case err == nil:
-		return &vmpb.ChainLoadReply{
-			State: vmpb.ChainState_CHAIN_STATE_FOUND, Content: chain.Content(), PlacementKey: chain.PlacementKey(), Turns: uint32(chain.Turns()),
-		}
+	case errors.Is(err, store.ErrUnknown):
+		return vmpb.ChainState_CHAIN_STATE_UNKNOWN
 	case errors.Is(err, store.ErrForeign):
-		return &vmpb.ChainLoadReply{State: vmpb.ChainState_CHAIN_STATE_FOREIGN}
+		return vmpb.ChainState_CHAIN_STATE_FOREIGN
 	case errors.Is(err, store.ErrIncomplete):
 		r.wake()
 	}
-	return &vmpb.ChainLoadReply{State: vmpb.ChainState_CHAIN_STATE_UNCERTAIN}
+	return vmpb.ChainState_CHAIN_STATE_UNCERTAIN
 }
 
 // wake lets the next round of repair fetch missing ancestors.
@@ -150,9 +187,12 @@
 	return list
 }
 
-// send returns the turns that are held; the request is declined if they can't be read, since
-// a turn that is not in the reply counts as one that does not exist.
-func (r *Replica) send(m *vmpb.TurnFetch) proto.Message {
+// send returns the turns that are held, in a place; the request is declined if they can't be
+// read, since a turn that is not in the reply counts as one that does not exist.
+func (r *Replica) send(ctx context.Context, m *vmpb.TurnFetch, p *place) proto.Message {
+	if !p.take(ctx, fetchBytes) {
+		return nil
+	}
 	turns, err := r.deps.Store.Fetch(refsFromWire(m.GetRefs()), fetchBytes)
 	if err != nil {
 		r.deps.Log.Event(events.TurnUnreadable).Err(err).Emit()
--- a/internal/conversation/store/model_test.go
+++ b/internal/conversation/store/model_test.go
@@ -154,7 +154,7 @@
 
 func (m *storeModel) check(t *rapid.T) {
 	for _, id := range m.kept() {
-		chain, err := m.store.Chain(ref(id))
+		chain, err := chainOf(m.store, ref(id))
 		if err != nil || !bytes.Equal(chain.Content(), m.turns[id].content) {
 			t.Errorf("chain of %s: %q, %v, want %q", id, chain.Content(), err, m.turns[id].content)
 		}
--- a/internal/conversation/store/read.go
+++ b/internal/conversation/store/read.go
@@ -1,10 +1,12 @@
 package store
 
 import (
+	"encoding/binary"
 	"errors"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
@@ -18,34 +20,74 @@
 	ErrIncomplete = errors.New("chain is incomplete")
 )
 
-// Chain returns the content of a turn and its ancestors, with one read for each.
-func (s *Store) Chain(ref hawthornrail.TurnRef) (hawthornrail.Chain, error) {
+// Located is a turn and all its ancestors in the log.
+type Located struct {
+	store *Store
+	// entries are the turns, the oldest last.
+	entries []*entry
+	size    int64
+}
+
+// Locate finds a turn and its ancestors without reading their content.
+func (s *Store) Locate(ref hawthornrail.TurnRef) (Located, error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	entries, err := s.index.chain(ref)
-	s.mu.Unlock()
 	if err != nil {
-		return hawthornrail.Chain{}, err
+		return Located{}, err
 	}
-	var size int64
+	l := Located{store: s, entries: entries}
 	for _, e := range entries {
-		size += e.header.contentBytes()
+		l.size += e.header.contentBytes()
+	}
+	return l, nil
+}
+
+// Size returns the size of the content in bytes.
+func (l Located) Size() int64 { return l.size }
+
+// Turns returns the number of turns.
+func (l Located) Turns() int { return len(l.entries) }
+
+// PlacementKey returns the key that determines which VMs store the chain.
+func (l Located) PlacementKey() string { return l.entries[0].placementKey }
+
+// Digest returns a number that is another one if the content differs.
+func (l Located) Digest() uint64 {
+	digest := xxhash.New()
+	var fields [12]byte
+	for _, e := range l.entries {
+		binary.BigEndian.PutUint32(fields[0:], e.header.contentSum)
+		binary.BigEndian.PutUint64(fields[4:], uint64(e.header.contentBytes()))
+		_, _ = digest.Write(fields[:])
 	}
-	content := make([]byte, size)
-	rest := content
-	for _, e := range slices.Backward(entries) {
-		n := e.header.contentBytes()
-		if err := s.read(e, rest[:n:n]); err != nil {
-			return hawthornrail.Chain{}, errors.Join(ErrIncomplete, err)
+	return digest.Sum64()
+}
+
+// Read returns at most limit bytes of the content from an offset on: the input and output of
+// each turn, the oldest first.
+func (l Located) Read(offset, limit int64) ([]byte, error) {
+	offset = min(offset, l.size)
+	end := offset + min(limit, l.size-offset)
+	part := make([]byte, end-offset)
+	var start int64
+	for _, e := range slices.Backward(l.entries) {
+		next := start + e.header.contentBytes()
+		from, to := max(start, offset), min(next, end)
+		if from < to {
+			if err := l.store.read(e, from-start, part[from-offset:to-offset]); err != nil {
+				return nil, errors.Join(ErrIncomplete, err)
+			}
 		}
-		rest = rest[n:]
+		start = next
 	}
-	return hawthornrail.NewChain(content, entries[0].placementKey, len(entries)), nil
+	return part, nil
 }
 
-// read reads the content of an entry. A damaged one counts as missing from then on, so that
-// it is fetched from another VM.
-func (s *Store) read(e *entry, content []byte) error {
-	err := e.segment.read(e, content)
+// read reads the content of an entry from an offset on. A damaged one counts as missing from
+// then on, so that it is fetched from another VM.
+func (s *Store) read(e *entry, offset int64, part []byte) error {
+	err := e.segment.read(e, offset, part)
 	if errors.Is(err, errContentCorrupt) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -167,7 +209,7 @@
 // load reads the turn of an entry.
 func (s *Store) load(e *entry) (hawthornrail.Turn, error) {
 	content := make([]byte, e.header.contentBytes())
-	if err := s.read(e, content); err != nil {
+	if err := s.read(e, 0, content); err != nil {
 		return hawthornrail.Turn{}, err
 	}
 	input := content[:e.header.inputBytes:e.header.inputBytes]
--- a/internal/conversation/store/segment.go
+++ b/internal/conversation/store/segment.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"hash"
 	"hash/crc32"
 	"io"
 	"os"
@@ -150,13 +151,33 @@
 	return nil
 }
 
-// read reads the content of an entry into a buffer of its size and checks it.
-func (s *segment) read(e *entry, content []byte) error {
-	if _, err := s.file.ReadAt(content, e.end-e.header.contentBytes()); err != nil {
+// read reads a part of the content of an entry, and checks all of it.
+func (s *segment) read(e *entry, offset int64, part []byte) error {
+	start := e.end - e.header.contentBytes()
+	if _, err := s.file.ReadAt(part, start+offset); err != nil {
 		return fmt.Errorf("read turn: %w", err)
 	}
-	if crc32.Checksum(content, checksums) != e.header.contentSum {
+	sum := crc32.New(checksums)
+	if err := s.addTo(sum, start, start+offset); err != nil {
+		return err
+	}
+	_, _ = sum.Write(part)
+	if err := s.addTo(sum, start+offset+int64(len(part)), e.end); err != nil {
+		return err
+	}
+	if sum.Sum32() != e.header.contentSum {
 		return fmt.Errorf("read turn: %w", errContentCorrupt)
 	}
 	return nil
 }
+
+// addTo adds the bytes between two offsets to a checksum.
+func (s *segment) addTo(sum hash.Hash32, from, to int64) error {
+	if from == to {
+		return nil
+	}
+	if _, err := io.Copy(sum, io.NewSectionReader(s.file, from, to-from)); err != nil {
+		return fmt.Errorf("read turn: %w", err)
+	}
+	return nil
+}
--- a/internal/conversation/store/store_test.go
+++ b/internal/conversation/store/store_test.go
@@ -65,9 +65,19 @@
 	}
 }
 
+// chainOf reads the whole chain of a turn.
+func chainOf(s *store.Store, r hawthornrail.TurnRef) (hawthornrail.Chain, error) {
+	located, err := s.Locate(r)
+	if err != nil {
+		return hawthornrail.Chain{}, err
+	}
+	content, err := located.Read(0, located.Size())
+	return hawthornrail.NewChain(content, located.PlacementKey(), located.Turns()), err
+}
+
 func assertChain(t testing.TB, s *store.Store, ids ...string) {
 	t.Helper()
-	chain, err := s.Chain(ref(ids[len(ids)-1]))
+	chain, err := chainOf(s, ref(ids[len(ids)-1]))
 	if err != nil {
 		t.Errorf("chain of %s: %v", ids[len(ids)-1], err)
 		return
@@ -79,7 +89,7 @@
 
 func assertError(t testing.TB, s *store.Store, r hawthornrail.TurnRef, want error) {
 	t.Helper()
-	if _, err := s.Chain(r); !errors.Is(err, want) {
+	if _, err := chainOf(s, r); !errors.Is(err, want) {
 		t.Errorf("chain of %s of %s: %v, want %v", r.ID(), r.Team(), err, want)
 	}
 }
@@ -135,7 +145,7 @@
 		other := hawthornrail.NewTurn(hawthornrail.NewTurnRef("other", "a"), []byte("x"), []byte("y\n")).WithRetention(startTime, retention)
 		mustAppend(t, s, other)
 		assertChain(t, s, "a")
-		chain, err := s.Chain(other.Ref())
+		chain, err := chainOf(s, other.Ref())
 		if err != nil || string(chain.Content()) != "xy\n" {
 			t.Errorf("chain %q, %v", chain.Content(), err)
 		}
@@ -158,7 +168,7 @@
 	}
 	assertChain(t, s, "a")
 	mustAppend(t, s, changed.WithRetention(startTime.Add(time.Second), retention))
-	if chain, err := s.Chain(ref("a")); err != nil || string(chain.Content()) != "other" {
+	if chain, err := chainOf(s, ref("a")); err != nil || string(chain.Content()) != "other" {
 		t.Errorf("chain %q, %v", chain.Content(), err)
 	}
 }
@@ -593,7 +603,7 @@
 			s := newStore(b)
 			last := appendChains(b, s, turns, turns)
 			for b.Loop() {
-				if _, err := s.Chain(last); err != nil {
+				if _, err := chainOf(s, last); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -87,6 +87,11 @@
 	ConnectionsRefused = register(2152, zerolog.WarnLevel, "connections of callers refused since the previous line: too many are open", "check the callers of the VM; if they are sound, raise limits.max_connections")
 )
 
+// The events of chains that are received in parts.
+var (
+	ChainInterrupted = register(2153, zerolog.InfoLevel, "a VM with a disk sent a part of a chain and not the rest; another one is asked", "check the VM")
+)
+
 // The events of choosing endpoints.
 var (
 	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
