Wait while no descriptor is left for another VM

Cause: the listener for VMs took any error of accept for its end; the one for callers did not. Callers could have half of the descriptors, and each request takes one more at an endpoint.

Change: both accept through internal/vm/tcp, which waits, logs event 2154 each second and sheds the connection of a caller that waits for a request. Callers have a third of the descriptors.

Not done: 800 callers that do not read.

--- a/internal/caller/proxy/connections.go
+++ b/internal/caller/proxy/connections.go
@@ -7,18 +7,15 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/tcp"
 )
 
 const (
-	// acceptRetryInterval is the pause after a connection could not be accepted, as when no
-	// descriptor is left.
-	acceptRetryInterval = 10 * time.Millisecond
 	// refuseTimeout bounds the write of a refusal, which fits in the buffer of a new
 	// connection.
 	refuseTimeout = 100 * time.Millisecond
@@ -58,6 +55,15 @@
 	return true
 }
 
+// shed closes the connection that has waited longest for a request, if any waits.
+func (l *connections) shed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeLongestWaiting()
+}
+
+// closeLongestWaiting closes a connection and reports whether there was one; l.mu must be
+// held.
 func (l *connections) closeLongestWaiting() bool {
 	var longest *conn
 	for c := range l.open {
@@ -116,21 +122,22 @@
 	if !s.listen(l) {
 		return nil
 	}
+	acceptor := tcp.NewAcceptor(l, s.deps.Clock, s.deps.Log, s.Shed)
 	for {
-		accepted, err := l.Accept()
-		switch {
-		case err == nil:
-			s.accept(accepted)
-		case errors.Is(err, net.ErrClosed):
+		accepted, err := acceptor.Accept()
+		if errors.Is(err, net.ErrClosed) {
 			return nil
-		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
-			s.deps.Clock.Sleep(acceptRetryInterval)
-		default:
-			return fmt.Errorf("accept caller: %w", err)
 		}
+		if err != nil {
+			return fmt.Errorf("serve callers: %w", err)
+		}
+		s.accept(accepted)
 	}
 }
 
+// Shed closes the connection that has waited longest for a request, if any waits.
+func (s *Server) Shed() { s.conns.shed() }
+
 func (s *Server) accept(accepted net.Conn) {
 	c := &conn{Conn: accepted, now: s.deps.Clock.Now}
 	if !s.conns.add(c) {
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -92,6 +92,11 @@
 	ChainInterrupted = register(2153, zerolog.InfoLevel, "a VM with a disk sent a part of a chain and not the rest; another one is asked", "check the VM")
 )
 
+// The events of accepting connections.
+var (
+	AcceptFailed = register(2154, zerolog.WarnLevel, "connections could not be accepted since the previous line; idle ones are closed", "raise the limit of open files of the process, or add VMs")
+)
+
 // The events of choosing endpoints.
 var (
 	EndpointEstimated = register(2155, zerolog.InfoLevel, "speed, pace and load that the choice of the endpoint was based on", "")
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -50,8 +50,9 @@
 	// turnTimeout is the part of it in which copies of turns are still made.
 	turnTimeout = 300 * time.Millisecond
 	// callerDescriptorShare is the fraction of the descriptors, as a divisor, that
-	// connections of callers may use; the others are for endpoints and VMs.
-	callerDescriptorShare = 2
+	// connections of callers may use. Each can take as many again at an endpoint, and the
+	// rest is for VMs and the platform's store.
+	callerDescriptorShare = 3
 )
 
 // entry is the running process.
@@ -256,6 +257,7 @@
 	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
 		return e.streams.Receive(open, s) || e.detours.Receive(ctx, open, s)
 	}
+	n.SetShed(e.server.Shed)
 	if err := n.Start(receive); err != nil {
 		return err
 	}
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -303,6 +303,10 @@
 // Log returns the log of the process.
 func (n *Node) Log() events.Logger { return n.log }
 
+// SetShed sets what closes a connection that is not needed when the process has no descriptor
+// for one of a VM; it must be called before Start.
+func (n *Node) SetShed(shed func()) { n.server.SetShed(shed) }
+
 // Output returns the sink that log lines are written to.
 func (n *Node) Output() *sink.Sink { return n.logSink }
 
--- a/internal/vm/peer/server.go
+++ b/internal/vm/peer/server.go
@@ -12,6 +12,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/traces"
+	"hawthornrail.example/hawthornrail/internal/vm/tcp"
 	vmtls "hawthornrail.example/hawthornrail/internal/vm/tls"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
@@ -45,6 +46,7 @@
 	log      events.Logger
 	handler  Handler
 	listener net.Listener
+	shed     func()
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -60,9 +62,14 @@
 		clock:    clock,
 		log:      log,
 		sessions: make(map[*session]struct{}),
+		shed:     func() {},
 	}
 }
 
+// SetShed sets what closes a connection that is not needed when the process has no descriptor
+// for one of a VM; it must be called before Serve.
+func (s *Server) SetShed(shed func()) { s.shed = shed }
+
 // Listen binds to an address of an IP and a port.
 func (s *Server) Listen(address string) (net.Addr, error) {
 	l, err := net.Listen("tcp", address)
@@ -76,13 +83,14 @@
 // Serve passes streams to handler until the server is closed.
 func (s *Server) Serve(handler Handler) error {
 	s.handler = handler
+	acceptor := tcp.NewAcceptor(s.listener, s.clock, s.log, s.shed)
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := acceptor.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept VM: %w", err)
+			return fmt.Errorf("serve VMs: %w", err)
 		}
 		s.wait.Add(1)
 		go func() {
