Leave durations since never out of the log

What operators saw: event 4015 with confirmed_ms_ago for a source that was never confirmed, 292 years; age_ms of 4002 in the same way before the first contact.

Cause: the time since a zero time is the longest duration.

Change: durations go through Line.Millis, which leaves that one out; 27 lines that converted by themselves use it.

--- a/internal/caller/proxy/exchange.go
+++ b/internal/caller/proxy/exchange.go
@@ -30,7 +30,7 @@
 	e.trail.Event(events.ForwardArrived).Str("method", e.request.Method()).Str("path", e.request.Path()).
 		Str("program", call.Program()).Str("line", call.Session()).
 		Str("after_event", e.request.LastEvent()).Str("stream", e.request.Stream()).
-		Int("deadline_ms", int(e.request.Deadline().Sub(e.request.Received()).Milliseconds())).Emit()
+		Millis("deadline_ms", e.request.Deadline().Sub(e.request.Received())).Emit()
 	ctx := trail.With(e.server.requests, e.trail)
 	ctx, e.cancel = context.WithCancelCause(ctx)
 	e.cancelDeadline = func() {}
@@ -66,7 +66,7 @@
 	duration := e.server.deps.Clock.Since(e.request.Received())
 	e.server.deps.Forwards.Ended(e.request.Route().Kind(), e.request.Deployment().Team(), err, duration)
 	e.trail.Event(outcomeEvent(err, disconnected)).Str("team", e.request.Deployment().Team()).
-		Str("verdict", hawthornrail.VerdictOf(err).String()).Err(err).Int("took_ms", int(duration.Milliseconds())).Emit()
+		Str("verdict", hawthornrail.VerdictOf(err).String()).Err(err).Millis("took_ms", duration).Emit()
 	e.trail.Close(err != nil)
 }
 
--- a/internal/config/mirror/follower.go
+++ b/internal/config/mirror/follower.go
@@ -217,7 +217,7 @@
 	if err == nil || errors.Is(err, hawthornrail.ErrHistoryCompacted) {
 		if f.storeHealth.Responded(kind, f.clock.Now()) {
 			f.log.Event(events.PlatformResponsive).Str("kind", kind).Uint64("revision", f.mirror.Revision(kind)).
-				Int("settling_ms", int(f.storeHealth.Settling(f.clock.Now()).Milliseconds())).Emit()
+				Millis("settling_ms", f.storeHealth.Settling(f.clock.Now())).Emit()
 		}
 		return
 	}
--- a/internal/config/mirror/subscriber.go
+++ b/internal/config/mirror/subscriber.go
@@ -54,7 +54,7 @@
 			s.watchRole.Failed(slot, address, s.clock.Now())
 			if followed {
 				s.log.Event(events.SourceLost).Str("source", address).Bool("watching", status.watching).Bool("lost", status.Lost()).
-					Int("confirmed_ms_ago", int(s.clock.Since(status.confirmed).Milliseconds())).Err(err).Emit()
+					Millis("confirmed_ms_ago", s.clock.Since(status.confirmed)).Err(err).Emit()
 			}
 			continue
 		}
--- a/internal/conversation/client/load.go
+++ b/internal/conversation/client/load.go
@@ -152,8 +152,8 @@
 	line := trail.From(ctx).Event(events.ChainLoaded).Str("parent", ref.ID()).Str("from", found.vm.Name()).Bool("found", ok).
 		Int("vms", len(s.order)).Int("asked", s.asked).Int("unknown", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN]).
 		Int("foreign", s.replies[vmpb.ChainState_CHAIN_STATE_FOREIGN]).Int("uncertain", s.replies[vmpb.ChainState_CHAIN_STATE_UNCERTAIN]).
-		Int("no_reply", s.replies[vmpb.ChainState_CHAIN_STATE_UNSPECIFIED]).Int("config_age_ms", int(c.deps.Config.Age().Milliseconds()))
-	line.Int("turns", int(found.chain.GetTurns())).Int("bytes", int(totalBytes(found.chain))).Int("took_ms", int(took.Milliseconds())).Emit()
+		Int("no_reply", s.replies[vmpb.ChainState_CHAIN_STATE_UNSPECIFIED]).Millis("config_age_ms", c.deps.Config.Age())
+	line.Int("turns", int(found.chain.GetTurns())).Int("bytes", int(totalBytes(found.chain))).Millis("took_ms", took).Emit()
 	return found, ok
 }
 
--- a/internal/conversation/client/save.go
+++ b/internal/conversation/client/save.go
@@ -239,14 +239,14 @@
 	line := trail.From(ctx).Event(events.TurnSaved).Bool("stored", durable).Int("copies", s.state.saved).Int("wanted", s.state.required).
 		Bool("kept", s.state.kept).Bool("asked", s.asked).Err(s.keepErr).
 		Int("failed", len(s.state.failed)).Int("no_reply", s.state.pending).Int("bytes", int(s.turn.Size()))
-	line.Int("config_age_ms", int(c.deps.Config.Age().Milliseconds())).Int("took_ms", int(took.Milliseconds())).Emit()
+	line.Millis("config_age_ms", c.deps.Config.Age()).Millis("took_ms", took).Emit()
 	if !durable || s.state.complete() {
 		return
 	}
 	c.deps.Metrics.Kept()
 	c.deps.Log.Event(events.TurnKept).Str("turn", s.turn.Ref().ID()).Str("team", s.turn.Ref().Team()).
 		Int("copies", s.state.saved).Int("wanted", s.state.required).Int("listed", len(c.deps.Config.Snapshot().DiskVMs())).
-		Int("failed", len(s.state.failed)).Int("no_reply", s.state.pending).Int("took_ms", int(took.Milliseconds())).Emit()
+		Int("failed", len(s.state.failed)).Int("no_reply", s.state.pending).Millis("took_ms", took).Emit()
 }
 
 func (s *save) sendTo(ctx context.Context, vms []hawthornrail.VM) {
--- a/internal/conversation/replica/doubt.go
+++ b/internal/conversation/replica/doubt.go
@@ -71,7 +71,7 @@
 	if seen && !r.whole && !known.hasAll() {
 		r.beginDoubt()
 		r.deps.Log.Event(events.TurnsMayBeLost).Str("vm", vm.Name()).Str("address", vm.Address()).
-			Int("missing", len(known.missing)).Int("doubt_ms", int(r.doubtUntil.Sub(now).Milliseconds())).Emit()
+			Int("missing", len(known.missing)).Millis("doubt_ms", r.doubtUntil.Sub(now)).Emit()
 	}
 }
 
--- a/internal/conversation/replica/pace.go
+++ b/internal/conversation/replica/pace.go
@@ -60,7 +60,7 @@
 	}
 	r.pace.set(planned)
 	r.deps.Log.Event(events.RepairPaced).Int("missing_bytes", int(missing)).Int("bytes_per_s", int(r.pace.limiter.Limit())).
-		Int("left_ms", int(r.repairLeftLocked().Milliseconds())).Int("time_ms", int(r.pace.catchUp.Milliseconds())).Emit()
+		Millis("left_ms", r.repairLeftLocked()).Millis("time_ms", r.pace.catchUp).Emit()
 }
 
 // paceDone ends the repair, if nothing is missing: a further loss is borne from now on.
@@ -73,7 +73,7 @@
 	took := r.deps.Clock.Since(r.pace.began)
 	r.pace.began = time.Time{}
 	r.pace.set(minPace)
-	r.deps.Log.Event(events.CopiesComplete).Int("took_ms", int(took.Milliseconds())).Bool("in_time", took <= r.pace.catchUp).Emit()
+	r.deps.Log.Event(events.CopiesComplete).Millis("took_ms", took).Bool("in_time", took <= r.pace.catchUp).Emit()
 }
 
 // missingBytesLocked returns the size of the turns that are known to be missing; r.mu must be
--- a/internal/conversation/replica/replica.go
+++ b/internal/conversation/replica/replica.go
@@ -189,7 +189,7 @@
 			event = events.TurnsCertain
 		}
 		r.deps.Log.Event(event).Int("vms", e.vms).Bool("listed", e.listed).Int("not_read", e.unpulled).
-			Int("unresponsive", e.suspected).Int("list_age_ms", int(e.listAge.Milliseconds())).Int("doubt_ms", int(max(0, e.doubt).Milliseconds())).Emit()
+			Int("unresponsive", e.suspected).Millis("list_age_ms", e.listAge).Millis("doubt_ms", max(0, e.doubt)).Emit()
 	}
 	if r.certain && !r.whole {
 		r.markWhole()
--- a/internal/endpoint/contact/service.go
+++ b/internal/endpoint/contact/service.go
@@ -239,7 +239,7 @@
 	line := s.tracker.deps.Log.Event(events.ServiceUnreachable).Str("service", s.name).Int("helpers", c.Helpers).Int("denials", c.Denials).
 		Int("in_flight", len(s.attempts))
 	if s.heardAt.Load() != 0 {
-		line.Int("silent_ms", int(now.Sub(s.lastHeard()).Milliseconds()))
+		line.Millis("silent_ms", now.Sub(s.lastHeard()))
 	}
 	line.Emit()
 	s.abandonLocked(now)
@@ -273,7 +273,7 @@
 	if !s.state.Probed(reached, now) {
 		return false
 	}
-	s.tracker.deps.Log.Event(events.ServiceReachable).Str("service", s.name).Int("after_ms", int(now.Sub(s.cutOffAt).Milliseconds())).Emit()
+	s.tracker.deps.Log.Event(events.ServiceReachable).Str("service", s.name).Millis("after_ms", now.Sub(s.cutOffAt)).Emit()
 	return true
 }
 
--- a/internal/endpoint/forward/detour.go
+++ b/internal/endpoint/forward/detour.go
@@ -16,7 +16,7 @@
 	}
 	a := &attempt{indirect: true, helper: helper, sent: d.deps.Clock.Now()}
 	d.logEvent(events.ForwardDetoured).Str("through", helper.Name()).Str("service", d.service.Name()).
-		Int("send", d.progress.Sends()+1).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
+		Int("send", d.progress.Sends()+1).Millis("left_ms", d.timeLeft()).Str("after_event", d.progress.LastEvent()).Emit()
 	response, err := d.deps.Detour.Open(ctx, helper, d.service.Name(), d.request, d.progress)
 	if err != nil {
 		return nil, d.failIndirect(helper, err)
--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -172,10 +172,10 @@
 	defer fasthttp.ReleaseRequest(request)
 	d.fillRequest(request, a.endpoint)
 	d.logEvent(events.ForwardSent).Str("endpoint", a.endpoint.Name()).Str("service", d.service.Name()).Str("version", a.endpoint.Version()).
-		Int("send", d.progress.Sends()).Int("left_ms", int(d.timeLeft().Milliseconds())).Str("after_event", d.progress.LastEvent()).Emit()
+		Int("send", d.progress.Sends()).Millis("left_ms", d.timeLeft()).Str("after_event", d.progress.LastEvent()).Emit()
 	if estimate, ok := d.deps.Pool.Estimate(a.endpoint.Name(), a.query); ok {
 		d.logEvent(events.EndpointEstimated).Str("endpoint", a.endpoint.Name()).Float("speed", estimate.Speed()).Float("pace", estimate.Pace()).
-			Int("age_ms", int(estimate.Age().Milliseconds())).Float("load", estimate.Load()).Emit()
+			Millis("age_ms", estimate.Age()).Float("load", estimate.Load()).Emit()
 	}
 	d.track(ctx, a)
 	response, err := d.deps.Transport.DoAccepted(a.ctx, a.endpoint.Address(), request, d.acceptResponse, a.contact)
--- a/internal/observe/events/events.go
+++ b/internal/observe/events/events.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"os"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -90,6 +92,15 @@
 	return l
 }
 
+// Millis adds a duration in milliseconds. The field is left out if the duration is the longest
+// one, which is the time since something that has never happened.
+func (l *Line) Millis(field string, value time.Duration) *Line {
+	if value == math.MaxInt64 {
+		return l
+	}
+	return l.Int(field, int(value.Milliseconds()))
+}
+
 // Float adds a floating-point field.
 func (l *Line) Float(field string, value float64) *Line {
 	l.event.Float64(field, value)
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -319,6 +319,6 @@
 	ctx, cancelTurns := context.WithTimeout(context.Background(), turnTimeout)
 	defer cancelTurns()
 	e.turns.Wait(ctx)
-	n.Log().Event(events.ProcessDrained).Int("took_ms", int(n.Clock().Since(start).Milliseconds())).Emit()
+	n.Log().Event(events.ProcessDrained).Millis("took_ms", n.Clock().Since(start)).Emit()
 	n.Stop()
 }
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -193,13 +193,13 @@
 	for _, e := range now.InForce() {
 		if !before.Evacuated(e.DataCentre()) {
 			n.log.Event(events.EvacuationInForce).Str("evacuated", e.DataCentre()).Uint64("revision", e.Revision()).Str("source", source).
-				Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
+				Millis("age_ms", n.catalogue.Age()).Emit()
 		}
 	}
 	for _, e := range before.InForce() {
 		if !now.Evacuated(e.DataCentre()) {
 			n.log.Event(events.EvacuationEnded).Str("evacuated", e.DataCentre()).Uint64("revision", revision).Str("source", source).
-				Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
+				Millis("age_ms", n.catalogue.Age()).Emit()
 		}
 	}
 }
@@ -225,7 +225,7 @@
 	if ok && n.catalogue.Accept(config) {
 		n.log.Event(events.ConfigChanged).Uint64("version", config.Version()).
 			Int("routes", len(config.Routes())).Int("teams", len(config.Deployments())).
-			Str("source", source).Int("age_ms", int(n.catalogue.Age().Milliseconds())).Emit()
+			Str("source", source).Millis("age_ms", n.catalogue.Age()).Emit()
 	}
 }
 
--- a/internal/operator/node/task_metrics.go
+++ b/internal/operator/node/task_metrics.go
@@ -60,7 +60,7 @@
 func (n *Node) logWork(used time.Duration, err error, tallies []metrics.Tally) {
 	line := n.log.Event(events.WorkReport).Err(err)
 	if err == nil {
-		line.Int("processor_ms", int(used.Milliseconds()))
+		line.Millis("processor_ms", used)
 	}
 	for _, t := range tallies {
 		line.Int(t.Task(), t.Count()).Int(t.Task()+"_mean_us", int(t.Mean().Microseconds())).
--- a/internal/operator/serve/shutdown.go
+++ b/internal/operator/serve/shutdown.go
@@ -42,7 +42,7 @@
 	}
 	p.in.Log.Event(events.ProcessDrained).Int("requests", p.in.Callers.Completed()-requests).
 		Int("forwarded", p.in.Receiver.Completed()-forwarded).Int("cut", aborted).
-		Int("took_ms", int(p.in.Clock.Since(start).Milliseconds())).Emit()
+		Millis("took_ms", p.in.Clock.Since(start)).Emit()
 	// Drain has its own timeout and is also called after the drain timeout.
 	p.in.Rates.Drain(context.Background())
 	_ = p.operator.Close()
--- a/internal/vm/detour/server.go
+++ b/internal/vm/detour/server.go
@@ -160,7 +160,7 @@
 		End: convert.EndToWire(err), Refused: errors.Is(err, hawthornrail.ErrHelperRefused), Progress: progressToWire(&progress),
 	}))
 	line.Event(events.DetourEnded).Str("verdict", hawthornrail.VerdictOf(err).String()).Err(err).
-		Int("took_ms", int(s.deps.Clock.Since(start).Milliseconds())).Emit()
+		Millis("took_ms", s.deps.Clock.Since(start)).Emit()
 	line.Close(err != nil)
 }
 
