--- a/internal/vm/ranking/ranking.go
+++ b/internal/vm/ranking/ranking.go
@@ -11,8 +11,20 @@
 // ByHash returns VMs in an order that depends on a key: a VM that comes or goes does not
 // change the order of the others. VMs of all builds have to use the same hash.
 func ByHash(vms []hawthornrail.VM, key string) []hawthornrail.VM {
-	rank := func(v hawthornrail.VM) uint64 { return xxhash.Sum64String(v.Name() + key) }
-	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, func(a, b hawthornrail.VM) int { return cmp.Compare(rank(a), rank(b)) })
+	ranks := make([]rank, len(vms))
+	for i, v := range vms {
+		ranks[i] = rank{hash: xxhash.Sum64String(v.Name() + key), vm: v}
+	}
+	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Compare(a.hash, b.hash) })
+	sorted := make([]hawthornrail.VM, len(vms))
+	for i, r := range ranks {
+		sorted[i] = r.vm
+	}
 	return sorted
 }
+
+// rank is the place of a VM in an order.
+type rank struct {
+	hash uint64
+	vm   hawthornrail.VM
+}
