Let VMs that do not reply come last for the origins of streams

Cause: entries of VMs that were removed for good stay in the list of VMs. The two that are told where a stream began, and those that are asked for it, were chosen by a hash over that list, whether they replied or not.

Change: each VM remembers who does not reply, for 1 s up to 2 minutes; those come last.

--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -21,9 +21,11 @@
 	reportDelay = 20 * time.Millisecond
 	// reportTimeout bounds one message about origins.
 	reportTimeout = time.Second
-	// maxUnreported bounds the origins that wait to be sent; those beyond are known
-	// to this VM alone.
-	maxUnreported = 4096
+	// maxUnreported bounds the reports that wait to be sent; the streams beyond are
+	// known to fewer VMs.
+	maxUnreported = 8192
+	// maxAttempts bounds the VMs that are tried for one report.
+	maxAttempts = 8
 )
 
 // Dependencies are the dependencies of a Controller.
@@ -45,15 +47,23 @@
 	origins *origins
 	history *version.History
 	// observed is the configuration whose endpoints the history contains.
-	observed *hawthornrail.Snapshot
-	// unreported are the origins that other VMs have to be told.
-	unreported []*vmpb.StreamOrigin
+	observed   *hawthornrail.Snapshot
+	unreported []report
 	changed    chan struct{}
+	absences   *absences
+}
+
+// report is the origin of a stream that a VM has to be told, in this VM's data centre or in
+// another.
+type report struct {
+	origin   *vmpb.StreamOrigin
+	remote   bool
+	attempts int
 }
 
 // New returns a controller that knows no stream.
 func New(deps Dependencies) *Controller {
-	return &Controller{deps: deps, origins: newOrigins(), history: version.NewHistory(), changed: make(chan struct{}, 1)}
+	return &Controller{deps: deps, origins: newOrigins(), history: version.NewHistory(), changed: make(chan struct{}, 1), absences: newAbsences()}
 }
 
 // Run observes the endpoints and tells other VMs of streams until ctx ends.
@@ -74,8 +84,8 @@
 		if !clock.Wait(ctx, c.deps.Clock, reportDelay) {
 			return
 		}
-		for address, streams := range c.takeUnreported() {
-			pending.Go(func() { c.report(ctx, address, streams) })
+		for vm, reports := range c.takeUnreported() {
+			pending.Go(func() { c.send(ctx, vm, reports) })
 		}
 	}
 }
@@ -103,39 +113,63 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.origins.add(stream, origin, c.deps.Clock.Now())
-	if len(c.unreported) == maxUnreported {
+	m := originToWire(stream, origin)
+	c.addReportsLocked(report{origin: m}, report{origin: m, remote: true})
+}
+
+// addReportsLocked adds reports that are due soon; c.mu must be held.
+func (c *Controller) addReportsLocked(reports ...report) {
+	if len(c.unreported)+len(reports) > maxUnreported {
 		return
 	}
-	c.unreported = append(c.unreported, originToWire(stream, origin))
+	c.unreported = append(c.unreported, reports...)
 	select {
 	case c.changed <- struct{}{}:
 	default:
-		// A report is already due.
+		// A message is already due.
 	}
 }
 
-// takeUnreported returns the origins that each VM has to be told.
-func (c *Controller) takeUnreported() map[string][]*vmpb.StreamOrigin {
+// takeUnreported returns the reports to each VM.
+func (c *Controller) takeUnreported() map[hawthornrail.VM][]report {
 	c.mu.Lock()
-	streams := c.unreported
+	reports := c.unreported
 	c.unreported = nil
 	c.mu.Unlock()
-	messages := make(map[string][]*vmpb.StreamOrigin)
+	messages := make(map[hawthornrail.VM][]report)
 	vms := c.otherVMs()
-	for _, s := range streams {
-		for _, address := range c.keepers(vms, s.GetStream()) {
-			messages[address] = append(messages[address], s)
+	for _, r := range reports {
+		if vm, ok := c.keeper(vms, r.origin.GetStream(), r.remote); ok {
+			messages[vm] = append(messages[vm], r)
 		}
 	}
 	return messages
 }
 
-func (c *Controller) report(ctx context.Context, address string, streams []*vmpb.StreamOrigin) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+// send sends reports to a VM, and to another one if it does not reply.
+func (c *Controller) send(ctx context.Context, vm hawthornrail.VM, reports []report) {
+	sendCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	open := &vmpb.Open{Kind: &vmpb.Open_StreamsBegun{StreamsBegun: &vmpb.StreamsBegun{Streams: streams}}}
-	// A VM that is not reached is one of several that keep the origin.
-	_, _ = c.deps.Invoker.Invoke(ctx, address, open, &vmpb.StreamsBegunReply{})
+	message := &vmpb.StreamsBegun{}
+	for _, r := range reports {
+		message.Streams = append(message.Streams, r.origin)
+	}
+	open := &vmpb.Open{Kind: &vmpb.Open_StreamsBegun{StreamsBegun: message}}
+	_, err := c.deps.Invoker.Invoke(sendCtx, vm.Address(), open, &vmpb.StreamsBegunReply{})
+	if ctx.Err() != nil {
+		return
+	}
+	c.absences.record(vm.Name(), err == nil, c.deps.Clock.Now())
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range reports {
+		if r.attempts++; r.attempts < maxAttempts {
+			c.addReportsLocked(r)
+		}
+	}
 }
 
 // Receive serves the requests of other VMs about streams and reports whether open
@@ -143,9 +177,11 @@
 func (c *Controller) Receive(open *vmpb.Open, s *peer.Stream) bool {
 	switch {
 	case open.GetStreamsBegun() != nil:
+		c.absences.record(s.From().VM(), true, c.deps.Clock.Now())
 		// The sender does not wait for the reply.
 		_ = s.Send(c.receiveReport(open.GetStreamsBegun()))
 	case open.GetStreamAsk() != nil:
+		c.absences.record(s.From().VM(), true, c.deps.Clock.Now())
 		// A VM that misses the reply asks others at the same time.
 		_ = s.Send(c.receiveAsk(open.GetStreamAsk()))
 	default:
--- a/internal/vm/streams/find.go
+++ b/internal/vm/streams/find.go
@@ -11,12 +11,6 @@
 )
 
 const (
-	// findTimeout bounds how long a caller that takes up a stream waits for the
-	// VMs that may know where it began.
-	findTimeout = 250 * time.Millisecond
-	// keepersOfDataCentre is how many VMs of each data centre may keep the origin
-	// of a stream: the first one, or the second if the stream began at the first.
-	keepersOfDataCentre = 2
 	// windowFactor multiplies a route's timeout; a stream that is taken up began
 	// within that time.
 	windowFactor = 2
@@ -48,7 +42,7 @@
 		return originFromWire(own.GetSole()), true
 	}
 	ask := &vmpb.StreamAsk{Stream: stream, Service: service, WindowMs: uint32(window.Milliseconds())}
-	return c.ask(ctx, ask, own)
+	return newSearch(c, ask).run(ctx, own)
 }
 
 // soleService returns the service of a route that has only one.
@@ -59,81 +53,24 @@
 	return ""
 }
 
-// ask asks the VMs that may keep the origin of a stream, all at once.
-func (c *Controller) ask(ctx context.Context, ask *vmpb.StreamAsk, own *vmpb.StreamReply) (hawthornrail.StreamOrigin, bool) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	addresses := c.candidates(c.otherVMs(), ask.GetStream())
-	replies := make(chan *vmpb.StreamReply, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			var reply vmpb.StreamReply
-			open := &vmpb.Open{Kind: &vmpb.Open_StreamAsk{StreamAsk: &vmpb.StreamAsk{
-				Stream: ask.GetStream(), Service: ask.GetService(), WindowMs: ask.GetWindowMs(),
-			}}}
-			if _, err := c.deps.Invoker.Invoke(ctx, address, open, &reply); err != nil {
-				// Another VM may know.
-				replies <- nil
-				return
-			}
-			replies <- &reply
-		}()
-	}
-	several, sole := own.GetSeveral(), own.GetSole()
-	for range addresses {
-		reply := <-replies
-		if reply.GetOrigin() != nil {
-			return originFromWire(reply.GetOrigin()), true
-		}
-		several = several || reply.GetSeveral()
-		if reply.GetSole() != nil {
-			sole = reply.GetSole()
-		}
-	}
-	if several || sole == nil {
-		return hawthornrail.StreamOrigin{}, false
-	}
-	return originFromWire(sole), true
-}
-
 // otherVMs returns the other entry VMs.
 func (c *Controller) otherVMs() []hawthornrail.VM {
 	return slices.DeleteFunc(c.deps.Config.Snapshot().EntryVMs(), func(v hawthornrail.VM) bool { return v.Name() == c.deps.VM })
 }
 
-// keepers returns the addresses of the VMs that are told where a stream began:
-// one in this VM's data centre, where its caller probably takes it up, and one in
-// another.
-func (c *Controller) keepers(vms []hawthornrail.VM, stream string) []string {
-	var addresses []string
-	local, remote := false, false
-	for _, v := range ranked(vms, stream) {
-		chosen := &remote
-		if v.DataCentre() == c.deps.DataCentre {
-			chosen = &local
-		}
-		if !*chosen {
-			*chosen = true
-			addresses = append(addresses, v.Address())
-		}
-	}
-	return addresses
-}
-
-// candidates returns the addresses of the VMs that may have been told where a
-// stream began, whichever VM told them.
-func (c *Controller) candidates(vms []hawthornrail.VM, stream string) []string {
-	var addresses []string
-	chosen := make(map[string]int)
-	for _, v := range ranked(vms, stream) {
-		if chosen[v.DataCentre()]++; chosen[v.DataCentre()] <= keepersOfDataCentre {
-			addresses = append(addresses, v.Address())
+// keeper returns the VM that is told where a stream began: one in this VM's
+// data centre, where its caller probably takes it up, or one in another.
+func (c *Controller) keeper(vms []hawthornrail.VM, stream string, remote bool) (vm hawthornrail.VM, ok bool) {
+	for _, v := range c.ranked(vms, stream) {
+		if remote == (v.DataCentre() != c.deps.DataCentre) {
+			return v, true
 		}
 	}
-	return addresses
+	return hawthornrail.VM{}, false
 }
 
-// ranked returns the VMs in the order in which they keep the origin of a stream.
-func ranked(vms []hawthornrail.VM, stream string) []hawthornrail.VM {
-	return ranking.ByHash(vms, " "+stream)
+// ranked returns VMs in the order in which they keep the origin of a stream. Others take the
+// place of those that do not reply.
+func (c *Controller) ranked(vms []hawthornrail.VM, stream string) []hawthornrail.VM {
+	return c.absences.absentLast(ranking.ByHash(vms, " "+stream), c.deps.Clock.Now())
 }
--- a/internal/vm/streams/fleet_test.go
+++ b/internal/vm/streams/fleet_test.go
@@ -15,8 +15,15 @@
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-// routeTimeout is short, so that the versions of a moment ago are soon forgotten.
-const routeTimeout = 200 * time.Millisecond
+const (
+	// routeTimeout is short, so that the versions of a moment ago are soon forgotten.
+	routeTimeout = 200 * time.Millisecond
+	// learnTime is longer than the attempts to tell one stream take.
+	learnTime = 5 * time.Second
+	// removedOfVM is how many VMs were removed for each that runs.
+	removedOfVM = 4
+	streamsOfVM = 60
+)
 
 var errUnreachable = errors.New("unreachable")
 
@@ -28,6 +35,16 @@
 	snapshot *hawthornrail.Snapshot
 	vms      []*Controller
 	down     map[int]bool
+	// silent is set if VMs that are down do not even refuse connections.
+	silent bool
+}
+
+// silence is how a message to a VM ends that is down.
+func (n *network) silence(ctx context.Context) error {
+	if n.silent {
+		<-ctx.Done()
+	}
+	return errUnreachable
 }
 
 // link is the configuration and the invoker of one VM.
@@ -59,7 +76,7 @@
 	receiver, down := n.vms[to], n.down[to]
 	n.mu.Unlock()
 	if down || ctx.Err() != nil {
-		return hawthornrail.Instance{}, errUnreachable
+		return hawthornrail.Instance{}, n.silence(ctx)
 	}
 	n.messages.Add(1)
 	if report := open.GetStreamsBegun(); report != nil {
@@ -94,6 +111,20 @@
 	return n
 }
 
+// addRemoved lists VMs that were removed for good, a number for each that runs.
+func (n *network) addRemoved(each int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	vms := n.snapshot.EntryVMs()
+	running := len(vms)
+	for vm := running; vm < running*(each+1); vm++ {
+		vms = append(vms, hawthornrail.NewVM(name(vm), dataCentre(vm), fmt.Sprint(vm), false).WithoutRates())
+		n.vms = append(n.vms, nil)
+		n.down[vm] = true
+	}
+	n.snapshot = hawthornrail.NewSnapshot(2, nil, nil, n.snapshot.Endpoints(), vms)
+}
+
 func name(vm int) string { return fmt.Sprintf("vm%d", vm) }
 
 func dataCentre(vm int) string { return fmt.Sprintf("dc%d", vm%3) }
@@ -166,6 +197,20 @@
 	return streams
 }
 
+// beginAtVMs begins a number of streams at each of some VMs, alternately at v1 and v2. The
+// names of the streams begin with a prefix.
+func (n *network) beginAtVMs(vms []int, prefix string, count int) map[string]string {
+	streams := make(map[string]string)
+	for _, vm := range vms {
+		for range count {
+			stream, version := fmt.Sprintf("%s%d", prefix, len(streams)), []string{"v1", "v2"}[len(streams)%2]
+			n.vms[vm].Record(stream, hawthornrail.NewStreamOrigin("engine", version))
+			streams[stream] = version
+		}
+	}
+	return streams
+}
+
 // taken counts the streams that can be taken up, and those at a wrong version.
 func (n *network) taken(t *testing.T, streams map[string]string, at func(s int) int) (known, wrong int) {
 	t.Helper()
@@ -218,6 +263,33 @@
 	}
 }
 
+// Guards against streams that are lost since VMs that were removed for good stay in the list:
+// their origins were told to VMs that are gone, and are looked for there.
+func TestTakenUpAmongRemovedVMs(t *testing.T) {
+	for _, c := range []struct {
+		running int
+		// silent is set if the VMs that are gone do not even refuse connections.
+		silent bool
+	}{{3, false}, {9, false}, {70, false}, {3, true}, {9, true}} {
+		t.Run(fmt.Sprintf("%d run, silent %t", c.running, c.silent), func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(t, c.running, "v1", "v2")
+			n.silent = c.silent
+			n.addRemoved(removedOfVM)
+			// The first streams show the two VMs which others reply.
+			n.beginAtVMs([]int{0, 1}, "first", removedOfVM*c.running)
+			time.Sleep(learnTime)
+			streams := n.beginAtVMs([]int{0}, "s", streamsOfVM)
+			time.Sleep(learnTime)
+			n.setDown(0, true)
+			known, wrong := n.taken(t, streams, func(int) int { return 1 })
+			if wrong > 0 || known < len(streams)*9/10 {
+				t.Errorf("%d of %d streams are known, %d wrong", known, len(streams), wrong)
+			}
+		})
+	}
+}
+
 // Guards against refusals while a service has one version only, against questions to
 // other VMs then, and against more than two messages a stream.
 func TestOneVersion(t *testing.T) {
