Admit each byte of a chain once

What callers could see, since chains are admitted before they are loaded: a chain counted twice, and refused as too long or for lack of memory, if its transfer was interrupted at all VMs and the platform's store had its last turn.

Change: a query keeps the largest size that was admitted, and admits only what exceeds it. The room behind the content includes turns from the store.

TestBytesAreAdmittedOnce fails before (5,242,908 bytes for a chain of 5,242,880).

--- a/conversation.go
+++ b/conversation.go
@@ -141,12 +141,6 @@
 // Room returns the number of bytes for which the content has room behind it.
 func (q ChainQuery) Room() int { return q.room }
 
-// At returns a copy for another turn of the same team and another program.
-func (q ChainQuery) At(id, program string) ChainQuery {
-	q.ref, q.program = NewTurnRef(q.ref.team, id), program
-	return q
-}
-
 // Ref returns the identity of the last turn.
 func (q ChainQuery) Ref() TurnRef { return q.ref }
 
--- a/internal/conversation/client/load.go
+++ b/internal/conversation/client/load.go
@@ -43,21 +43,22 @@
 // too few disks have from the platform's store.
 func (c *Client) Chain(ctx context.Context, q hawthornrail.ChainQuery) (hawthornrail.Chain, error) {
 	start := c.deps.Clock.Now()
-	found, err := c.search(ctx, q)
+	a := &admission{query: q}
+	found, err := c.search(ctx, q.Ref(), q.Program(), a)
 	c.deps.Metrics.Loaded(found.source, c.deps.Clock.Since(start))
 	var newer []hawthornrail.Turn
 	for err == nil && found.source == metrics.ChainFromStore {
 		t := found.kept.Turn()
 		c.deliver(ctx, found.kept)
 		newer = append(newer, t)
-		if err = admit(q, int(t.Size())); err != nil || t.Parent() == "" {
+		if err = a.admitNewer(t); err != nil || t.Parent() == "" {
 			break
 		}
 		if slices.ContainsFunc(newer, func(n hawthornrail.Turn) bool { return n.Ref().ID() == t.Parent() }) {
 			err = errCycle
 			break
 		}
-		found, err = c.search(ctx, q.At(t.Parent(), t.PlacementKey()))
+		found, err = c.search(ctx, hawthornrail.NewTurnRef(q.Ref().Team(), t.Parent()), t.PlacementKey(), a)
 	}
 	if err != nil && len(newer) > 0 && !isRefused(err) {
 		// The turns before a kept one exist, wherever they are.
@@ -79,12 +80,11 @@
 }
 
 // search searches a turn at the VMs with a disk and then in the platform's store.
-func (c *Client) search(ctx context.Context, q hawthornrail.ChainQuery) (searched, error) {
-	found, diskErr := c.fromDisks(ctx, q)
+func (c *Client) search(ctx context.Context, ref hawthornrail.TurnRef, program string, a *admission) (searched, error) {
+	found, diskErr := c.fromDisks(ctx, ref, program, a)
 	if diskErr == nil || isRefused(diskErr) {
 		return found, diskErr
 	}
-	ref := q.Ref()
 	unknown := hawthornrail.AsFailure(diskErr).Code() == hawthornrail.CodeUnknownTurn
 	kept, ok, err := c.keptTurn(ctx, ref, unknown)
 	switch {
@@ -96,7 +96,7 @@
 		return found, diskErr
 	}
 	// The turn may have moved from the store to the disks after these had been asked.
-	return c.fromDisks(ctx, q)
+	return c.fromDisks(ctx, ref, program, a)
 }
 
 // keptTurn asks the platform's store for a turn. Only if it would else be said not to exist is
@@ -110,12 +110,11 @@
 
 // fromDisks returns the chain of a turn from a VM that holds it. Otherwise it returns a Failure
 // with CodeUnknownTurn if it is certain that no VM does, and else with CodeTurnUncertain.
-func (c *Client) fromDisks(ctx context.Context, q hawthornrail.ChainQuery) (searched, error) {
+func (c *Client) fromDisks(ctx context.Context, ref hawthornrail.TurnRef, program string, a *admission) (searched, error) {
 	vms := c.deps.Config.Snapshot().DiskVMs()
-	ref := q.Ref()
-	t := &transfer{query: q}
+	t := &transfer{ref: ref, admission: a}
 	for others := vms; ; {
-		s := newSearch(others, placement.Key(q.Program(), ref.ID()), c.deps.DataCentre, c.requiredCopies(), c.monitor.Suspected)
+		s := newSearch(others, placement.Key(program, ref.ID()), c.deps.DataCentre, c.requiredCopies(), c.monitor.Suspected)
 		found, ok := c.findLogged(ctx, s, ref)
 		if !ok {
 			none := searched{source: metrics.ChainFromNone}
--- a/internal/conversation/client/transfer.go
+++ b/internal/conversation/client/transfer.go
@@ -28,32 +28,14 @@
 // errInterrupted means that a VM sent a part of a chain and not the rest.
 var errInterrupted = errors.New("rest of the chain was not received")
 
-// refusal is the error of a query whose content is not admitted.
-type refusal struct{ err error }
-
-func (r refusal) Error() string { return r.err.Error() }
-func (r refusal) Unwrap() error { return r.err }
-
-func isRefused(err error) bool {
-	var r refusal
-	return errors.As(err, &r)
-}
-
-func admit(q hawthornrail.ChainQuery, bytes int) error {
-	if err := q.Admit(bytes); err != nil {
-		return refusal{err}
-	}
-	return nil
-}
-
 // transfer is the content of a chain as it arrives, from one VM after the other if need be.
 type transfer struct {
-	query    hawthornrail.ChainQuery
-	content  []byte
-	total    uint64
-	digest   uint64
-	admitted uint64
-	first    *vmpb.ChainLoadReply
+	ref       hawthornrail.TurnRef
+	admission *admission
+	content   []byte
+	total     uint64
+	digest    uint64
+	first     *vmpb.ChainLoadReply
 }
 
 func firstPart(ref hawthornrail.TurnRef) *vmpb.ChainLoad {
@@ -70,17 +52,14 @@
 // interrupted, if the VM has the same.
 func (t *transfer) begin(first *vmpb.ChainLoadReply) error {
 	total := totalBytes(first)
-	if total > t.admitted {
-		if err := admit(t.query, int(total-t.admitted)); err != nil {
-			return err
-		}
-		t.admitted = total
+	if err := t.admission.admit(total); err != nil {
+		return err
 	}
 	if t.first != nil && t.digest == first.GetDigest() && t.total == total {
 		return nil
 	}
 	t.first, t.total, t.digest = first, total, first.GetDigest()
-	t.content = append(make([]byte, 0, int(total)+t.query.Room()), first.GetContent()...)
+	t.content = append(make([]byte, 0, int(total)+t.admission.room()), first.GetContent()...)
 	return nil
 }
 
@@ -128,7 +107,7 @@
 	// A part that is late says nothing about whether the VM is up.
 	ctx, cancel := context.WithTimeout(ctx, partTimeout)
 	defer cancel()
-	m := &vmpb.ChainLoad{Ref: convert.TurnRefToWire(t.query.Ref()), Offset: uint64(len(t.content)), MaxBytes: partBytes}
+	m := &vmpb.ChainLoad{Ref: convert.TurnRefToWire(t.ref), Offset: uint64(len(t.content)), MaxBytes: partBytes}
 	return c.loadPart(ctx, loadTimeout, vm, m)
 }
 
--- a/internal/conversation/client/transfer_test.go
+++ b/internal/conversation/client/transfer_test.go
@@ -181,3 +181,49 @@
 		assertContent(t, c, content)
 	})
 }
+
+// Guards against a chain that is refused as too long because the parts of it that were loaded
+// in vain count too, or because its turns are at different places.
+func TestBytesAreAdmittedOnce(t *testing.T) {
+	load := func(t *testing.T, c *client.Client, most int) (admitted int, err error) {
+		t.Helper()
+		query := hawthornrail.NewChainQuery(hawthornrail.NewTurnRef("team", "turn"), program)
+		chain, err := c.Chain(t.Context(), query.WithAdmission(func(bytes int) error {
+			if admitted += bytes; admitted > most {
+				return errTooMuch
+			}
+			return nil
+		}))
+		if err == nil && len(chain.Content()) > admitted {
+			t.Errorf("%d bytes are held, %d were admitted", len(chain.Content()), admitted)
+		}
+		return admitted, err
+	}
+	t.Run("interrupted, and kept in the store", func(t *testing.T) {
+		n := newNetwork(1, 1, 1)
+		run(t, n, 3, func(t *testing.T, c *client.Client) {
+			n.set(hasLong(chainBytes(0), 1, 2), n.vms[0])
+			n.keepInStore(t, "turn", "")
+			if admitted, err := load(t, c, longChain); err != nil || admitted != longChain {
+				t.Errorf("%d bytes were to be admitted, error %v", admitted, err)
+			}
+		})
+	})
+	for name, c := range map[string]struct{ more int }{"the end is kept in the store": {0}, "and does not fit": {-1}} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(1, 1, 1)
+			run(t, n, 3, func(t *testing.T, client *client.Client) {
+				n.set(func(d *diskVM) { d.holds = "parent" }, n.vms[1])
+				n.keepInStore(t, "turn", "parent")
+				size := len("chain of parent" + "input of turn" + "output of turn\n")
+				admitted, err := load(t, client, size+c.more)
+				if admitted != size || (err == nil) != (c.more == 0) {
+					t.Errorf("%d bytes were to be admitted, want %d, error %v", admitted, size, err)
+				}
+				if err != nil && hawthornrail.AsFailure(err).Code() != hawthornrail.CodeOverload {
+					t.Errorf("error %v, want the one of the admission", err)
+				}
+			})
+		})
+	}
+}
