Rank the VMs once for each report of a stream

Since a stream's two reports are sent apart, each ranked all entry VMs and took the first of its data centre or of the others. Each ranks only those that it can go to now: the same VMs are chosen (TestTakenUpAtAnotherVM and the other tests of streams, unchanged), with half of the hashes.

--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -137,10 +137,10 @@
 	c.unreported = nil
 	c.mu.Unlock()
 	messages := make(map[hawthornrail.VM][]report)
-	vms := c.otherVMs()
+	keepers := map[bool][]hawthornrail.VM{false: c.keepers(false), true: c.keepers(true)}
 	for _, r := range reports {
-		if vm, ok := c.keeper(vms, r.origin.GetStream(), r.remote); ok {
-			messages[vm] = append(messages[vm], r)
+		if order := c.ranked(keepers[r.remote], r.origin.GetStream()); len(order) > 0 {
+			messages[order[0]] = append(messages[order[0]], r)
 		}
 	}
 	return messages
--- a/internal/vm/streams/find.go
+++ b/internal/vm/streams/find.go
@@ -58,15 +58,10 @@
 	return slices.DeleteFunc(c.deps.Config.Snapshot().EntryVMs(), func(v hawthornrail.VM) bool { return v.Name() == c.deps.VM })
 }
 
-// keeper returns the VM that is told where a stream began: one in this VM's
-// data centre, where its caller probably takes it up, or one in another.
-func (c *Controller) keeper(vms []hawthornrail.VM, stream string, remote bool) (vm hawthornrail.VM, ok bool) {
-	for _, v := range c.ranked(vms, stream) {
-		if remote == (v.DataCentre() != c.deps.DataCentre) {
-			return v, true
-		}
-	}
-	return hawthornrail.VM{}, false
+// keepers returns the VMs of which one is told where a stream began: those in this VM's data
+// centre, where its caller probably takes it up, or those in others.
+func (c *Controller) keepers(remote bool) []hawthornrail.VM {
+	return slices.DeleteFunc(c.otherVMs(), func(v hawthornrail.VM) bool { return remote == (v.DataCentre() == c.deps.DataCentre) })
 }
 
 // ranked returns VMs in the order in which they keep the origin of a stream. Others take the
