Split ranked VMs in one place

placement.Order put suspected VMs last, and the origins of streams wrote the same loop again for VMs that do not reply: ranking.Split serves both. No change of behaviour.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -34,14 +34,7 @@
 // in the same order among them.
 func Order(vms []hawthornrail.VM, key string, suspected Suspected) []hawthornrail.VM {
 	ranked := ranking.ByHash(vms, keySeparator+key)
-	var responding, suspects []hawthornrail.VM
-	for _, v := range ranked {
-		if suspected(v.Address()) {
-			suspects = append(suspects, v)
-		} else {
-			responding = append(responding, v)
-		}
-	}
+	responding, suspects := ranking.Split(ranked, func(v hawthornrail.VM) bool { return suspected(v.Address()) })
 	return slices.Concat(spread(responding), spread(suspects))
 }
 
--- a/internal/vm/ranking/ranking.go
+++ b/internal/vm/ranking/ranking.go
@@ -23,6 +23,18 @@
 	return sorted
 }
 
+// Split returns VMs in their order, apart from those that are to come last.
+func Split(vms []hawthornrail.VM, isLast func(hawthornrail.VM) bool) (first, last []hawthornrail.VM) {
+	for _, v := range vms {
+		if isLast(v) {
+			last = append(last, v)
+		} else {
+			first = append(first, v)
+		}
+	}
+	return first, last
+}
+
 // rank is the place of a VM in an order.
 type rank struct {
 	hash uint64
--- a/internal/vm/streams/absence.go
+++ b/internal/vm/streams/absence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/vm/ranking"
 )
 
 // firstAbsence and maxAbsence bound how long others take the place of a VM that did not reply.
@@ -48,14 +49,6 @@
 func (a *absences) absentLast(vms []hawthornrail.VM, now time.Time) []hawthornrail.VM {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	present := make([]hawthornrail.VM, 0, len(vms))
-	var absent []hawthornrail.VM
-	for _, v := range vms {
-		if now.Before(a.vms[v.Name()].until) {
-			absent = append(absent, v)
-		} else {
-			present = append(present, v)
-		}
-	}
+	present, absent := ranking.Split(vms, func(v hawthornrail.VM) bool { return now.Before(a.vms[v.Name()].until) })
 	return append(present, absent...)
 }
