Count what shares a log line in one place

Refused connections and failed accepts were counted and logged each second by the same lines; events.Batch does so for both. No change of behaviour.

--- a/internal/caller/proxy/connections.go
+++ b/internal/caller/proxy/connections.go
@@ -23,8 +23,6 @@
 	maxLingering = 32
 	// refusalBytes is the size of the buffer in which a refusal is written.
 	refusalBytes = 512
-	// refusalLogInterval is how often refused connections are logged.
-	refusalLogInterval = time.Second
 )
 
 // connections are the open connections of callers.
@@ -32,11 +30,9 @@
 	limit     int
 	lingering chan struct{}
 
-	mu   sync.Mutex
-	open map[*conn]bool
-	// refused counts the connections refused since loggedAt.
-	refused  int
-	loggedAt time.Time
+	mu      sync.Mutex
+	open    map[*conn]bool
+	refused events.Batch
 }
 
 func newConnections(limit int) *connections {
@@ -108,13 +104,7 @@
 func (l *connections) countRefused(now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refused++
-	if now.Sub(l.loggedAt) < refusalLogInterval {
-		return 0
-	}
-	count := l.refused
-	l.refused, l.loggedAt = 0, now
-	return count
+	return l.refused.Count(now)
 }
 
 // Serve serves callers on a listener until Shutdown.
--- a/internal/vm/tcp/acceptor.go
+++ b/internal/vm/tcp/acceptor.go
@@ -11,11 +11,8 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 )
 
-const (
-	// retryInterval is the pause after a connection could not be accepted.
-	retryInterval = 10 * time.Millisecond
-	logInterval   = time.Second
-)
+// retryInterval is the pause after a connection could not be accepted.
+const retryInterval = 10 * time.Millisecond
 
 // Acceptor accepts the connections of a listener.
 type Acceptor struct {
@@ -23,9 +20,8 @@
 	clock    hawthornrail.Clock
 	log      events.Logger
 	// shed closes a connection that is not needed.
-	shed     func()
-	failed   int
-	loggedAt time.Time
+	shed   func()
+	failed events.Batch
 }
 
 // NewAcceptor returns an acceptor for a listener; shed is called when the process has no
@@ -64,11 +60,7 @@
 
 // record counts a failed attempt and logs the attempts at intervals.
 func (a *Acceptor) record(err error) {
-	a.failed++
-	now := a.clock.Now()
-	if now.Sub(a.loggedAt) < logInterval {
-		return
+	if attempts := a.failed.Count(a.clock.Now()); attempts > 0 {
+		a.log.Event(events.AcceptFailed).Err(err).Str("address", a.listener.Addr().String()).Int("attempts", attempts).Emit()
 	}
-	a.log.Event(events.AcceptFailed).Err(err).Str("address", a.listener.Addr().String()).Int("attempts", a.failed).Emit()
-	a.failed, a.loggedAt = 0, now
 }
