Write all small files of the store of turns in one way

The name of the temporary file follows from that of the file, and the mark of a whole folder is written like the other two, under a temporary name at first.

--- a/internal/conversation/store/epoch.go
+++ b/internal/conversation/store/epoch.go
@@ -11,14 +11,14 @@
 )
 
 const (
-	epochFile    = "epoch"
-	newEpochFile = "epoch.new"
-	epochBytes   = 8
+	epochFile  = "epoch"
+	epochBytes = 8
 	// wholeFile marks a folder that once held all turns that it should.
 	wholeFile = "whole"
 	// disksFile has the disks of other VMs that were seen before.
-	disksFile    = "disks"
-	newDisksFile = "disks.new"
+	disksFile = "disks"
+	// temporarySuffix follows the name of a file that is being written.
+	temporarySuffix = ".new"
 )
 
 // loadEpoch reads the epoch of a folder, or creates one if there is none: positions in the
@@ -35,15 +35,15 @@
 	data = make([]byte, epochBytes)
 	// Read never fails, by its documentation.
 	_, _ = rand.Read(data)
-	if err := writeFile(folder, epochFile, newEpochFile, data, disk); err != nil {
+	if err := writeFile(folder, epochFile, data, disk); err != nil {
 		return 0, fmt.Errorf("write epoch: %w", err)
 	}
 	return binary.BigEndian.Uint64(data), nil
 }
 
 // writeFile writes a file as a whole, under a temporary name at first.
-func writeFile(folder, name, temporary string, data []byte, disk Disk) error {
-	path := filepath.Join(folder, temporary)
+func writeFile(folder, name string, data []byte, disk Disk) error {
+	path := filepath.Join(folder, name+temporarySuffix)
 	// A start that was cut off can have left one.
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
@@ -73,17 +73,10 @@
 
 // MarkWhole records that the folder holds all turns that it should.
 func (s *Store) MarkWhole() error {
-	f, err := s.options.Disk.Create(filepath.Join(s.options.Folder, wholeFile))
-	if errors.Is(err, os.ErrExist) {
-		return nil
-	}
-	if err != nil {
+	if err := writeFile(s.options.Folder, wholeFile, nil, s.options.Disk); err != nil {
 		return fmt.Errorf("mark the store of conversations: %w", err)
 	}
-	if err := errors.Join(f.Sync(), f.Close()); err != nil {
-		return fmt.Errorf("mark the store of conversations: %w", err)
-	}
-	return s.options.Disk.SyncFolder(s.options.Folder)
+	return nil
 }
 
 // Disks returns the disks of other VMs, by their addresses, that SaveDisks has recorded; ok is
@@ -106,7 +99,7 @@
 func (s *Store) SaveDisks(disks map[string]uint64) error {
 	data, err := json.Marshal(disks)
 	if err == nil {
-		err = writeFile(s.options.Folder, disksFile, newDisksFile, data, s.options.Disk)
+		err = writeFile(s.options.Folder, disksFile, data, s.options.Disk)
 	}
 	if err != nil {
 		return fmt.Errorf("write the disks of other VMs: %w", err)
