Name the margin of expiry once

The store keeps a turn 30 s longer than its retention; repair had that figure twice more, for doubt and for kept turns, which must not end earlier. Both use store.ExpiryMargin, and so does the test of doubt, which waits as long as before.

--- a/internal/conversation/replica/deliver.go
+++ b/internal/conversation/replica/deliver.go
@@ -5,6 +5,7 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/conversation/store"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/policy/placement"
@@ -21,9 +22,6 @@
 	deliverDelay = 3 * time.Second
 	// saveTimeout bounds a request that writes a turn to a disk.
 	saveTimeout = 2 * time.Second
-	// keptMargin is how long after its retention a turn is kept of which there are still too
-	// few copies.
-	keptMargin = 30 * time.Second
 )
 
 // keptState is what is remembered of a kept turn between two rounds.
@@ -98,7 +96,7 @@
 	if len(targets) > state.copies {
 		state.copies = r.saveAtAll(ctx, targets, k.Turn())
 	}
-	expired := age > k.Turn().Retention()+keptMargin
+	expired := age > k.Turn().Retention()+store.ExpiryMargin
 	if state.copies < v.copies && !expired {
 		return false
 	}
--- a/internal/conversation/replica/doubt.go
+++ b/internal/conversation/replica/doubt.go
@@ -5,17 +5,14 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/conversation/store"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
-const (
-	// minDoubt is how long a loss makes turns uncertain at least: the configuration may be
-	// unknown yet.
-	minDoubt = time.Minute
-	// doubtMargin is how much longer than their retention turns are kept.
-	doubtMargin = 30 * time.Second
-)
+// minDoubt is how long a loss makes turns uncertain at least: the configuration may be
+// unknown yet.
+const minDoubt = time.Minute
 
 // loadDisks reads which disks other VMs had when this one stopped. If it holds turns, was not
 // whole and does not know, what was lost meanwhile is unknown.
@@ -78,7 +75,7 @@
 // beginDoubt lets turns be uncertain until those that may be lost have expired; r.mu must be
 // held.
 func (r *Replica) beginDoubt() {
-	longest := max(minDoubt, r.deps.Config.Snapshot().Retention()+doubtMargin)
+	longest := max(minDoubt, r.deps.Config.Snapshot().Retention()+store.ExpiryMargin)
 	r.doubtUntil = r.deps.Clock.Now().Add(longest)
 }
 
--- a/internal/conversation/replica/doubt_test.go
+++ b/internal/conversation/replica/doubt_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hawthornrail.example/hawthornrail/internal/conversation/store"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -45,7 +46,7 @@
 			for _, v := range f.vms {
 				f.assertState(t, v, lost.Ref(), vmpb.ChainState_CHAIN_STATE_UNCERTAIN)
 			}
-			f.advance(minDoubt + doubtMargin)
+			f.advance(minDoubt + store.ExpiryMargin)
 			f.repair()
 			for _, v := range f.vms {
 				f.assertState(t, v, lost.Ref(), vmpb.ChainState_CHAIN_STATE_UNKNOWN)
--- a/internal/conversation/store/index.go
+++ b/internal/conversation/store/index.go
@@ -1,13 +1,16 @@
 package store
 
 import (
+	"time"
+
 	hawthornrail "hawthornrail.example/hawthornrail"
 )
 
 const (
-	// expiryMarginMS is how much longer a turn is kept, in milliseconds: the time of day can
+	// ExpiryMargin is how much longer than its retention a turn is kept: the time of day can
 	// jump by seconds, and clocks of VMs differ.
-	expiryMarginMS = 30_000
+	ExpiryMargin   = 30 * time.Second
+	expiryMarginMS = int64(ExpiryMargin / time.Millisecond)
 	// maxChainTurns bounds a walk to the first turn of a chain, which damaged data could
 	// make endless.
 	maxChainTurns = 100_000
