Name what a search without a chain means, and look objects up once

fromDisks decided in its loop whether a turn is unknown or uncertain; notFound does so by the search alone. The stand-in of the platform's store looked an object up and replied 404 in two places. The comment on WithAdmission says that a further call is for further bytes. No change of behaviour.

--- a/conversation.go
+++ b/conversation.go
@@ -126,7 +126,7 @@
 }
 
 // WithAdmission returns a copy whose content is held only once admit has returned no error for
-// its size in bytes; content that comes in parts is admitted part by part.
+// its size in bytes; a further call is for further bytes.
 func (q ChainQuery) WithAdmission(admit func(bytes int) error) ChainQuery {
 	q.admit = admit
 	return q
--- a/internal/conversation/client/load.go
+++ b/internal/conversation/client/load.go
@@ -117,11 +117,7 @@
 		s := newSearch(others, placement.Key(program, ref.ID()), c.deps.DataCentre, c.requiredCopies(), c.monitor.Suspected)
 		found, ok := c.findLogged(ctx, s, ref)
 		if !ok {
-			none := searched{source: metrics.ChainFromNone}
-			if len(others) == len(vms) && s.absent() && c.listComplete(vms) {
-				return none, hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
-			}
-			return none, uncertain("%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
+			return searched{source: metrics.ChainFromNone}, c.notFound(s, ref, vms)
 		}
 		err := c.receive(ctx, t, found)
 		if !errors.Is(err, errInterrupted) {
@@ -133,6 +129,15 @@
 	}
 }
 
+// notFound returns the Failure of a search that has found no chain. A VM that the search left
+// out had the turn.
+func (c *Client) notFound(s *search, ref hawthornrail.TurnRef, vms []hawthornrail.VM) error {
+	if len(s.order) == len(vms) && s.absent() && c.listComplete(vms) {
+		return hawthornrail.NotRun(hawthornrail.CodeUnknownTurn, "no VM with a disk has turn %s of team %s", ref.ID(), ref.Team())
+	}
+	return uncertain("%d of %d VMs with a disk reply that they lack turn %s", s.replies[vmpb.ChainState_CHAIN_STATE_UNKNOWN], len(vms), ref.ID())
+}
+
 // without returns the VMs but the one at an address.
 func without(vms []hawthornrail.VM, address string) []hawthornrail.VM {
 	return slices.DeleteFunc(slices.Clone(vms), func(v hawthornrail.VM) bool { return v.Address() == address })
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -197,21 +197,25 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.kinds[kind][name]
-	if !ok {
+	if o, ok := s.findLocked(w, kind, name); ok {
+		writeJSON(w, http.StatusOK, o)
+	}
+}
+
+// findLocked returns an object, or responds that there is none; s.mu must be held.
+func (s *Store) findLocked(w http.ResponseWriter, kind, name string) (o storedObject, ok bool) {
+	if o, ok = s.kinds[kind][name]; !ok {
 		w.WriteHeader(http.StatusNotFound)
-		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	return o, ok
 }
 
 // remove serves the removal of an object, which has to have a revision if one is given.
 func (s *Store) remove(w http.ResponseWriter, r *http.Request, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, ok := s.kinds[kind][name]
+	o, ok := s.findLocked(w, kind, name)
 	if !ok {
-		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	if rev := r.URL.Query().Get("rev"); rev != "" && rev != strconv.FormatUint(o.Meta.Rev, 10) {
