Review case 14: a holder is removed in a zone with two VMs with a disk

By the deploy file's share, two of three such VMs in a zone run on the grown sites, so that no machine has to be added first.

--- a/review/standin3/quota.go
+++ b/review/standin3/quota.go
@@ -93,26 +93,38 @@
 	return most
 }
 
-// playQuota lets the storage machine that holds a zone's share of the rates be removed for
-// good after another one was added, and judges whether the tenant stays within its cap.
+// playQuota lets the storage machine that holds a zone's share of the rates be removed for good
+// in a zone where another one runs, and judges whether the tenant stays within its cap.
 func playQuota(b *bed, trouble bool) bool {
-	const rate, burst, window = 20.0, 600.0, 5.0
+	const (
+		rate, burst  = 20.0, 600.0
+		window       = 5.0
+		idle         = 45 * time.Second
+		removedAfter = 300 * time.Millisecond
+		replacedIn   = 2 * time.Second
+		sending      = 9 * time.Second
+		clients      = 12
+	)
 	for _, zone := range b.zones {
 		b.addWorker("desk", zone, 0, time.Millisecond)
 		b.addWorker("desk", zone, 0, time.Millisecond)
 	}
 	edges, stores := b.startSmall(configWith(`"rate_per_s": 0, "burst": 0},`, fmt.Sprintf(`"rate_per_s": %v, "burst": %v},`, rate, burst)))
-	b.addStorage(b.zones[0], false).start()
-	time.Sleep(45 * time.Second)
+	// It starts after the other one, which has taken the role of holder.
+	b.addStorage(b.zones[0], true).start()
+	time.Sleep(idle)
 	start := time.Now()
 	var running sync.WaitGroup
 	running.Go(func() {
-		time.Sleep(300 * time.Millisecond)
-		if trouble {
-			stores[0].signal(syscall.SIGTERM)
+		if !trouble {
+			return
 		}
+		time.Sleep(removedAfter)
+		stores[0].signal(syscall.SIGTERM)
+		time.Sleep(replacedIn)
+		b.addStorage(b.zones[0], false).start()
 	})
-	sent := b.load(edges, 12, "/look/", "key-a", start.Add(9*time.Second))
+	sent := b.load(edges, clients, "/look/", "key-a", start.Add(sending))
 	running.Wait()
 	most := b.mostInWindow(sent, window*time.Second)
 	allowed := (rate*window+burst)*1.1 + 20
