Ask where a stream began whatever its route's timeout is now

Cause: a VM that was not told of a stream asked those that were only if the service had several versions within twice the route's present timeout. The streams had begun under the longer one before it. In the same way the service of the present route was taken for the one that began the stream.

Ruled out: a longer window from the timeouts that a VM has seen. One that starts during the change has seen one, and streams may outlive theirs.

Change: such a VM always asks. Only if nobody knows, the sole version of the last ten minutes counts, seen without a gap and without a change of the configuration. An origin is kept for longer when its stream is taken up again. Event 2126 tells the result.

--- a/internal/endpoint/forward/forward.go
+++ b/internal/endpoint/forward/forward.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	origin, ok := f.deps.Origins.Find(ctx, r.Stream(), r.Route())
+	d.logEvent(events.StreamTakenUp).Str("stream", r.Stream()).Bool("known", ok).Str("service", origin.Service()).Str("version", origin.Version()).Emit()
 	if !ok {
 		return hawthornrail.NotRun(hawthornrail.CodeStreamUnknown, "no VM knows where stream %s began", r.Stream()).WithRetryAfter(busyRetryAfter)
 	}
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -55,6 +55,7 @@
 	LoadUnreadable     = register(2123, zerolog.WarnLevel, "load report of an endpoint could not be read and was dropped", "check the endpoint's version")
 	EvacuationInForce  = register(2124, zerolog.WarnLevel, "data centre is evacuated; its endpoints receive no requests", "see docs/operators/zones.md")
 	EvacuationEnded    = register(2125, zerolog.InfoLevel, "evacuation of a data centre was withdrawn; its endpoints receive requests again, as cold ones at first", "")
+	StreamTakenUp      = register(2126, zerolog.InfoLevel, "origin of a stream that its caller takes up was looked for", "if known is false, the VMs that knew have restarted or do not reply")
 
 	ChainLoaded        = register(2130, zerolog.InfoLevel, "chain of a conversation searched", "if found is false and no_reply or uncertain is not 0, check the VMs with a disk; see docs/operators/conversations.md")
 	TurnSaved          = register(2131, zerolog.InfoLevel, "turn of a conversation stored before the end of its response, or its response broken off", "if stored is false, check the VMs with a disk")
--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -96,14 +96,20 @@
 	c.observeLocked()
 }
 
-// observeLocked adds the endpoints in force to the history; c.mu must be held.
+// observeLocked adds the endpoints in force to the history; c.mu must be held. The history
+// begins anew where this VM may have missed a version, and with a new configuration: a stream
+// from before it may have begun at another service.
 func (c *Controller) observeLocked() {
+	now := c.deps.Clock.Now()
 	snapshot := c.deps.Config.Snapshot()
+	if c.deps.Config.Age() > maxConfigAge || c.observed == nil || snapshot.Revision() != c.observed.Revision() {
+		c.history.Restart(now)
+	}
 	if snapshot == c.observed {
 		return
 	}
 	c.observed = snapshot
-	c.history.Observe(snapshot.Endpoints(), c.deps.Clock.Now())
+	c.history.Observe(snapshot.Endpoints(), now)
 }
 
 // Record records where a stream began and tells other VMs, also while its service has one
@@ -206,7 +212,9 @@
 	if origin, ok := c.origins.find(ask.GetStream()); ok {
 		return &vmpb.StreamReply{Origin: originToWire(ask.GetStream(), origin)}
 	}
-	return c.versionsLocked(ask.GetService(), time.Duration(ask.GetWindowMs())*time.Millisecond)
+	// Older builds name a window that follows from the present timeout of a route.
+	window := time.Duration(ask.GetWindowMs()) * time.Millisecond
+	return c.versionsLocked(ask.GetService(), max(window, maxStreamAge))
 }
 
 // versionsLocked returns what this VM knows of the versions of a service within a
--- a/internal/vm/streams/find.go
+++ b/internal/vm/streams/find.go
@@ -6,42 +6,34 @@
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/policy/version"
 	"hawthornrail.example/hawthornrail/internal/vm/ranking"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
 const (
-	// windowFactor multiplies a route's timeout; a stream that is taken up began
-	// within that time.
-	windowFactor = 2
-	// defaultWindow is that time on a route without a timeout.
-	defaultWindow = time.Minute
+	// maxStreamAge is the time within which a stream began that a caller takes up. It
+	// does not follow from the route's timeout, which may have been longer then.
+	maxStreamAge = version.Retention
 	// maxConfigAge is the age of the configuration up to which this VM relies on its
 	// own list of endpoints; a VM that is cut off may miss a new version.
 	maxConfigAge = 2 * time.Second
 )
 
 // Find returns where a stream began that a caller takes up: as this VM or one of
-// those that keep its origin knows, or, if the route's service has had only one
-// version since it can have begun, that one.
+// those that keep its origin knows. If none knows, the stream began at the only version
+// that the route's service has had while the stream can have begun, if there was only one.
 func (c *Controller) Find(ctx context.Context, stream string, route hawthornrail.Route) (hawthornrail.StreamOrigin, bool) {
 	service := soleService(route)
-	window := windowFactor * route.Timeout()
-	if window <= 0 {
-		window = defaultWindow
-	}
 	c.mu.Lock()
 	c.observeLocked()
 	origin, ok := c.origins.find(stream)
-	own := c.versionsLocked(service, window)
+	own := c.versionsLocked(service, maxStreamAge)
 	c.mu.Unlock()
 	if ok {
 		return origin, true
 	}
-	if own.GetSole() != nil && c.deps.Config.Age() <= maxConfigAge {
-		return originFromWire(own.GetSole()), true
-	}
-	ask := &vmpb.StreamAsk{Stream: stream, Service: service, WindowMs: uint32(window.Milliseconds())}
+	ask := &vmpb.StreamAsk{Stream: stream, Service: service, WindowMs: uint32(maxStreamAge.Milliseconds())}
 	return newSearch(c, ask).run(ctx, own)
 }
 
--- a/internal/vm/streams/origins.go
+++ b/internal/vm/streams/origins.go
@@ -22,15 +22,16 @@
 
 func newOrigins() *origins { return &origins{current: make(map[string]hawthornrail.StreamOrigin)} }
 
-// add adds the origin of a stream. The first one stays: later events of a stream
-// come from the same version.
+// add adds the origin of a stream, or keeps it for longer. The first one stays: later events
+// of a stream come from the same version.
 func (o *origins) add(stream string, origin hawthornrail.StreamOrigin, now time.Time) {
+	if known, ok := o.find(stream); ok {
+		origin = known
+	}
 	if now.Sub(o.rotatedAt) > retention || len(o.current) >= maxOrigins {
 		o.previous, o.current, o.rotatedAt = o.current, make(map[string]hawthornrail.StreamOrigin), now
 	}
-	if _, ok := o.find(stream); !ok {
-		o.current[stream] = origin
-	}
+	o.current[stream] = origin
 }
 
 func (o *origins) find(stream string) (hawthornrail.StreamOrigin, bool) {
