Keep a turn whole whose caller takes its stream up at another VM

Cause: the VM at which the stream was taken up sees the last events only, and nobody else kept the first ones, so it did not store the turn.

If no VM has them all it refuses before anything runs, and the caller sends the turn again. Event 2138 tells what was found. The search for VMs that know a stream serves both questions.

Ruled out: a batch of events (the last one before a kill is what the caller names), copies on disk for each event, refusing all resumptions.

Routes that are not both stateful and resumable send no message more.

--- a/conversation.go
+++ b/conversation.go
@@ -187,6 +187,40 @@
 	Remove(ctx context.Context, k KeptTurn) error
 }
 
+// TurnEvent is one event of a turn's response; its data is what the conversation holds of it.
+type TurnEvent struct {
+	id   string
+	data []byte
+}
+
+// NewTurnEvent returns an event with its id and its data, each line of which ends with a
+// line feed.
+func NewTurnEvent(id string, data []byte) TurnEvent { return TurnEvent{id: id, data: data} }
+
+// ID returns the id of the event, or the empty string.
+func (e TurnEvent) ID() string { return e.id }
+
+// Data returns what the conversation holds of the event.
+func (e TurnEvent) Data() []byte { return e.data }
+
+// TurnRecorder keeps the events of one turn under way at other VMs.
+type TurnRecorder interface {
+	// Record keeps further events, and returns once another VM has them or after a moment.
+	Record(ctx context.Context, events []TurnEvent)
+}
+
+// TurnsUnderWay keeps the events of turns at other VMs while their responses are under way,
+// so that a turn can be stored whole whose caller takes its stream up elsewhere.
+type TurnsUnderWay interface {
+	// Begin returns the recorder of a turn whose response begins.
+	Begin(ref TurnRef) TurnRecorder
+	// Resume returns the events of a turn up to the last one that its caller has, and the
+	// recorder of those that follow; ref names the request that brought the first event, and
+	// request is the one that takes the stream up. ok is false if no VM that replies has all
+	// events.
+	Resume(ctx context.Context, ref TurnRef, request, lastEvent string) (recorder TurnRecorder, events []TurnEvent, ok bool)
+}
+
 // Conversations stores the turns of conversations on the disks of VMs.
 type Conversations interface {
 	// Available returns a Failure if a turn with an input of a size in bytes can't be
--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -15,7 +15,7 @@
 
 var (
 	errNotStream  = errors.New("response is no stream")
-	errResumed    = errors.New("stream is resumed by its caller, so that this VM lacks its first events")
+	errResumed    = errors.New("stream is resumed by its caller on a route that does not allow it")
 	errNoID       = errors.New("request has no id")
 	errTurnTooBig = errors.New("turn is too long")
 )
@@ -23,8 +23,10 @@
 // ConversationDependencies are the dependencies and limits of a Conversations filter.
 type ConversationDependencies struct {
 	Conversations hawthornrail.Conversations
-	Clock         hawthornrail.Clock
-	Metrics       *metrics.Conversations
+	// UnderWay keeps the events of turns whose streams may be taken up at other VMs.
+	UnderWay hawthornrail.TurnsUnderWay
+	Clock    hawthornrail.Clock
+	Metrics  *metrics.Conversations
 	// MaxChainBytes bounds a chain with the new input, and the input and output of one
 	// turn.
 	MaxChainBytes int64
@@ -59,6 +61,11 @@
 	s := &turnStream{filter: f, ctx: ctx, request: r, retention: retention, turn: hawthornrail.NewTurn(hawthornrail.NewTurnRef(r.Deployment().Team(), r.ID()), input, nil).
 		WithParent(r.Call().Parent()).WithPlacementKey(key)}
 	s.events.limit = max(0, int(f.deps.MaxChainBytes)-len(input))
+	if r.Route().Resumable() {
+		if err := s.beginRecording(); err != nil {
+			return nil, err
+		}
+	}
 	response, err := next.Forward(ctx, r)
 	if err == nil {
 		err := notTurn(r, response)
@@ -104,7 +111,7 @@
 	switch {
 	case response.Stream() == nil:
 		return errNotStream
-	case r.LastEvent() != "":
+	case r.LastEvent() != "" && !r.Route().Resumable():
 		return errResumed
 	case r.ID() == "":
 		return errNoID
@@ -124,9 +131,33 @@
 	events    eventData
 	// reserved is how many bytes of the events are counted in the memory of the request.
 	reserved int
+	// recorder keeps the events at other VMs too, unless it is nil; recorded is how many it
+	// has.
+	recorder hawthornrail.TurnRecorder
+	recorded int
 	err      error
 }
 
+// beginRecording lets other VMs keep the events of the turn. If its caller takes the stream
+// up, it adds the events that the caller has: without them the turn could not be stored, so
+// that the caller is to send the turn again from its start.
+func (s *turnStream) beginRecording() error {
+	r := s.request
+	if r.LastEvent() == "" {
+		s.recorder = s.filter.deps.UnderWay.Begin(s.turn.Ref())
+		return nil
+	}
+	ref := hawthornrail.NewTurnRef(r.Deployment().Team(), r.Stream())
+	recorder, kept, ok := s.filter.deps.UnderWay.Resume(s.ctx, ref, r.ID(), r.LastEvent())
+	trail.From(s.ctx).Event(events.TurnTakenUp).Str("turn", r.Stream()).Str("after_event", r.LastEvent()).Bool("known", ok).Int("events", len(kept)).Emit()
+	if !ok {
+		return hawthornrail.NotRun(hawthornrail.CodeStreamUnknown, "no VM has the events of turn %s up to %s", r.Stream(), r.LastEvent()).WithRetryAfter(confirmRetryAfter)
+	}
+	s.recorder, s.recorded = recorder, len(kept)
+	s.events.seed(kept)
+	return nil
+}
+
 // Read returns events as soon as they arrive; their end waits until the turn is stored.
 func (s *turnStream) Read(p []byte) (int, error) {
 	if s.err != nil {
@@ -146,15 +177,25 @@
 // collect collects the data of a part of the stream, unless it does not fit in memory.
 func (s *turnStream) collect(part []byte) {
 	s.events.add(part)
-	missing := s.events.size() - s.reserved
-	if missing <= 0 {
-		return
+	if missing := s.events.size() - s.reserved; missing > 0 {
+		if err := s.request.Reserve(missing); err != nil {
+			s.events.discard(err)
+			return
+		}
+		s.reserved += missing
 	}
-	if err := s.request.Reserve(missing); err != nil {
-		s.events.discard(err)
+	s.record()
+}
+
+// record lets other VMs keep the complete events before the caller receives them.
+func (s *turnStream) record() {
+	if s.recorder == nil {
 		return
 	}
-	s.reserved += missing
+	if events := s.events.after(s.recorded); len(events) > 0 {
+		s.recorded += len(events)
+		s.recorder.Record(s.ctx, events)
+	}
 }
 
 // store stores the turn. Its failure does not wrap the cause: the end of a connection,
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -114,19 +114,41 @@
 
 func (f failing) Read([]byte) (int, error) { return 0, f.err }
 
-// turnBed is a filter between callers and an endpoint.
+// turnBed is a filter between callers and an endpoint. It is the other VMs, too, which keep
+// the events of turns under way.
 type turnBed struct {
 	memory   *turnMemory
 	endpoint *endpoint
 	filter   *proxy.Conversations
 	route    hawthornrail.Route
+	// events are the events of the turn that began last.
+	ref    hawthornrail.TurnRef
+	events []hawthornrail.TurnEvent
+}
+
+func (b *turnBed) Begin(ref hawthornrail.TurnRef) hawthornrail.TurnRecorder {
+	b.ref, b.events = ref, nil
+	return b
+}
+
+func (b *turnBed) Record(_ context.Context, events []hawthornrail.TurnEvent) {
+	b.events = append(b.events, events...)
+}
+
+func (b *turnBed) Resume(_ context.Context, ref hawthornrail.TurnRef, _, lastEvent string) (hawthornrail.TurnRecorder, []hawthornrail.TurnEvent, bool) {
+	n := slices.IndexFunc(b.events, func(e hawthornrail.TurnEvent) bool { return e.ID() == lastEvent })
+	if ref != b.ref || n < 0 {
+		return nil, nil, false
+	}
+	b.events = b.events[:n+1]
+	return b, slices.Clone(b.events), true
 }
 
 func newTurnBed() *turnBed {
 	b := &turnBed{memory: newTurnMemory(), endpoint: &endpoint{status: http.StatusOK, end: io.EOF}}
 	b.filter = proxy.NewConversations(proxy.ConversationDependencies{
 		Conversations: b.memory, Clock: clock.Real(), Metrics: metrics.NewConversations(gometrics.NewRegistry()),
-		MaxChainBytes: maxChainBytes,
+		MaxChainBytes: maxChainBytes, UnderWay: b,
 	})
 	b.route = hawthornrail.NewRoute("turns", "host", "/turns/", hawthornrail.StreamRoute, nil).WithConversations(time.Minute)
 	return b
@@ -348,6 +370,44 @@
 	})
 }
 
+// Guards against review case 12: the next turn gets 404 after a turn whose stream its caller
+// took up, or continues from a part of it.
+func TestTurnWhoseStreamIsTakenUp(t *testing.T) {
+	b := newTurnBed()
+	b.route = b.route.WithResumable(true)
+	b.endpoint.stream, b.endpoint.end = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", errors.New("caller has left")
+	if _, err := b.send(b.request("team", "t1", "", "one")); err == nil {
+		t.Error("the response is complete")
+	}
+	takeUp := func(team, id, lastEvent, stream string) error {
+		r := b.request(team, id, "", "one")
+		r.SetResumed(lastEvent, stream)
+		_, err := b.send(r)
+		return err
+	}
+	b.endpoint.stream = "id: 3\ndata: d\n\n"
+	if takeUp("team", "t2", "2", "t1") == nil {
+		t.Error("the response is complete")
+	}
+	b.endpoint.stream, b.endpoint.end = "id: 4\ndata: e\n\n", io.EOF
+	if err := takeUp("team", "t3", "3", "t1"); err != nil {
+		t.Error(err)
+	}
+	b.assertTurns(t, "team/t3")
+	b.turn(t, "t4", "t3", "two", "")
+	if got, want := b.lastBody(), "onea\nb\nd\ne\ntwo"; got != want {
+		t.Errorf("body %q, want %q", got, want)
+	}
+	t.Run("events that no VM has", func(t *testing.T) {
+		runs := len(b.endpoint.bodies)
+		assertFailure(t, takeUp("team", "t5", "7", "t4"), hawthornrail.CodeStreamUnknown)
+		assertFailure(t, takeUp("other", "t6", "3", "t1"), hawthornrail.CodeStreamUnknown)
+		if len(b.endpoint.bodies) != runs {
+			t.Errorf("the endpoint got %q", b.endpoint.bodies[runs:])
+		}
+	})
+}
+
 // Guards against a chain or a turn that fills the memory of a VM.
 func TestChainIsBounded(t *testing.T) {
 	b := newTurnBed()
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -63,6 +63,7 @@
 	DiskVMUnresponsive = register(2133, zerolog.WarnLevel, "VM with a disk does not respond; it is skipped for turns of conversations", "check the VM")
 	DiskVMResponsive   = register(2134, zerolog.InfoLevel, "VM with a disk responds again", "")
 	TurnKept           = register(2135, zerolog.WarnLevel, "turn of a conversation kept in the platform's store before the end of its response, since too few disks had it", "check the VMs with a disk")
+	TurnTakenUp        = register(2138, zerolog.InfoLevel, "events of a turn were looked for whose stream its caller takes up", "if known is false, the VMs that had them have restarted or do not reply")
 	HandoffUnavailable = register(2136, zerolog.WarnLevel, "platform's store takes no turns; turns that too few disks can store are refused, not run", "check the platform's store and the network to it")
 	HandoffAvailable   = register(2137, zerolog.InfoLevel, "platform's store takes turns again", "")
 )
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -105,6 +105,7 @@
 		func() hawthornrail.Quarantine { return n.Suspects() },
 		newStreams,
 		func(c *streams.Controller) hawthornrail.StreamOrigins { return c },
+		func(c *streams.Controller) hawthornrail.TurnsUnderWay { return c },
 		newDetour,
 		newContact,
 		newForwarder,
@@ -203,9 +204,9 @@
 	return c
 }
 
-func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client) *proxy.Conversations {
+func newConversations(n *node.Node, m *metrics.Conversations, c *client.Client, u hawthornrail.TurnsUnderWay) *proxy.Conversations {
 	return proxy.NewConversations(proxy.ConversationDependencies{
-		Conversations: c, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(),
+		Conversations: c, UnderWay: u, Clock: n.Clock(), Metrics: m, MaxChainBytes: n.Settings().MaxChainBytes(),
 	})
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -274,6 +274,19 @@
 	w.withoutIDs = true
 }
 
+// SetPause sets the pause after each event.
+func (w *Worker) SetPause(pause time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = pause
+}
+
+func (w *Worker) eventPause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pause
+}
+
 // event returns an event of a stream.
 func (w *Worker) event(n int, id string) string {
 	w.mu.Lock()
@@ -513,7 +526,7 @@
 			w.mu.Unlock()
 			return false
 		}
-		time.Sleep(w.pause)
+		time.Sleep(w.eventPause())
 	}
 	_, _ = fmt.Fprint(c, end)
 	return end != ""
--- a/internal/vm/streams/controller.go
+++ b/internal/vm/streams/controller.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/policy/version"
@@ -38,8 +39,9 @@
 	Clock      hawthornrail.Clock
 }
 
-// Controller knows which version began a stream, of those that began here and of
-// some that began at other VMs; it implements hawthornrail.StreamOrigins.
+// Controller knows which version began a stream, and the events of turns under way, of
+// those that began here and of some that began at other VMs; it implements
+// hawthornrail.StreamOrigins and hawthornrail.TurnsUnderWay.
 type Controller struct {
 	deps Dependencies
 
@@ -51,6 +53,8 @@
 	unreported []report
 	changed    chan struct{}
 	absences   *absences
+	// turns are the events of turns under way here and at some other VMs.
+	turns *turnEvents
 }
 
 // report is the origin of a stream that a VM has to be told, in this VM's data centre or in
@@ -63,7 +67,10 @@
 
 // New returns a controller that knows no stream.
 func New(deps Dependencies) *Controller {
-	return &Controller{deps: deps, origins: newOrigins(), history: version.NewHistory(), changed: make(chan struct{}, 1), absences: newAbsences()}
+	return &Controller{
+		deps: deps, origins: newOrigins(), history: version.NewHistory(), changed: make(chan struct{}, 1), absences: newAbsences(),
+		turns: newTurnEvents(),
+	}
 }
 
 // Run observes the endpoints and tells other VMs of streams until ctx ends.
@@ -161,12 +168,7 @@
 		message.Streams = append(message.Streams, r.origin)
 	}
 	open := &vmpb.Open{Kind: &vmpb.Open_StreamsBegun{StreamsBegun: message}}
-	_, err := c.deps.Invoker.Invoke(sendCtx, vm.Address(), open, &vmpb.StreamsBegunReply{})
-	if ctx.Err() != nil {
-		return
-	}
-	c.absences.record(vm.Name(), err == nil, c.deps.Clock.Now())
-	if err == nil {
+	if c.invoke(sendCtx, vm, open, &vmpb.StreamsBegunReply{}) || ctx.Err() != nil {
 		return
 	}
 	c.mu.Lock()
@@ -181,21 +183,32 @@
 // Receive serves the requests of other VMs about streams and reports whether open
 // is one.
 func (c *Controller) Receive(open *vmpb.Open, s *peer.Stream) bool {
-	switch {
-	case open.GetStreamsBegun() != nil:
-		c.absences.record(s.From().VM(), true, c.deps.Clock.Now())
-		// The sender does not wait for the reply.
-		_ = s.Send(c.receiveReport(open.GetStreamsBegun()))
-	case open.GetStreamAsk() != nil:
-		c.absences.record(s.From().VM(), true, c.deps.Clock.Now())
-		// A VM that misses the reply asks others at the same time.
-		_ = s.Send(c.receiveAsk(open.GetStreamAsk()))
-	default:
+	reply := c.reply(open)
+	if reply == nil {
 		return false
 	}
+	c.absences.record(s.From().VM(), true, c.deps.Clock.Now())
+	// A VM that misses the reply tells or asks others.
+	_ = s.Send(reply)
 	return true
 }
 
+// reply returns the reply to a request about streams, or nil if open is none.
+func (c *Controller) reply(open *vmpb.Open) proto.Message {
+	switch k := open.GetKind().(type) {
+	case *vmpb.Open_StreamsBegun:
+		return c.receiveReport(k.StreamsBegun)
+	case *vmpb.Open_StreamAsk:
+		return c.receiveAsk(k.StreamAsk)
+	case *vmpb.Open_TurnEvents:
+		return c.receiveTurnEvents(k.TurnEvents)
+	case *vmpb.Open_TurnEventsAsk:
+		return c.receiveTurnEventsAsk(k.TurnEventsAsk)
+	default:
+		return nil
+	}
+}
+
 func (c *Controller) receiveReport(report *vmpb.StreamsBegun) *vmpb.StreamsBegunReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/vm/streams/find.go
+++ b/internal/vm/streams/find.go
@@ -33,8 +33,45 @@
 	if ok {
 		return origin, true
 	}
-	ask := &vmpb.StreamAsk{Stream: stream, Service: service, WindowMs: uint32(maxStreamAge.Milliseconds())}
-	return newSearch(c, ask).run(ctx, own)
+	found := &originReplies{several: own.GetSeveral(), sole: own.GetSole()}
+	newSearch(c, stream, func(ctx context.Context, vm hawthornrail.VM) func() bool {
+		ask := &vmpb.StreamAsk{Stream: stream, Service: service, WindowMs: uint32(maxStreamAge.Milliseconds())}
+		var reply vmpb.StreamReply
+		if !c.invoke(ctx, vm, &vmpb.Open{Kind: &vmpb.Open_StreamAsk{StreamAsk: ask}}, &reply) {
+			return nil
+		}
+		return func() bool { return found.add(&reply) }
+	}).run(ctx)
+	return found.result()
+}
+
+// originReplies combines what VMs know of where a stream began.
+type originReplies struct {
+	origin *vmpb.StreamOrigin
+	// several is set if the service has had several versions, and sole is its only one.
+	several bool
+	sole    *vmpb.StreamOrigin
+}
+
+// add adds a reply and reports whether it tells where the stream began.
+func (o *originReplies) add(reply *vmpb.StreamReply) bool {
+	o.several = o.several || reply.GetSeveral()
+	if reply.GetSole() != nil {
+		o.sole = reply.GetSole()
+	}
+	o.origin = reply.GetOrigin()
+	return o.origin != nil
+}
+
+func (o *originReplies) result() (origin hawthornrail.StreamOrigin, ok bool) {
+	switch {
+	case o.origin != nil:
+		return originFromWire(o.origin), true
+	case o.several || o.sole == nil:
+		return hawthornrail.StreamOrigin{}, false
+	default:
+		return originFromWire(o.sole), true
+	}
 }
 
 // soleService returns the service of a route that has only one.
--- a/internal/vm/streams/fleet_test.go
+++ b/internal/vm/streams/fleet_test.go
@@ -81,11 +81,7 @@
 		return hawthornrail.Instance{}, n.silence(ctx)
 	}
 	n.messages.Add(1)
-	if report := open.GetStreamsBegun(); report != nil {
-		proto.Merge(reply, receiver.receiveReport(report))
-		return hawthornrail.Instance{}, nil
-	}
-	proto.Merge(reply, receiver.receiveAsk(open.GetStreamAsk()))
+	proto.Merge(reply, receiver.reply(proto.CloneOf(open)))
 	return hawthornrail.Instance{}, nil
 }
 
--- a/internal/vm/streams/search.go
+++ b/internal/vm/streams/search.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -16,16 +18,16 @@
 	// lateReply is how long a reply is waited for before the next VM of the data centre
 	// is asked too.
 	lateReply = 60 * time.Millisecond
-	// keepersOfDataCentre is how many VMs of each data centre may keep the origin
-	// of a stream: the first one, or the second if the stream began at the first.
+	// keepersOfDataCentre is how many VMs of each data centre may know a stream: the
+	// first one, or the second if the stream began at the first.
 	keepersOfDataCentre = 2
 )
 
-// search asks VMs for the origin of a stream. In place of one that does not reply it asks the
+// search asks VMs about a stream. In place of one that does not reply it asks the
 // next one of the same data centre, as the VM where the stream began has told that one.
 type search struct {
 	controller *Controller
-	ask        *vmpb.StreamAsk
+	ask        askVM
 	// next are the VMs that were not asked, by their data centres, and waiting the data
 	// centres of those that have not replied, by their names.
 	next    map[string][]hawthornrail.VM
@@ -33,14 +35,18 @@
 	replies chan askReply
 }
 
-// askReply is the reply of a VM, nil if there was none.
+// askVM asks a VM and returns what takes its reply, or nil if there is none. take reports
+// whether no further reply is needed.
+type askVM func(ctx context.Context, vm hawthornrail.VM) (take func() (enough bool))
+
+// askReply is the reply of a VM.
 type askReply struct {
-	vm    string
-	reply *vmpb.StreamReply
+	vm   string
+	take func() (enough bool)
 }
 
-func newSearch(c *Controller, ask *vmpb.StreamAsk) *search {
-	vms := c.ranked(c.otherVMs(), ask.GetStream())
+func newSearch(c *Controller, stream string, ask askVM) *search {
+	vms := c.ranked(c.otherVMs(), stream)
 	s := &search{
 		controller: c, ask: ask, next: make(map[string][]hawthornrail.VM), waiting: make(map[string]string),
 		replies: make(chan askReply, len(vms)),
@@ -51,14 +57,13 @@
 	return s
 }
 
-// run returns the origin, or what the VMs know of the versions of the service.
-func (s *search) run(ctx context.Context, own *vmpb.StreamReply) (hawthornrail.StreamOrigin, bool) {
+// run takes the replies until one is enough, or no further one is waited for.
+func (s *search) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for dataCentre := range s.next {
 		s.askNext(ctx, dataCentre, keepersOfDataCentre)
 	}
-	several, sole := own.GetSeveral(), own.GetSole()
 	for late := s.controller.deps.Clock.After(lateReply); len(s.waiting) > 0; {
 		select {
 		case <-late:
@@ -67,23 +72,15 @@
 		case r := <-s.replies:
 			dataCentre := s.waiting[r.vm]
 			delete(s.waiting, r.vm)
-			if r.reply == nil {
+			if r.take == nil {
 				s.askNext(ctx, dataCentre, 1)
 				continue
 			}
-			if r.reply.GetOrigin() != nil {
-				return originFromWire(r.reply.GetOrigin()), true
-			}
-			several = several || r.reply.GetSeveral()
-			if r.reply.GetSole() != nil {
-				sole = r.reply.GetSole()
+			if r.take() {
+				return
 			}
 		}
 	}
-	if several || sole == nil {
-		return hawthornrail.StreamOrigin{}, false
-	}
-	return originFromWire(sole), true
 }
 
 // replaceLate asks another VM for each that has not replied.
@@ -107,23 +104,19 @@
 	s.next[dataCentre] = vms[count:]
 	for _, v := range vms[:count] {
 		s.waiting[v.Name()] = dataCentre
-		go func() { s.replies <- askReply{vm: v.Name(), reply: s.askVM(ctx, v)} }()
+		go func() { s.replies <- askReply{vm: v.Name(), take: s.ask(ctx, v)} }()
 	}
 }
 
-func (s *search) askVM(ctx context.Context, vm hawthornrail.VM) *vmpb.StreamReply {
-	var reply vmpb.StreamReply
-	open := &vmpb.Open{Kind: &vmpb.Open_StreamAsk{StreamAsk: &vmpb.StreamAsk{
-		Stream: s.ask.GetStream(), Service: s.ask.GetService(), WindowMs: s.ask.GetWindowMs(),
-	}}}
-	_, err := s.controller.deps.Invoker.Invoke(ctx, vm.Address(), open, &reply)
+// invoke sends a message to a VM, reports whether it replied, and records whether it is
+// there.
+func (c *Controller) invoke(ctx context.Context, vm hawthornrail.VM, open *vmpb.Open, reply proto.Message) bool {
+	_, err := c.deps.Invoker.Invoke(ctx, vm.Address(), open, reply)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		// Another VM was faster, or the caller has left.
-		return nil
-	}
-	s.controller.absences.record(vm.Name(), err == nil, s.controller.deps.Clock.Now())
-	if err != nil {
-		return nil
+		// The reply is no longer needed, so that nothing is known of the VM.
+		return false
 	}
-	return &reply
+	// A VM of an older build declines messages that it does not know.
+	c.absences.record(vm.Name(), err == nil || errors.Is(err, peer.ErrDeclined), c.deps.Clock.Now())
+	return err == nil
 }
