Say that a budget is spent only if calls have used it

Cause: a holder that has too few tokens asks the others, and took the budget for spent once all had replied. Tokens that were lost with a disk, or are on their way, are in no account and counted as spent.

Change: each holder replies with the tokens that calls have used or reserved there, and only if these leave no room for the call is the budget spent. Else the call is refused as not run, with a time to come back. Compaction keeps what calls have used. Holders of older builds do not tell, so that a program gets 503 in place of 402 while one of them takes part.

--- a/internal/program/account/balances.go
+++ b/internal/program/account/balances.go
@@ -53,6 +53,25 @@
 	return a.home, true
 }
 
+// Used returns the tokens that calls of a program have used or reserved at this holder.
+func (b *Balances) Used(program string) uint64 {
+	a, ok := b.programs[program]
+	if !ok {
+		return 0
+	}
+	return a.spent + a.reservedTokens
+}
+
+// Budget returns the budget with which a program's account was opened, or 0 if it is not
+// known here.
+func (b *Balances) Budget(program string) uint64 {
+	a, ok := b.programs[program]
+	if !ok {
+		return 0
+	}
+	return a.budget
+}
+
 // IsFirstCall reports whether a program has its home at this holder and no
 // other call has used or reserved tokens.
 func (b *Balances) IsFirstCall(program, call string) bool {
@@ -234,7 +253,8 @@
 	case *vmpb.AccountRecord_Opened:
 		b.programs[k.Opened.GetProgram()] = &programAccount{
 			home: k.Opened.GetHome(), grantReceived: k.Opened.GetGranted(),
-			isolated: k.Opened.GetIsolated(), isolatedShare: k.Opened.GetTaken(), budget: k.Opened.GetBudget(), received: k.Opened.GetShare(), reservations: make(map[string]uint64), lastUsed: now,
+			isolated: k.Opened.GetIsolated(), isolatedShare: k.Opened.GetTaken(), budget: k.Opened.GetBudget(), reservations: make(map[string]uint64), lastUsed: now,
+			received: k.Opened.GetShare() + k.Opened.GetSpent(), spent: k.Opened.GetSpent(),
 		}
 	case *vmpb.AccountRecord_Joined:
 		b.update(k.Joined.GetProgram(), now, func(a *programAccount) {
@@ -281,7 +301,7 @@
 		}
 		share := a.received - min(a.received, a.transferredOut+a.spent)
 		records = append(records, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{
-			Opened: &vmpb.AccountOpened{Program: program, Budget: a.budget, Share: share, Home: a.home, Granted: a.grantReceived, Isolated: a.isolated, Taken: a.isolatedShare},
+			Opened: &vmpb.AccountOpened{Program: program, Budget: a.budget, Share: share, Home: a.home, Granted: a.grantReceived, Isolated: a.isolated, Taken: a.isolatedShare, Spent: a.spent},
 		}})
 		for call, tokens := range a.reservations {
 			records = append(records, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{
--- a/internal/program/account/client.go
+++ b/internal/program/account/client.go
@@ -113,7 +113,7 @@
 	return slices.Insert(slices.Delete(values, i, i+1), 0, value)
 }
 
-var errUncertain = errors.New("other holders do not answer")
+var errUncertain = errors.New("other holders do not answer, or tokens that no call has used are in no account")
 
 // contactOrder returns the data centres, the own one first and those whose
 // holders are unresponsive last.
--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -31,6 +31,10 @@
 	tokens uint64
 	// allReplied is false if a holder did not reply or had no account.
 	allReplied bool
+	// used are the tokens that calls have used or reserved at the holders that replied, and
+	// uncounted is set if one of them does not tell.
+	used      uint64
+	uncounted bool
 	// waited is set if another call collected instead.
 	waited bool
 }
@@ -109,7 +113,14 @@
 		return fromHome, err
 	}
 	fromOthers, err := h.collectFrom(ctx, m, missing-fromHome.tokens, otherHolders)
-	return collectResult{tokens: fromHome.tokens + fromOthers.tokens, allReplied: fromHome.allReplied && fromOthers.allReplied}, err
+	return fromHome.plus(fromOthers), err
+}
+
+func (r collectResult) plus(o collectResult) collectResult {
+	return collectResult{
+		tokens: r.tokens + o.tokens, allReplied: r.allReplied && o.allReplied,
+		used: r.used + o.used, uncounted: r.uncounted || o.uncounted,
+	}
 }
 
 // splitByHome splits the other data centres into the home's, if its holder is
@@ -125,25 +136,24 @@
 	return homeHolder, otherHolders
 }
 
+// holderReply is what one holder replied to a request for tokens.
+type holderReply struct {
+	collectResult
+	err error
+}
+
 // collectFrom requests tokens from several holders concurrently. An error means
 // that the received tokens could not be recorded.
 func (h *Holder) collectFrom(ctx context.Context, m *vmpb.AccountReserve, wanted uint64, dataCentres []string) (collectResult, error) {
-	type result struct {
-		tokens uint64
-		err    error
-	}
-	results := make(chan result, len(dataCentres))
+	replies := make(chan holderReply, len(dataCentres))
 	for _, dc := range dataCentres {
-		go func() {
-			tokens, err := h.transferFrom(ctx, dc, m, wanted)
-			results <- result{tokens, err}
-		}()
+		go func() { replies <- h.transferFrom(ctx, dc, m, wanted) }()
 	}
 	total := collectResult{allReplied: true}
 	for range dataCentres {
-		r := <-results
-		total.tokens += r.tokens
-		total.allReplied = total.allReplied && r.err == nil
+		r := <-replies
+		r.allReplied = r.err == nil
+		total = total.plus(r.collectResult)
 		if errors.Is(r.err, errNotRecorded) {
 			return total, r.err
 		}
@@ -153,45 +163,39 @@
 
 // transferFrom requests tokens of a program from one holder and adds them to the
 // program's account. Tokens in a late reply are added too, for later calls.
-func (h *Holder) transferFrom(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) (uint64, error) {
+func (h *Holder) transferFrom(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) holderReply {
 	if h.holders.unresponsive(dataCentre) {
-		return 0, errSuspected
+		return holderReply{err: errSuspected}
 	}
-	type result struct {
-		tokens uint64
-		err    error
-	}
-	replied := make(chan result, 1)
-	go func() {
-		tokens, err := h.requestTransfer(context.WithoutCancel(ctx), dataCentre, m, wanted)
-		replied <- result{tokens, err}
-	}()
+	replied := make(chan holderReply, 1)
+	go func() { replied <- h.requestTransfer(context.WithoutCancel(ctx), dataCentre, m, wanted) }()
 	select {
 	case r := <-replied:
-		return r.tokens, r.err
+		return r
 	case <-h.deps.Clock.After(transferTimeout):
 		h.holders.suspect(dataCentre, errNoReply)
-		return 0, errNoReply
+		return holderReply{err: errNoReply}
 	case <-ctx.Done():
-		return 0, fmt.Errorf("wait for tokens of program %s: %w", m.GetProgram(), ctx.Err())
+		return holderReply{err: fmt.Errorf("wait for tokens of program %s: %w", m.GetProgram(), ctx.Err())}
 	}
 }
 
-func (h *Holder) requestTransfer(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) (uint64, error) {
+func (h *Holder) requestTransfer(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) holderReply {
 	transfer := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: wanted, Id: rand.Text()}
 	var reply vmpb.AccountTransferReply
 	err := h.holders.requestWithin(ctx, lateTransferTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: transfer}}, &reply)
 	if err != nil {
-		return 0, err
+		return holderReply{err: err}
 	}
 	if reply.GetMoved() > 0 {
 		if err := h.commit(h.balances.TransferIn(m.GetProgram(), reply.GetMoved())); err != nil {
-			return 0, fmt.Errorf("%w: %w", errNotRecorded, err)
+			return holderReply{err: fmt.Errorf("%w: %w", errNotRecorded, err)}
 		}
 	}
+	r := holderReply{collectResult: collectResult{tokens: reply.GetMoved(), used: reply.GetUsed(), uncounted: !reply.GetCounted()}}
 	if !reply.GetKnown() {
 		// The holder may be about to become the program's home.
-		return reply.GetMoved(), errNoAccount
+		r.err = errNoAccount
 	}
-	return reply.GetMoved(), nil
+	return r
 }
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -182,8 +182,9 @@
 }
 
 // Reserve reserves tokens for a call, with tokens from other holders if the own
-// share is too small. The budget counts as spent only if the others have nothing
-// left: other calls may take the tokens that were collected for this one.
+// share is too small. The budget counts as spent only if the calls of all holders have
+// used it: what is in no holder's account may be on its way, or lost with a disk. Other
+// calls may take the tokens that were collected for this one.
 func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
 	if err := h.ensureOpen(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens()); err != nil {
 		return nil, err
@@ -204,12 +205,25 @@
 			return reply, err
 		}
 		if collected.isLast() {
-			reply.Uncertain = !collected.allReplied
+			reply.Uncertain = !collected.allReplied || !h.isSpent(m, collected)
 			return reply, nil
 		}
 	}
 }
 
+// isSpent reports whether the calls of a program have used or reserved so much at this
+// holder and at the others, which have all replied, that its budget does not allow a call.
+func (h *Holder) isSpent(m *vmpb.AccountReserve, others collectResult) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	budget := h.balances.Budget(m.GetProgram())
+	if budget == 0 {
+		budget = m.GetBudget()
+	}
+	used := h.balances.Used(m.GetProgram()) + others.used
+	return !others.uncounted && used+m.GetTokens() > budget
+}
+
 // tryReserve reserves tokens from the own share or returns the number of missing
 // tokens.
 func (h *Holder) tryReserve(m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, uint64, error) {
@@ -248,6 +262,7 @@
 	_, grantsPending := h.pendingGrants[m.GetProgram()]
 	// While grants are in flight, the other holders' tokens are not known.
 	reply.Known = known && !grantsPending
+	reply.Used, reply.Counted = h.balances.Used(m.GetProgram()), true
 	record, tokens := h.balances.TransferOut(m.GetProgram(), m.GetWanted())
 	if record == nil {
 		h.mu.Unlock()
--- /dev/null
+++ b/internal/program/account/lost_test.go
@@ -0,0 +1,144 @@
+package account_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/program/account"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// lossBudget and lossCall are a budget for two calls and the most that a call may
+	// generate, and lossUsed what each generates.
+	lossBudget = 300
+	lossCall   = 132
+	lossUsed   = 30
+)
+
+// loseDisk replaces a holder's disk by an empty one; its successor lists the programs.
+func (f *fleet) loseDisk(t *testing.T, dc string) {
+	t.Helper()
+	f.stop(dc)
+	if err := os.RemoveAll(filepath.Join(f.folder, dc)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(t, dc, false)
+	f.recover(t, dc)
+}
+
+func (f *fleet) recover(t *testing.T, dc string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	f.holders[dc].Recover(ctx)
+	if !f.holders[dc].Complete() {
+		t.Fatalf("holder of %s does not recover", dc)
+	}
+}
+
+// call makes one call of a program as an entry VM does and settles it. It returns whether
+// it was granted, and whether it was denied for good.
+func (f *fleet) call(dc, program, id string) (granted, denied bool) {
+	m := &vmpb.AccountReserve{Program: program, Call: id, Budget: lossBudget, Tokens: lossCall}
+	reply, err := f.holders[dc].Reserve(context.Background(), m)
+	if err != nil || !reply.GetGranted() {
+		return false, err == nil && !reply.GetUncertain()
+	}
+	_ = f.holders[dc].Settle(&vmpb.AccountSettle{Program: program, Call: id, Used: lossUsed})
+	return true, false
+}
+
+// lossCases are ways in which the home of a program, at dc1, goes away.
+func lossCases() map[string]func(t *testing.T, f *fleet) {
+	return map[string]func(t *testing.T, f *fleet){
+		"its disk is lost": func(t *testing.T, f *fleet) { f.loseDisk(t, "dc1") },
+		"another VM takes its place": func(t *testing.T, f *fleet) {
+			f.stop("dc1")
+			successor := f.open(t, "dc1", "successor", false)
+			if err := successor.BeginTakeover(); err != nil {
+				t.Fatal(err)
+			}
+			f.withLock(func() { f.holders["dc1"] = successor })
+			f.recover(t, "dc1")
+		},
+		"its disk is lost, and then that of the next holder": func(t *testing.T, f *fleet) {
+			f.loseDisk(t, "dc1")
+			f.loseDisk(t, "dc2")
+		},
+		"it restarts": func(t *testing.T, f *fleet) {
+			f.stop("dc1")
+			f.start(t, "dc1", false)
+		},
+	}
+}
+
+// Guards against review case 13: tokens that were lost with a disk count as spent, and the
+// program is ended for good with nine tenths of its budget left.
+func TestLostTokensAreNotSpent(t *testing.T) {
+	for name, lose := range lossCases() {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			if granted, _ := f.call("dc1", "program", "first"); !granted {
+				t.Fatal("the first call is refused")
+			}
+			lose(t, f)
+			for n, dc := range f.centres {
+				if _, denied := f.call(dc, "program", fmt.Sprintf("later%d", n)); denied {
+					t.Errorf("the holder of %s says that the budget is spent", dc)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a program that never ends because nobody is certain that its budget is
+// spent, after calls at all holders, restarts and a compaction.
+func TestSpentBudgetIsDenied(t *testing.T) {
+	f := newFleet(t, 1)
+	used := 0
+	for n := 0; used+lossCall <= lossBudget; n++ {
+		granted, denied := f.call(f.centres[n%3], "program", fmt.Sprint(n))
+		if denied || n > 20 {
+			t.Fatalf("call %d is refused, %d of %d tokens are used", n, used, lossBudget)
+		}
+		if granted {
+			used += lossUsed
+		}
+	}
+	assertDenied := func(when string) {
+		t.Helper()
+		for _, dc := range f.centres {
+			if _, denied := f.call(dc, "program", when+dc); !denied {
+				t.Errorf("%s: the holder of %s does not say that the budget is spent", when, dc)
+			}
+		}
+	}
+	assertDenied("spent")
+	for _, dc := range f.centres {
+		f.stop(dc)
+		f.compact(t, dc)
+		f.start(t, dc, false)
+	}
+	assertDenied("compacted")
+}
+
+// compact compacts the journal of a holder that does not run.
+func (f *fleet) compact(t *testing.T, dc string) {
+	t.Helper()
+	b, now := account.NewBalances(), time.Now()
+	journal, _, err := account.OpenJournal(filepath.Join(f.folder, dc), func(r *vmpb.AccountRecord) { b.Apply(r, now) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := journal.Compact(b.Records(now)); err != nil {
+		t.Fatal(err)
+	}
+	if err := journal.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
