Hand budgets over before a holder exits

Cause: a holder that exits keeps the tokens on its disk, which goes with the VM.

Change: on SIGTERM a holder takes no further tokens and reserves none, and sends those that no call has reserved to the other holders, in messages of 200 programs that count once, also after a restart of the receiver; then, for a quarter of the shutdown time at most, those of calls that end. Tokens are deducted on disk before they are sent, and only once the receiver has replied that it takes some.

TestPlannedExitHandsOver and TestTokensAreHandedOverOnce: lost and repeated messages, two exits in a row, restart and compaction of the receiver. TestBudgetOverHolders has planned exits too.

--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -134,6 +134,8 @@
 	SettlementUndelivered = register(3205, zerolog.WarnLevel, "settlement could not be delivered to the holder; the reservation stays", "")
 	AccountsRecovered     = register(3206, zerolog.InfoLevel, "list of programs with an account recovered after a disk loss", "")
 	RecoverFailed         = register(3207, zerolog.WarnLevel, "list of programs with an account could not be recovered; will retry", "none unless it persists")
+	AccountsHandedOver    = register(3209, zerolog.InfoLevel, "budget tokens handed over to another holder before the process exits", "")
+	HandOverFailed        = register(3210, zerolog.WarnLevel, "budget tokens could not be handed over before the process exits; they stay on this VM's disk, or count as used if the message may have arrived", "keep the disk, and check the other holders")
 	GrantUndelivered      = register(3208, zerolog.WarnLevel, "grant of budget tokens may not have reached its holder; the tokens count as used", "")
 )
 
--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/operator/machine"
@@ -45,6 +46,18 @@
 	return p.run(ctx)
 }
 
+// handOverShare is the fraction of the shutdown time in which tokens are handed over.
+const handOverShare = 0.25
+
+// handOver hands the tokens of programs over to the other holders: this VM may be removed
+// with its disk.
+func (p *process) handOver() {
+	timeout := time.Duration(handOverShare * float64(p.node.Settings().Grace()))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	p.holder.HandOver(ctx)
+}
+
 func (p *process) run(ctx context.Context) error {
 	n := p.node
 	receive := func(ctx context.Context, open *vmpb.Open, s *peer.Stream) bool {
@@ -60,6 +73,7 @@
 	n.Loop(p.keepRole)
 	failure := n.Wait(ctx)
 	n.Log().Event(events.ProcessStopping).Emit()
+	p.handOver()
 	n.Stop()
 	if err := errors.Join(p.holder.Close(), p.conversations.close()); err != nil {
 		return err
--- a/internal/program/account/balances.go
+++ b/internal/program/account/balances.go
@@ -16,6 +16,9 @@
 	// complete is the field whole of AccountOrigin.
 	complete bool
 	programs map[string]*programAccount
+	// handOvers are the IDs of the messages with which other holders have handed tokens over
+	// before they exited, and when they arrived.
+	handOvers map[string]time.Time
 }
 
 // programAccount is one program's account at one holder, in tokens.
@@ -35,7 +38,9 @@
 }
 
 // NewBalances returns balances without accounts.
-func NewBalances() *Balances { return &Balances{programs: make(map[string]*programAccount)} }
+func NewBalances() *Balances {
+	return &Balances{programs: make(map[string]*programAccount), handOvers: make(map[string]time.Time)}
+}
 
 // ID returns the ID of the journal that the balances were read from.
 func (b *Balances) ID() string { return b.id }
@@ -239,6 +244,28 @@
 	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Received{Received: moved}}
 }
 
+// Surplus returns up to limit programs of which this holder has tokens that no call has
+// reserved, each with these as its share, and whether it has reservations.
+func (b *Balances) Surplus(limit int) (programs []*vmpb.AccountOpened, reserved bool) {
+	for program, a := range b.programs {
+		reserved = reserved || len(a.reservations) > 0
+		if a.isolated || a.available() == 0 || len(programs) == limit {
+			continue
+		}
+		programs = append(programs, &vmpb.AccountOpened{Program: program, Budget: a.budget, Home: a.home, Share: a.available()})
+	}
+	return programs, reserved
+}
+
+// HandedOver returns the record that adds the tokens of a holder that exits, or nil if the
+// message has arrived before.
+func (b *Balances) HandedOver(m *vmpb.AccountHandOver) *vmpb.AccountRecord {
+	if _, repeated := b.handOvers[m.GetId()]; repeated {
+		return nil
+	}
+	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_HandedOver{HandedOver: m}}
+}
+
 // TransferIn returns the record that adds tokens received from another holder.
 func (b *Balances) TransferIn(program string, tokens uint64) *vmpb.AccountRecord {
 	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
@@ -251,11 +278,7 @@
 	case *vmpb.AccountRecord_Origin:
 		b.id, b.complete = k.Origin.GetId(), k.Origin.GetWhole()
 	case *vmpb.AccountRecord_Opened:
-		b.programs[k.Opened.GetProgram()] = &programAccount{
-			home: k.Opened.GetHome(), grantReceived: k.Opened.GetGranted(),
-			isolated: k.Opened.GetIsolated(), isolatedShare: k.Opened.GetTaken(), budget: k.Opened.GetBudget(), reservations: make(map[string]uint64), lastUsed: now,
-			received: k.Opened.GetShare() + k.Opened.GetSpent(), spent: k.Opened.GetSpent(),
-		}
+		b.open(k.Opened, now)
 	case *vmpb.AccountRecord_Joined:
 		b.update(k.Joined.GetProgram(), now, func(a *programAccount) {
 			a.home, a.isolated = k.Joined.GetHome(), false
@@ -279,6 +302,27 @@
 			a.received += k.Received.GetTokens()
 			a.grantReceived = a.grantReceived || k.Received.GetPart()
 		})
+	case *vmpb.AccountRecord_HandedOver:
+		b.addHandedOver(k.HandedOver, now)
+	}
+}
+
+func (b *Balances) open(m *vmpb.AccountOpened, now time.Time) {
+	b.programs[m.GetProgram()] = &programAccount{
+		home: m.GetHome(), grantReceived: m.GetGranted(),
+		isolated: m.GetIsolated(), isolatedShare: m.GetTaken(), budget: m.GetBudget(), reservations: make(map[string]uint64), lastUsed: now,
+		received: m.GetShare() + m.GetSpent(), spent: m.GetSpent(),
+	}
+}
+
+func (b *Balances) addHandedOver(m *vmpb.AccountHandOver, now time.Time) {
+	b.handOvers[m.GetId()] = now
+	for _, p := range m.GetPrograms() {
+		if _, known := b.programs[p.GetProgram()]; !known {
+			b.open(p, now)
+			continue
+		}
+		b.update(p.GetProgram(), now, func(a *programAccount) { a.received += p.GetShare() })
 	}
 }
 
@@ -295,6 +339,11 @@
 // programs that were last used before since.
 func (b *Balances) Records(since time.Time) []*vmpb.AccountRecord {
 	records := []*vmpb.AccountRecord{originRecord(b.id, b.complete)}
+	for id, at := range b.handOvers {
+		if !at.Before(since) {
+			records = append(records, &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_HandedOver{HandedOver: &vmpb.AccountHandOver{Id: id}}})
+		}
+	}
 	for program, a := range b.programs {
 		if a.lastUsed.Before(since) {
 			continue
@@ -319,6 +368,7 @@
 			delete(b.programs, program)
 		}
 	}
+	maps.DeleteFunc(b.handOvers, func(_ string, at time.Time) bool { return at.Before(since) })
 }
 
 func originRecord(id string, complete bool) *vmpb.AccountRecord {
--- /dev/null
+++ b/internal/program/account/handover.go
@@ -0,0 +1,163 @@
+package account
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+)
+
+const (
+	// handOverPage is the largest number of programs in one message.
+	handOverPage = 200
+	// handOverSends bounds how often a message without a reply is sent.
+	handOverSends = 3
+	// handOverInterval is the interval at which the holder looks whether calls have ended.
+	handOverInterval = 100 * time.Millisecond
+)
+
+// errLeaving is returned for requests to a holder that hands over its tokens.
+var errLeaving = errors.New("holder is about to exit")
+
+// HandOver hands the tokens that no call has reserved over to other holders, before the
+// process exits, and those of calls that end until ctx is done. The holder takes no further
+// tokens and reserves none. Tokens are deducted before they are sent, so that a message that
+// is lost loses them and duplicates none.
+func (h *Holder) HandOver(ctx context.Context) {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	if !h.awaitOthers(ctx) {
+		return
+	}
+	for n := 0; ctx.Err() == nil; n++ {
+		dataCentre, ok := h.nextSuccessor(ctx, n)
+		if !ok {
+			return
+		}
+		programs, busy, err := h.deductSurplus()
+		switch {
+		case err != nil:
+			h.deps.Log.Event(events.AccountFailed).Err(err).Emit()
+			return
+		case len(programs) > 0:
+			if !h.sendHandOver(ctx, dataCentre, programs) {
+				return
+			}
+		case !busy || !clock.Wait(ctx, h.deps.Clock, handOverInterval):
+			return
+		}
+	}
+}
+
+// awaitOthers waits until another holder is known, which a process that has just started may
+// not have learned yet.
+func (h *Holder) awaitOthers(ctx context.Context) bool {
+	for {
+		for _, dc := range h.otherDataCentres() {
+			if _, err := h.holders.address(dc); err == nil {
+				return true
+			}
+		}
+		if !clock.Wait(ctx, h.deps.Clock, handOverInterval) {
+			return false
+		}
+	}
+}
+
+// nextSuccessor returns one of the data centres whose holders take tokens, in turn. It asks
+// before any are deducted: what is sent to one that is gone is lost.
+func (h *Holder) nextSuccessor(ctx context.Context, n int) (dataCentre string, ok bool) {
+	others := h.otherDataCentres()
+	for i := range others {
+		dc := others[(n+i)%len(others)]
+		if !h.holders.unresponsive(dc) && h.requestHandOver(ctx, dc, &vmpb.AccountHandOver{}) == nil {
+			return dc, true
+		}
+	}
+	return "", false
+}
+
+func (h *Holder) requestHandOver(ctx context.Context, dataCentre string, m *vmpb.AccountHandOver) error {
+	open := &vmpb.Open{Kind: &vmpb.Open_AccountHandOver{AccountHandOver: m}}
+	return h.holders.request(ctx, announceTimeout, dataCentre, open, &vmpb.AccountHandOverReply{})
+}
+
+// deductSurplus deducts tokens that no call has reserved and returns them once that is on
+// disk. busy is set if calls, or tokens to other holders, are under way.
+func (h *Holder) deductSurplus() (programs []*vmpb.AccountOpened, busy bool, err error) {
+	h.mu.Lock()
+	programs, reserved := h.balances.Surplus(handOverPage)
+	busy = reserved || len(h.opening) > 0 || len(h.pendingGrants) > 0
+	seq := uint64(0)
+	for _, p := range programs {
+		record, _ := h.balances.transferOut(p.GetProgram(), p.GetShare())
+		if seq, err = h.append(record); err != nil {
+			h.mu.Unlock()
+			return nil, busy, err
+		}
+	}
+	h.mu.Unlock()
+	if len(programs) == 0 {
+		return nil, busy, nil
+	}
+	return programs, busy, h.awaitSync(seq)
+}
+
+// sendHandOver sends programs to the holder of a data centre and reports whether it has
+// them.
+func (h *Holder) sendHandOver(ctx context.Context, dataCentre string, programs []*vmpb.AccountOpened) bool {
+	m := &vmpb.AccountHandOver{Id: rand.Text(), Programs: programs}
+	var err error
+	for range handOverSends {
+		if err = h.requestHandOver(ctx, dataCentre, m); err == nil {
+			h.deps.Log.Event(events.AccountsHandedOver).Str("data_centre", dataCentre).Int("programs", len(programs)).Emit()
+			return true
+		}
+		if errors.Is(err, peer.ErrDeclined) {
+			// A holder that exits too has not taken them.
+			h.takeBack(programs)
+			break
+		}
+	}
+	h.deps.Log.Event(events.HandOverFailed).Str("data_centre", dataCentre).Int("programs", len(programs)).Err(err).Emit()
+	return false
+}
+
+func (h *Holder) takeBack(programs []*vmpb.AccountOpened) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range programs {
+		if _, err := h.append(h.balances.TransferIn(p.GetProgram(), p.GetShare())); err != nil {
+			h.deps.Log.Event(events.AccountFailed).Str("program", p.GetProgram()).Err(err).Emit()
+			return
+		}
+	}
+}
+
+// HandleHandOver adds the tokens of another holder that exits. They are on disk before the
+// reply is sent.
+func (h *Holder) HandleHandOver(m *vmpb.AccountHandOver) error {
+	if err := h.checkStaying(); err != nil {
+		return err
+	}
+	if len(m.GetPrograms()) == 0 {
+		// The other holder asks whether this one takes tokens.
+		return nil
+	}
+	return h.commitDecision(func() *vmpb.AccountRecord { return h.balances.HandedOver(m) })
+}
+
+func (h *Holder) checkStaying() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leaving {
+		return errLeaving
+	}
+	return nil
+}
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -66,6 +66,8 @@
 	// collections are the programs for whose calls tokens are collected.
 	collections map[string]*collection
 	transfers   *transferLog
+	// leaving is set once the process is about to exit.
+	leaving bool
 	// recovering is held while the programs are listed.
 	recovering sync.Mutex
 	// takeovers counts how often this VM has begun to take the role of another one.
@@ -166,6 +168,10 @@
 		if err = h.HandleGrant(k.AccountGrant); err == nil {
 			_ = s.Send(&vmpb.AccountGrantReply{})
 		}
+	case *vmpb.Open_AccountHandOver:
+		if err = h.HandleHandOver(k.AccountHandOver); err == nil {
+			_ = s.Send(&vmpb.AccountHandOverReply{})
+		}
 	case *vmpb.Open_AccountAnnounce:
 		var reply *vmpb.AccountAnnounceReply
 		if reply, err = h.HandleAnnounce(k.AccountAnnounce); err == nil {
@@ -186,6 +192,9 @@
 // used it: what is in no holder's account may be on its way, or lost with a disk. Other
 // calls may take the tokens that were collected for this one.
 func (h *Holder) Reserve(ctx context.Context, m *vmpb.AccountReserve) (*vmpb.AccountReserveReply, error) {
+	if err := h.checkStaying(); err != nil {
+		return nil, err
+	}
 	if err := h.ensureOpen(ctx, m.GetProgram(), m.GetBudget(), m.GetTokens()); err != nil {
 		return nil, err
 	}
@@ -257,6 +266,11 @@
 		h.mu.Unlock()
 		return t.reply, h.awaitSync(t.seq)
 	}
+	if h.leaving {
+		// The connection may close before the reply arrives.
+		h.mu.Unlock()
+		return nil, errLeaving
+	}
 	reply := &vmpb.AccountTransferReply{}
 	_, known := h.balances.Home(m.GetProgram())
 	_, grantsPending := h.pendingGrants[m.GetProgram()]
--- a/internal/program/account/lost_test.go
+++ b/internal/program/account/lost_test.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// call makes one call of a program as an entry VM does and settles it. It returns whether
+// call makes one call of the program as an entry VM does and settles it. It returns whether
 // it was granted, and whether it was denied for good.
-func (f *fleet) call(dc, program, id string) (granted, denied bool) {
-	m := &vmpb.AccountReserve{Program: program, Call: id, Budget: lossBudget, Tokens: lossCall}
+func (f *fleet) call(dc, id string) (granted, denied bool) {
+	m := &vmpb.AccountReserve{Program: "program", Call: id, Budget: lossBudget, Tokens: lossCall}
 	reply, err := f.holders[dc].Reserve(context.Background(), m)
 	if err != nil || !reply.GetGranted() {
 		return false, err == nil && !reply.GetUncertain()
 	}
-	_ = f.holders[dc].Settle(&vmpb.AccountSettle{Program: program, Call: id, Used: lossUsed})
+	_ = f.holders[dc].Settle(&vmpb.AccountSettle{Program: "program", Call: id, Used: lossUsed})
 	return true, false
 }
 
@@ -83,12 +83,12 @@
 	for name, lose := range lossCases() {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1)
-			if granted, _ := f.call("dc1", "program", "first"); !granted {
+			if granted, _ := f.call("dc1", "first"); !granted {
 				t.Fatal("the first call is refused")
 			}
 			lose(t, f)
 			for n, dc := range f.centres {
-				if _, denied := f.call(dc, "program", fmt.Sprintf("later%d", n)); denied {
+				if _, denied := f.call(dc, fmt.Sprintf("later%d", n)); denied {
 					t.Errorf("the holder of %s says that the budget is spent", dc)
 				}
 			}
@@ -96,13 +96,99 @@
 	}
 }
 
+// handOver lets a holder hand over its tokens.
+func (f *fleet) handOver(dc string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	f.holders[dc].HandOver(ctx)
+}
+
+// Guards against programs that can't go on after planned work: the tokens of a holder go with
+// its disk, though it was asked to exit.
+func TestPlannedExitHandsOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		// prepare changes the fleet, and during happens while the holder exits.
+		prepare func(f *fleet)
+		during  func(f *fleet)
+	}{
+		"alone": {},
+		"the other holders exit one after the other": {during: func(f *fleet) { f.handOver("dc2") }},
+		"messages arrive twice and replies get lost": {prepare: func(f *fleet) { f.lossy = true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.budgets["program"] = lossBudget
+			if granted, _ := f.call("dc1", "first"); !granted {
+				t.Fatal("the first call is refused")
+			}
+			if c.prepare != nil {
+				f.withLock(func() { c.prepare(f) })
+			}
+			f.handOver("dc1")
+			f.withLock(func() { f.lossy = false })
+			f.stop("dc1")
+			if c.during != nil {
+				c.during(f)
+				f.stop("dc2")
+			}
+			used := lossUsed
+			for n := 0; used+lossCall <= lossBudget; n++ {
+				granted, _ := f.call("dc3", fmt.Sprint(n))
+				if !granted {
+					break
+				}
+				used += lossUsed
+			}
+			if used+lossCall <= lossBudget {
+				t.Errorf("the program stops with %d of %d tokens used", used, lossBudget)
+			}
+			for n := range 3 {
+				if granted, _ := f.call("dc3", fmt.Sprint("over", n)); granted {
+					t.Error("a call beyond the budget is granted")
+				}
+			}
+		})
+	}
+}
+
+// Guards against tokens that are handed over twice: by a message that arrives again, also
+// after a restart of the receiver and a compaction.
+func TestTokensAreHandedOverOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	m := &vmpb.AccountHandOver{Id: "m1", Programs: []*vmpb.AccountOpened{{Program: "program", Budget: lossBudget, Home: "dc1/gone", Share: lossCall}}}
+	for _, again := range []func(){
+		func() {},
+		func() {},
+		func() {
+			f.stop("dc2")
+			f.compact(t, "dc2")
+			f.start(t, "dc2", false)
+		},
+	} {
+		again()
+		if err := f.holders["dc2"].HandleHandOver(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.withLock(func() { f.partitioned = map[string]bool{"dc1": true, "dc3": true} })
+	granted := 0
+	for n := range 3 {
+		if ok, _ := f.call("dc2", fmt.Sprint(n)); ok {
+			granted++
+		}
+	}
+	if granted != 1 {
+		t.Errorf("%d calls are granted, want 1", granted)
+	}
+}
+
 // Guards against a program that never ends because nobody is certain that its budget is
 // spent, after calls at all holders, restarts and a compaction.
 func TestSpentBudgetIsDenied(t *testing.T) {
 	f := newFleet(t, 1)
 	used := 0
 	for n := 0; used+lossCall <= lossBudget; n++ {
-		granted, denied := f.call(f.centres[n%3], "program", fmt.Sprint(n))
+		granted, denied := f.call(f.centres[n%3], fmt.Sprint(n))
 		if denied || n > 20 {
 			t.Fatalf("call %d is refused, %d of %d tokens are used", n, used, lossBudget)
 		}
@@ -113,7 +199,7 @@
 	assertDenied := func(when string) {
 		t.Helper()
 		for _, dc := range f.centres {
-			if _, denied := f.call(dc, "program", when+dc); !denied {
+			if _, denied := f.call(dc, when+dc); !denied {
 				t.Errorf("%s: the holder of %s does not say that the budget is spent", when, dc)
 			}
 		}
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -19,6 +19,7 @@
 	"hawthornrail.example/hawthornrail/internal/observe/events"
 	"hawthornrail.example/hawthornrail/internal/observe/metrics"
 	"hawthornrail.example/hawthornrail/internal/program/account"
+	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 	"pgregory.net/rapid"
 )
@@ -179,6 +180,11 @@
 		return &vmpb.AccountGrantReply{}, h.HandleGrant(k.AccountGrant)
 	case *vmpb.Open_AccountAnnounce:
 		return h.HandleAnnounce(k.AccountAnnounce)
+	case *vmpb.Open_AccountHandOver:
+		if err := h.HandleHandOver(k.AccountHandOver); err != nil {
+			return nil, peer.ErrDeclined
+		}
+		return &vmpb.AccountHandOverReply{}, nil
 	case *vmpb.Open_ObjectsAsk:
 		return &vmpb.ObjectsReply{}, nil
 	}
@@ -271,6 +277,10 @@
 			case 3:
 				f.stop(dc)
 				f.start(rt, dc, false)
+			case 15:
+				f.handOver(dc)
+				f.stop(dc)
+				f.start(rt, dc, false)
 			case 13:
 				f.withLock(func() {
 					for _, other := range f.centres {
