Answer each request by its route's timeout

Requests that may be repeated were not tried at another endpoint.

Cause: the context that all waits of a request depend on has the caller's deadline; the route's timeout was noted in the request once the route was known, and ended nothing.

Change: a filter after that of the route ends the request at the lesser of both: 504 if it may have run, its own refusal if not. A stream must have its first event by then and goes on for as long as its caller waits. An idempotent request is tried elsewhere after half of the time left, if the route's attempts allow it; the silence counts against the endpoint.

--- a/internal/endpoint/forward/dispatch.go
+++ b/internal/endpoint/forward/dispatch.go
@@ -23,6 +23,9 @@
 	// maxUnreached is how many endpoints may refuse a connection until the request goes
 	// through another VM.
 	maxUnreached = 2
+	// attemptShare is the fraction of the time left that an endpoint gets for a whole
+	// response while another one may run the request.
+	attemptShare = 0.5
 )
 
 // dispatch is the state of one request while it is sent to one or more
@@ -59,6 +62,8 @@
 	contact *contact.Attempt
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	// timer ends the attempt in time for another endpoint to run the request; it may be nil.
+	timer *time.Timer
 	// indirect is set for an attempt through another VM, the helper, whose endpoint is not
 	// known.
 	indirect bool
@@ -193,6 +198,17 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	abandon := func() { a.cancel(errOutOfReach) }
 	a.contact = d.deps.Contact.Begin(d.service.Name(), a.endpoint.Name(), d.request.Route().Repeatable(), abandon)
+	if d.leavesTimeForAnother() {
+		a.timer = time.AfterFunc(time.Duration(attemptShare*float64(d.timeLeft())), func() { a.cancel(errNoResponse) })
+	}
+}
+
+// leavesTimeForAnother reports whether an attempt ends before the deadline of the request. A
+// stream that waits for its first event keeps its place at its endpoint.
+func (d *dispatch) leavesTimeForAnother() bool {
+	route := d.request.Route()
+	return route.Kind() != hawthornrail.StreamRoute && route.Repeatable() && !d.request.Deadline().IsZero() &&
+		d.progress.MayRunElsewhere(route.Attempts())
 }
 
 // admit returns a failure if requests like this one are refused. A trial
@@ -296,6 +312,9 @@
 	if a.exchange != nil {
 		a.exchange.Close()
 	}
+	if a.timer != nil {
+		a.timer.Stop()
+	}
 	if a.cancel != nil {
 		a.cancel(nil)
 	}
--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -14,6 +14,16 @@
 // endpoint of the service.
 var errOutOfReach = errors.New("service is out of reach of this VM")
 
+// errNoResponse is the cause of an attempt that is given up so that another endpoint can run
+// the request before its deadline.
+var errNoResponse = errors.New("no response in time; another endpoint may run the request")
+
+// overdue reports whether the attempt was given up because its endpoint takes too long. That
+// shows neither a crash nor a lost connection.
+func (a *attempt) overdue() bool {
+	return a.ctx != nil && errors.Is(context.Cause(a.ctx), errNoResponse)
+}
+
 // abandoned reports whether the attempt was given up because this VM reaches no
 // endpoint of the service.
 func (a *attempt) abandoned() bool {
@@ -38,7 +48,7 @@
 // recordLoss records that the endpoint of an attempt was lost, unless the request was
 // cancelled.
 func (d *dispatch) recordLoss(ctx context.Context, a *attempt) {
-	if ctx.Err() == nil && !a.abandoned() {
+	if ctx.Err() == nil && !a.abandoned() && !a.overdue() {
 		d.deps.Contact.Lost(d.service.Name(), a.endpoint.Name())
 	}
 }
@@ -56,7 +66,7 @@
 	if !responded {
 		d.recordLoss(ctx, a)
 	}
-	brokenOff := !responded && ctx.Err() == nil && !a.abandoned()
+	brokenOff := !responded && ctx.Err() == nil && !a.abandoned() && !a.overdue()
 	if brokenOff && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -231,6 +231,7 @@
 	metrics.Gauge(n.Metrics(), "requests.evicted", in.Memory.Evicted)
 	chain := proxy.Chain(in.Forwarder,
 		proxy.NewIdentify(n.Config(), n.Freshness()),
+		proxy.NewTimeout(n.Clock()),
 		proxy.NewQuarantine(in.Quarantine),
 		in.Conversations,
 		proxy.NewBudget(in.Accounts, n.Config()),
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -274,6 +274,13 @@
 	w.withoutIDs = true
 }
 
+// ClearFaults drops the faults that are still to come.
+func (w *Worker) ClearFaults() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = nil
+}
+
 // SetPause sets the pause after each event.
 func (w *Worker) SetPause(pause time.Duration) {
 	w.mu.Lock()
--- a/progress.go
+++ b/progress.go
@@ -75,6 +75,12 @@
 	return p.unknownRuns > 0 && len(p.possibleRuns)+p.unknownRuns >= attempts
 }
 
+// MayRunElsewhere reports whether the attempts of a route allow another endpoint to run the
+// request after the one that runs it now.
+func (p *ForwardProgress) MayRunElsewhere(attempts int) bool {
+	return len(p.possibleRuns)+p.unknownRuns+1 < attempts
+}
+
 // PossibleRuns returns the endpoints that count against the route's attempts.
 func (p *ForwardProgress) PossibleRuns() []string { return p.possibleRuns }
 
