Spread small budgets, so that programs go on without their home

Cause: a budget that does not give each holder two calls stayed whole at its home. One disk decided over the program.

After each call the holder requests what the next one lacks from the others, in the background and no more, so that calls do not wait and little is lost with one disk.

--- a/internal/program/account/balances.go
+++ b/internal/program/account/balances.go
@@ -77,6 +77,15 @@
 	return a.budget
 }
 
+// Reserved returns the tokens that a call of a program has reserved.
+func (b *Balances) Reserved(program, call string) uint64 {
+	a, ok := b.programs[program]
+	if !ok {
+		return 0
+	}
+	return a.reservations[call]
+}
+
 // IsFirstCall reports whether a program has its home at this holder and no
 // other call has used or reserved tokens.
 func (b *Balances) IsFirstCall(program, call string) bool {
@@ -210,10 +219,13 @@
 
 // TransferOut returns the record that transfers tokens to another holder, and
 // their number: the number wanted or half of the available tokens, whichever is
-// more, up to the available tokens.
-func (b *Balances) TransferOut(program string, wanted uint64) (record *vmpb.AccountRecord, tokens uint64) {
-	available := b.Available(program)
-	return b.transferOut(program, min(available, max(wanted, available/2)))
+// more unless exactly the number wanted is requested, up to the available tokens.
+func (b *Balances) TransferOut(m *vmpb.AccountTransfer) (record *vmpb.AccountRecord, tokens uint64) {
+	available, wanted := b.Available(m.GetProgram()), m.GetWanted()
+	if !m.GetExact() {
+		wanted = max(wanted, available/2)
+	}
+	return b.transferOut(m.GetProgram(), min(available, wanted))
 }
 
 // Grant returns the record that transfers tokens from the home to another
--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"time"
 
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
@@ -57,6 +58,10 @@
 func (h *Holder) joinCollection(program string, missing uint64) *collection {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.joinCollectionLocked(program, missing)
+}
+
+func (h *Holder) joinCollectionLocked(program string, missing uint64) *collection {
 	c, ok := h.collections[program]
 	if !ok {
 		c = &collection{}
@@ -80,9 +85,8 @@
 // collectOnce collects what all calls of a program miss, or waits for the call
 // that collects now: tokens on their way to one call are in no holder's account.
 func (h *Holder) collectOnce(ctx context.Context, m *vmpb.AccountReserve, c *collection, home string) (collectResult, error) {
-	h.mu.Lock()
-	if current := c.done; current != nil {
-		h.mu.Unlock()
+	wanted, current, finish := h.beginCollection(c)
+	if current != nil {
 		select {
 		case <-current:
 			return collectResult{waited: true}, nil
@@ -90,18 +94,77 @@
 			return collectResult{}, fmt.Errorf("wait for calls of program %s: %w", m.GetProgram(), ctx.Err())
 		}
 	}
+	defer finish()
+	h.awaitGrants(ctx, m.GetProgram())
+	return h.collect(ctx, m, wanted, home)
+}
+
+// beginCollection returns what the calls of a collection miss and the function that ends the
+// collecting, or, if another call collects now, the channel that is closed at its end.
+func (h *Holder) beginCollection(c *collection) (wanted uint64, current <-chan struct{}, finish func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c.done != nil {
+		return 0, c.done, nil
+	}
 	done := make(chan struct{})
 	c.done = done
-	wanted := c.missing
-	h.mu.Unlock()
-	defer func() {
+	return c.missing, nil, func() {
 		h.mu.Lock()
 		c.done = nil
 		h.mu.Unlock()
 		close(done)
-	}()
-	h.awaitGrants(ctx, m.GetProgram())
-	return h.collect(ctx, m, wanted, home)
+	}
+}
+
+// topUp requests what a program's next call may lack, after any collecting that is under way
+// has ended.
+func (h *Holder) topUp(program string, callTokens uint64) {
+	ctx := context.Background()
+	for {
+		h.awaitGrants(ctx, program)
+		missing, c := h.joinTopUp(program, callTokens)
+		if missing == 0 {
+			return
+		}
+		_, current, finish := h.beginCollection(c)
+		if current == nil {
+			h.collectExactly(ctx, program, missing)
+			finish()
+			h.leaveCollection(program, c, missing)
+			return
+		}
+		h.leaveCollection(program, c, missing)
+		<-current
+	}
+}
+
+// joinTopUp joins the collection of a program that lacks tokens here for a call. missing is 0
+// if it lacks none or if this holder is about to exit.
+func (h *Holder) joinTopUp(program string, callTokens uint64) (missing uint64, c *collection) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	available := h.balances.Available(program)
+	if h.leaving || available >= callTokens {
+		return 0, nil
+	}
+	missing = callTokens - available
+	return missing, h.joinCollectionLocked(program, missing)
+}
+
+// collectExactly requests tokens from one other holder after another until it has the number
+// wanted. The others keep the rest: it would be lost with this holder.
+func (h *Holder) collectExactly(ctx context.Context, program string, wanted uint64) {
+	others := h.otherDataCentres()
+	mathrand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, dc := range others {
+		m := &vmpb.AccountTransfer{Program: program, Wanted: wanted, Exact: true}
+		r := h.transferFrom(ctx, dc, m)
+		if r.tokens >= wanted || errors.Is(r.err, errNotRecorded) {
+			return
+		}
+		wanted -= r.tokens
+	}
 }
 
 // collect requests tokens from the other holders. The home comes first, since it
@@ -147,7 +210,8 @@
 func (h *Holder) collectFrom(ctx context.Context, m *vmpb.AccountReserve, wanted uint64, dataCentres []string) (collectResult, error) {
 	replies := make(chan holderReply, len(dataCentres))
 	for _, dc := range dataCentres {
-		go func() { replies <- h.transferFrom(ctx, dc, m, wanted) }()
+		m := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: wanted}
+		go func() { replies <- h.transferFrom(ctx, dc, m) }()
 	}
 	total := collectResult{allReplied: true}
 	for range dataCentres {
@@ -163,12 +227,12 @@
 
 // transferFrom requests tokens of a program from one holder and adds them to the
 // program's account. Tokens in a late reply are added too, for later calls.
-func (h *Holder) transferFrom(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) holderReply {
+func (h *Holder) transferFrom(ctx context.Context, dataCentre string, m *vmpb.AccountTransfer) holderReply {
 	if h.holders.unresponsive(dataCentre) {
 		return holderReply{err: errSuspected}
 	}
 	replied := make(chan holderReply, 1)
-	go func() { replied <- h.requestTransfer(context.WithoutCancel(ctx), dataCentre, m, wanted) }()
+	go func() { replied <- h.requestTransfer(context.WithoutCancel(ctx), dataCentre, m) }()
 	select {
 	case r := <-replied:
 		return r
@@ -180,10 +244,10 @@
 	}
 }
 
-func (h *Holder) requestTransfer(ctx context.Context, dataCentre string, m *vmpb.AccountReserve, wanted uint64) holderReply {
-	transfer := &vmpb.AccountTransfer{Program: m.GetProgram(), Budget: m.GetBudget(), Wanted: wanted, Id: rand.Text()}
+func (h *Holder) requestTransfer(ctx context.Context, dataCentre string, m *vmpb.AccountTransfer) holderReply {
+	m.Id = rand.Text()
 	var reply vmpb.AccountTransferReply
-	err := h.holders.requestWithin(ctx, lateTransferTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: transfer}}, &reply)
+	err := h.holders.requestWithin(ctx, lateTransferTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountTransfer{AccountTransfer: m}}, &reply)
 	if err != nil {
 		return holderReply{err: err}
 	}
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -277,7 +277,7 @@
 	// While grants are in flight, the other holders' tokens are not known.
 	reply.Known = known && !grantsPending
 	reply.Used, reply.Counted = h.balances.Used(m.GetProgram()), true
-	record, tokens := h.balances.TransferOut(m.GetProgram(), m.GetWanted())
+	record, tokens := h.balances.TransferOut(m)
 	if record == nil {
 		h.mu.Unlock()
 		return reply, nil
@@ -294,8 +294,9 @@
 	return reply, h.awaitSync(seq)
 }
 
-// Settle replaces a reservation by the tokens used. It does not wait for the
-// disk, since a lost settlement only leaves the reservation in place.
+// Settle replaces a reservation by the tokens used, and requests what a further call of the
+// program may lack. It does not wait for the disk, since a lost settlement only
+// leaves the reservation in place.
 func (h *Holder) Settle(m *vmpb.AccountSettle) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -303,8 +304,14 @@
 	if record == nil {
 		return nil
 	}
-	_, err := h.append(record)
-	return err
+	callTokens := h.balances.Reserved(m.GetProgram(), m.GetCall())
+	if _, err := h.append(record); err != nil {
+		return err
+	}
+	if m.GetUsed() > 0 && !h.leaving {
+		go h.topUp(m.GetProgram(), callTokens)
+	}
+	return nil
 }
 
 // Run removes idle programs and compacts the journal periodically until ctx is
--- a/internal/program/account/lost_test.go
+++ b/internal/program/account/lost_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// Guards against review case 13: a program with most of its budget left can't go on, because
+// its home has lost its disk or is away.
+func TestProgramGoesOnWithoutItsHome(t *testing.T) {
+	cases := lossCases()
+	delete(cases, "its disk is lost, and then that of the next holder")
+	cases["it is away"] = func(_ *testing.T, f *fleet) { f.stop("dc1") }
+	cases["it is cut off"] = func(_ *testing.T, f *fleet) { f.withLock(func() { f.partitioned["dc1"] = true }) }
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			if granted, _ := f.call("dc1", "first"); !granted {
+				t.Fatal("the first call is refused")
+			}
+			f.awaitTransfers(t, 1)
+			lose(t, f)
+			if granted, _ := f.call("dc2", "second"); !granted {
+				t.Error("the second call is refused")
+			}
+		})
+	}
+}
+
 // handOver lets a holder hand over its tokens.
 func (f *fleet) handOver(dc string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
