Count the events that a recorder keeps in the memory of their request

What callers would see: none did; found by reading. On routes that are stateful and resumable a VM holds the events of a turn twice, and counted them once, so that many long responses at once could use more memory than the limits of a VM allow.

Change: the events count twice while a recorder has them.

Evidence: TestTurnsCountInMemory has two resumable cases: before, a turn was stored with 19 bytes left where 21 are needed.

--- a/internal/caller/proxy/conversation.go
+++ b/internal/caller/proxy/conversation.go
@@ -177,7 +177,12 @@
 // collect collects the data of a part of the stream, unless it does not fit in memory.
 func (s *turnStream) collect(part []byte) {
 	s.events.add(part)
-	if missing := s.events.size() - s.reserved; missing > 0 {
+	needed := s.events.size()
+	if s.recorder != nil {
+		// The recorder has a copy.
+		needed *= 2
+	}
+	if missing := needed - s.reserved; missing > 0 {
 		if err := s.request.Reserve(missing); err != nil {
 			s.events.discard(err)
 			return
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -438,7 +438,16 @@
 func TestTurnsCountInMemory(t *testing.T) {
 	b := newTurnBed()
 	b.turn(t, "t1", "", "one", "data: a\n\n")
-	for _, c := range []struct{ left, rest int }{{4, 0}, {5, 0}, {12, 0}, {13, 0}, {20, 7}} {
+	for _, c := range []struct {
+		left, rest int
+		resumable  bool
+	}{{4, 0, false}, {5, 0, false}, {12, 0, false}, {13, 0, false}, {20, 7, false}, {19, 0, true}, {22, 1, true}} {
+		b.route = b.route.WithResumable(c.resumable)
+		needed := 13
+		if c.resumable {
+			// The events that other VMs are told.
+			needed += 8
+		}
 		memory := &room{left: c.left}
 		r := b.request("team", fmt.Sprintf("child%d", c.left), "t1", "more")
 		r.SetMemory(memory)
@@ -447,7 +456,7 @@
 		switch {
 		case c.left < 5:
 			assertFailure(t, err, hawthornrail.CodeOverload)
-		case c.left < 13:
+		case c.left < needed:
 			if body != b.endpoint.stream || err == nil || hawthornrail.VerdictOf(err) == hawthornrail.VerdictNotRun {
 				t.Errorf("body %q, error %v with %d bytes", body, err, c.left)
 			}
@@ -455,7 +464,7 @@
 			t.Errorf("error %v, %d bytes left, want %d", err, memory.left, c.rest)
 		}
 	}
-	b.assertTurns(t, "team/child13", "team/child20", "team/t1")
+	b.assertTurns(t, "team/child13", "team/child20", "team/child22", "team/t1")
 }
 
 // Guards against a conversation whose turns are all taken for other content, so that one
