--- a/internal/program/account/balances.go
+++ b/internal/program/account/balances.go
@@ -9,7 +9,7 @@
 )
 
 // Balances are one holder's accounts of programs. Its methods do no I/O: they
-// return records, which callers write to the journal before relying on them.
+// return records of decisions, which callers write to the journal before relying on them.
 // Callers serialise all methods.
 type Balances struct {
 	id string
@@ -58,32 +58,27 @@
 	return a.home, true
 }
 
+// account returns a program's account, which is empty if there is none.
+func (b *Balances) account(program string) *programAccount {
+	if a, ok := b.programs[program]; ok {
+		return a
+	}
+	return &programAccount{}
+}
+
 // Used returns the tokens that calls of a program have used or reserved at this holder.
 func (b *Balances) Used(program string) uint64 {
-	a, ok := b.programs[program]
-	if !ok {
-		return 0
-	}
+	a := b.account(program)
 	return a.spent + a.reservedTokens
 }
 
 // Budget returns the budget with which a program's account was opened, or 0 if it is not
 // known here.
-func (b *Balances) Budget(program string) uint64 {
-	a, ok := b.programs[program]
-	if !ok {
-		return 0
-	}
-	return a.budget
-}
+func (b *Balances) Budget(program string) uint64 { return b.account(program).budget }
 
 // Reserved returns the tokens that a call of a program has reserved.
 func (b *Balances) Reserved(program, call string) uint64 {
-	a, ok := b.programs[program]
-	if !ok {
-		return 0
-	}
-	return a.reservations[call]
+	return b.account(program).reservations[call]
 }
 
 // IsFirstCall reports whether a program has its home at this holder and no
@@ -114,20 +109,7 @@
 
 // Available returns the tokens of a program that can still be reserved at this
 // holder.
-func (b *Balances) Available(program string) uint64 {
-	a, ok := b.programs[program]
-	if !ok {
-		return 0
-	}
-	return a.available()
-}
-
-// Open returns the record that opens a program's account with a share of the
-// budget. home is the ID of the journal that received the whole budget.
-func (b *Balances) Open(program string, budget, share uint64, home string) *vmpb.AccountRecord {
-	opened := &vmpb.AccountOpened{Program: program, Budget: budget, Share: share, Home: home}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: opened}}
-}
+func (b *Balances) Available(program string) uint64 { return b.account(program).available() }
 
 // ListPrograms returns up to limit programs in lexical order, starting after a
 // name, and whether there are more.
@@ -145,35 +127,12 @@
 	return programs, false
 }
 
-// OpenIsolated returns the record that opens a program's account with an
-// isolated share, while neither another holder nor the platform is reachable to
-// determine the program's home.
-func (b *Balances) OpenIsolated(program string, budget, share uint64) *vmpb.AccountRecord {
-	opened := &vmpb.AccountOpened{Program: program, Budget: budget, Share: share, Home: b.id, Isolated: true, Taken: share}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Opened{Opened: opened}}
-}
-
-// Join returns the record that ends a program's isolation once its home is
-// known. tokens are added to the share if the home is this holder.
-func (b *Balances) Join(program, home string, tokens uint64) *vmpb.AccountRecord {
-	joined := &vmpb.AccountOpened{Program: program, Home: home, Share: tokens}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Joined{Joined: joined}}
-}
-
 // IsolatedShare returns the isolated share that this holder has given to a
 // program.
-func (b *Balances) IsolatedShare(program string) uint64 {
-	if a, ok := b.programs[program]; ok {
-		return a.isolatedShare
-	}
-	return 0
-}
+func (b *Balances) IsolatedShare(program string) uint64 { return b.account(program).isolatedShare }
 
 // IsIsolated reports whether a program has only its isolated share.
-func (b *Balances) IsIsolated(program string) bool {
-	a, ok := b.programs[program]
-	return ok && a.isolated
-}
+func (b *Balances) IsIsolated(program string) bool { return b.account(program).isolated }
 
 // IsolatedPrograms returns the budgets of the programs whose home is not yet
 // determined.
@@ -187,75 +146,6 @@
 	return budgets
 }
 
-// Reserve returns the record that reserves tokens for a call. The record is nil
-// if the call already has a reservation; ok is false if too few tokens are
-// available.
-func (b *Balances) Reserve(m *vmpb.AccountReserve) (record *vmpb.AccountRecord, ok bool) {
-	a, known := b.programs[m.GetProgram()]
-	if !known {
-		return nil, false
-	}
-	if _, repeated := a.reservations[m.GetCall()]; repeated {
-		return nil, true
-	}
-	if a.available() < m.GetTokens() {
-		return nil, false
-	}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Reserved{Reserved: m}}, true
-}
-
-// Settle returns the record that replaces a reservation by the tokens used, or
-// nil if there is no reservation.
-func (b *Balances) Settle(m *vmpb.AccountSettle) *vmpb.AccountRecord {
-	a, ok := b.programs[m.GetProgram()]
-	if !ok {
-		return nil
-	}
-	if _, ok := a.reservations[m.GetCall()]; !ok {
-		return nil
-	}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Settled{Settled: m}}
-}
-
-// TransferOut returns the record that transfers tokens to another holder, and
-// their number: the number wanted or half of the available tokens, whichever is
-// more unless exactly the number wanted is requested, up to the available tokens.
-func (b *Balances) TransferOut(m *vmpb.AccountTransfer) (record *vmpb.AccountRecord, tokens uint64) {
-	available, wanted := b.Available(m.GetProgram()), m.GetWanted()
-	if !m.GetExact() {
-		wanted = max(wanted, available/2)
-	}
-	return b.transferOut(m.GetProgram(), min(available, wanted))
-}
-
-// Grant returns the record that transfers tokens from the home to another
-// holder, or nil if fewer are available.
-func (b *Balances) Grant(program string, tokens uint64) (record *vmpb.AccountRecord, granted uint64) {
-	if b.Available(program) < tokens {
-		return nil, 0
-	}
-	return b.transferOut(program, tokens)
-}
-
-func (b *Balances) transferOut(program string, tokens uint64) (*vmpb.AccountRecord, uint64) {
-	if tokens == 0 {
-		return nil, 0
-	}
-	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Given{Given: moved}}, tokens
-}
-
-// AcceptGrant returns the record that adds the grant of a program's home, or nil
-// if it was already received or the program has no account.
-func (b *Balances) AcceptGrant(program string, tokens uint64) *vmpb.AccountRecord {
-	a, ok := b.programs[program]
-	if !ok || a.grantReceived {
-		return nil
-	}
-	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens, Part: true}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Received{Received: moved}}
-}
-
 // Surplus returns up to limit programs of which this holder has tokens that no call has
 // reserved, each with these as its share, and whether it has reservations.
 func (b *Balances) Surplus(limit int) (programs []*vmpb.AccountOpened, reserved bool) {
@@ -269,21 +159,6 @@
 	return programs, reserved
 }
 
-// HandedOver returns the record that adds the tokens of a holder that exits, or nil if the
-// message has arrived before.
-func (b *Balances) HandedOver(m *vmpb.AccountHandOver) *vmpb.AccountRecord {
-	if _, repeated := b.handOvers[m.GetId()]; repeated {
-		return nil
-	}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_HandedOver{HandedOver: m}}
-}
-
-// TransferIn returns the record that adds tokens received from another holder.
-func (b *Balances) TransferIn(program string, tokens uint64) *vmpb.AccountRecord {
-	moved := &vmpb.AccountMoved{Program: program, Tokens: tokens}
-	return &vmpb.AccountRecord{Kind: &vmpb.AccountRecord_Received{Received: moved}}
-}
-
 // Apply updates the balances by a record.
 func (b *Balances) Apply(record *vmpb.AccountRecord, now time.Time) {
 	switch k := record.GetKind().(type) {
