Decode the list of VMs once

VMs and DiskVMs each decoded all objects of the list, and DiskVMs skipped the malformed ones that VMs reported. VMs returns both. Behaviour is unchanged; the tests of platform that use VMs with a disk pass.

--- a/accepted.go
+++ b/accepted.go
@@ -85,10 +85,9 @@
 	// Endpoints decodes the endpoints and returns an error for each malformed
 	// object.
 	Endpoints(objects []Object) ([]Endpoint, []error)
-	// VMs decodes the list of VMs and returns an error for each malformed object.
-	VMs(objects []Object) ([]VM, []error)
-	// DiskVMs decodes the VMs that store turns of conversations.
-	DiskVMs(objects []Object) []VM
+	// VMs decodes the list of VMs and, apart, those that store turns of conversations. It
+	// returns an error for each malformed object.
+	VMs(objects []Object) (list, diskVMs []VM, errs []error)
 	// Evacuations decodes the evacuations of data centres. It returns an error for each
 	// malformed object, which counts as an evacuation too.
 	Evacuations(objects []Object) ([]Evacuation, []error)
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -175,9 +175,9 @@
 			n.Loop(n.expireEndpoints)
 		}
 	case n.adapter.Kinds.VMs:
-		vms, problems := n.adapter.Decoder.VMs(objects)
+		vms, diskVMs, problems := n.adapter.Decoder.VMs(objects)
 		n.logMalformed(problems)
-		n.catalogue.SetVMs(n.addMissingHolders(vms), n.adapter.Decoder.DiskVMs(objects))
+		n.catalogue.SetVMs(n.addMissingHolders(vms), diskVMs)
 		n.watchRole.SetPredecessors(n.precedingWatchers(vms), n.clock.Now())
 		n.log.Event(events.VMsChanged).Int("vms", len(vms)).Emit()
 	case n.adapter.Kinds.Evacuations:
