List events in the order of their numbers

The text of 3210 says that tokens which may have arrived are lost; since they don't count as used. TestCatalogue failed before and passes.

--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -63,9 +63,9 @@
 	DiskVMUnresponsive = register(2133, zerolog.WarnLevel, "VM with a disk does not respond; it is skipped for turns of conversations", "check the VM")
 	DiskVMResponsive   = register(2134, zerolog.InfoLevel, "VM with a disk responds again", "")
 	TurnKept           = register(2135, zerolog.WarnLevel, "turn of a conversation kept in the platform's store before the end of its response, since too few disks had it", "check the VMs with a disk")
-	TurnTakenUp        = register(2138, zerolog.InfoLevel, "events of a turn were looked for whose stream its caller takes up", "if known is false, the VMs that had them have restarted or do not reply")
 	HandoffUnavailable = register(2136, zerolog.WarnLevel, "platform's store takes no turns; turns that too few disks can store are refused, not run", "check the platform's store and the network to it")
 	HandoffAvailable   = register(2137, zerolog.InfoLevel, "platform's store takes turns again", "")
+	TurnTakenUp        = register(2138, zerolog.InfoLevel, "events of a turn were looked for whose stream its caller takes up", "if known is false, the VMs that had them have restarted or do not reply")
 )
 
 // The events of stored conversations at VMs with a disk.
@@ -134,9 +134,9 @@
 	SettlementUndelivered = register(3205, zerolog.WarnLevel, "settlement could not be delivered to the holder; the reservation stays", "")
 	AccountsRecovered     = register(3206, zerolog.InfoLevel, "list of programs with an account recovered after a disk loss", "")
 	RecoverFailed         = register(3207, zerolog.WarnLevel, "list of programs with an account could not be recovered; will retry", "none unless it persists")
-	AccountsHandedOver    = register(3209, zerolog.InfoLevel, "budget tokens handed over to another holder before the process exits", "")
-	HandOverFailed        = register(3210, zerolog.WarnLevel, "budget tokens could not be handed over before the process exits; they stay on this VM's disk, or count as used if the message may have arrived", "keep the disk, and check the other holders")
 	GrantUndelivered      = register(3208, zerolog.WarnLevel, "grant of budget tokens may not have reached its holder; the tokens count as used", "")
+	AccountsHandedOver    = register(3209, zerolog.InfoLevel, "budget tokens handed over to another holder before the process exits", "")
+	HandOverFailed        = register(3210, zerolog.WarnLevel, "budget tokens could not be handed over before the process exits; they stay on this VM's disk, or are lost if the message may have arrived", "keep the disk, and check the other holders")
 )
 
 // The events of configuration.
