--- a/internal/endpoint/forward/failure.go
+++ b/internal/endpoint/forward/failure.go
@@ -30,6 +30,12 @@
 	return a.ctx != nil && errors.Is(context.Cause(a.ctx), errOutOfReach)
 }
 
+// lostEndpoint reports whether an attempt without a response shows that its endpoint was
+// lost: neither its request was cancelled nor the attempt given up.
+func (a *attempt) lostEndpoint(ctx context.Context) bool {
+	return ctx.Err() == nil && !a.abandoned() && !a.overdue()
+}
+
 // failWithoutResponse ends an attempt that got no response.
 func (d *dispatch) failWithoutResponse(ctx context.Context, a *attempt, err error) error {
 	if !errors.Is(err, http.ErrUnsent) {
@@ -45,10 +51,9 @@
 	return f.WithRetryAfter(jitteredRetryAfter())
 }
 
-// recordLoss records that the endpoint of an attempt was lost, unless the request was
-// cancelled.
+// recordLoss records that the endpoint of an attempt was lost, if the attempt shows it.
 func (d *dispatch) recordLoss(ctx context.Context, a *attempt) {
-	if ctx.Err() == nil && !a.abandoned() && !a.overdue() {
+	if a.lostEndpoint(ctx) {
 		d.deps.Contact.Lost(d.service.Name(), a.endpoint.Name())
 	}
 }
@@ -66,7 +71,7 @@
 	if !responded {
 		d.recordLoss(ctx, a)
 	}
-	brokenOff := !responded && ctx.Err() == nil && !a.abandoned() && !a.overdue()
+	brokenOff := !responded && a.lostEndpoint(ctx)
 	if brokenOff && d.crashed(ctx, a.endpoint) {
 		d.recordCrash(a.endpoint, err)
 	} else {
