Share the loss of a disk and the recovery of holders between tests of accounts

lost_test.go had written both again beside the property test. The time in which all holders recover is five seconds together, as before; no check changes.

--- a/internal/program/account/lost_test.go
+++ b/internal/program/account/lost_test.go
@@ -10,6 +10,7 @@
 
 	"hawthornrail.example/hawthornrail/internal/program/account"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
+	"pgregory.net/rapid"
 )
 
 const (
@@ -18,27 +19,38 @@
 	lossBudget = 300
 	lossCall   = 132
 	lossUsed   = 30
+	// recoverTimeout is the time in which holders list the programs.
+	recoverTimeout = 5 * time.Second
 )
 
 // loseDisk replaces a holder's disk by an empty one; its successor lists the programs.
 func (f *fleet) loseDisk(t *testing.T, dc string) {
 	t.Helper()
-	f.stop(dc)
-	if err := os.RemoveAll(filepath.Join(f.folder, dc)); err != nil {
-		t.Fatal(err)
-	}
-	f.start(t, dc, false)
+	f.replaceDisk(t, dc)
 	f.recover(t, dc)
 }
 
-func (f *fleet) recover(t *testing.T, dc string) {
+// recover lets holders list the programs, within recoverTimeout together.
+func (f *fleet) recover(t rapid.TB, dataCentres ...string) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), recoverTimeout)
 	defer cancel()
-	f.holders[dc].Recover(ctx)
-	if !f.holders[dc].Complete() {
-		t.Fatalf("holder of %s does not recover", dc)
+	for _, dc := range dataCentres {
+		f.holders[dc].Recover(ctx)
+		if !f.holders[dc].Complete() {
+			t.Fatalf("holder of %s does not recover", dc)
+		}
+	}
+}
+
+// replaceDisk restarts a holder with an empty disk.
+func (f *fleet) replaceDisk(t rapid.TB, dc string) {
+	t.Helper()
+	f.stop(dc)
+	if err := os.RemoveAll(filepath.Join(f.folder, dc)); err != nil {
+		t.Fatal(err)
 	}
+	f.start(t, dc, false)
 }
 
 // call makes one call of the program as an entry VM does and settles it. It returns whether
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -293,11 +292,7 @@
 			case 4:
 				// Only one disk is lost at a time: the holders recover first.
 				f.recoverAll(rt)
-				f.stop(dc)
-				if err := os.RemoveAll(filepath.Join(f.folder, dc)); err != nil {
-					rt.Fatal(err)
-				}
-				f.start(rt, dc, false)
+				f.replaceDisk(rt, dc)
 			default:
 				calls = f.concurrentCalls(rt, calls)
 			}
@@ -333,14 +328,7 @@
 	partitioned, lossy, platformDown := f.partitioned, f.lossy, f.platformDown
 	f.partitioned, f.lossy, f.platformDown = make(map[string]bool), false, false
 	f.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	for _, dc := range f.centres {
-		f.holders[dc].Recover(ctx)
-		if !f.holders[dc].Complete() {
-			rt.Fatalf("holder of %s does not recover", dc)
-		}
-	}
+	f.recover(rt, f.centres...)
 	f.mu.Lock()
 	f.partitioned, f.lossy, f.platformDown = partitioned, lossy, platformDown
 	f.mu.Unlock()
