Ask no third holder for tokens while the home's grant is on its way

The home deducts a grant before it sends it; a holder that asks it in between gets nothing, and turns to all others, which then give it the tokens that were meant for programs without their home.

A home that lacks the tokens replies once its grants are sent, after 200 ms at most; the holder that asked looks at its own share before it turns to others.

The test had one case, whose result depended on which message came first. It has three now, with grants that are 30 ms on their way; the wanted number is exactly one in each, as before.

--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -15,6 +15,9 @@
 	// transferTimeout is how long a call waits for the reply to a transfer request. It is
 	// longer than the retransmission of a lost TCP segment takes, 200 ms at least.
 	transferTimeout = 400 * time.Millisecond
+	// transferGrantTimeout is how long a holder waits for its grants before it replies to a
+	// transfer request. It leaves time for the reply.
+	transferGrantTimeout = transferTimeout / 2
 	// lateTransferTimeout is how long the reply itself is awaited: the other holder has
 	// given up the tokens that it brings.
 	lateTransferTimeout = 2 * time.Second
@@ -36,7 +39,7 @@
 	// uncounted is set if one of them does not tell.
 	used      uint64
 	uncounted bool
-	// waited is set if another call collected instead.
+	// waited is set if tokens came otherwise: another call collected, or a grant arrived.
 	waited bool
 }
 
@@ -167,18 +170,28 @@
 	}
 }
 
-// collect requests tokens from the other holders. The home comes first, since it
-// usually has all remaining tokens.
+// collect requests tokens from the other holders. The home comes first: it usually has all
+// remaining tokens, or has just granted this holder some.
 func (h *Holder) collect(ctx context.Context, m *vmpb.AccountReserve, missing uint64, home string) (collectResult, error) {
 	homeHolder, otherHolders := h.splitByHome(home)
 	fromHome, err := h.collectFrom(ctx, m, missing, homeHolder)
 	if err != nil || fromHome.tokens >= missing {
 		return fromHome, err
 	}
+	if h.covers(m.GetProgram(), m.GetTokens()) {
+		return collectResult{waited: true}, nil
+	}
 	fromOthers, err := h.collectFrom(ctx, m, missing-fromHome.tokens, otherHolders)
 	return fromHome.plus(fromOthers), err
 }
 
+// covers reports whether this holder has a number of a program's tokens.
+func (h *Holder) covers(program string, tokens uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.balances.Available(program) >= tokens
+}
+
 func (r collectResult) plus(o collectResult) collectResult {
 	return collectResult{
 		tokens: r.tokens + o.tokens, allReplied: r.allReplied && o.allReplied,
--- a/internal/program/account/grant_test.go
+++ b/internal/program/account/grant_test.go
@@ -8,6 +8,9 @@
 	"hawthornrail.example/hawthornrail/internal/program/account"
 )
 
+// grantDelay is how long grants of slow networks are on their way.
+const grantDelay = 30 * time.Millisecond
+
 func TestGrantSizes(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -74,17 +77,35 @@
 	f.assertWithinBudgets(t)
 }
 
-// Guards against the overload of incident SHORT: a holder without tokens of a
-// program requested them from all others concurrently, although the home had all
-// of them.
+// Guards against the overload of incident SHORT: a holder without tokens of a program
+// requested them from all others concurrently, although the home had all of them, or had
+// just granted it the ones it lacked.
 func TestTokensAreAskedOfTheHomeFirst(t *testing.T) {
-	f := newFleet(t, 1)
-	f.budgets["program"] = 405
-	if !f.reserve("dc2", "program", "first", 135) || !f.reserve("dc3", "program", "second", 135) {
-		t.Error("a call within the budget is refused")
+	for _, c := range []struct {
+		name                  string
+		budget, first, second uint64
+		// grantsSent is the number of grants that were sent before the second call.
+		grantsSent int
+	}{
+		{name: "the home has all", budget: 269, first: 135, second: 134},
+		{name: "the first grant is on its way", budget: 405, first: 135, second: 135, grantsSent: 1},
+		{name: "the last grant is on its way", budget: 405, first: 135, second: 135, grantsSent: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.budgets["program"] = c.budget
+			f.grantDelay = grantDelay
+			if !f.reserve("dc2", "program", "first", c.first) {
+				t.Error("a call within the budget is refused")
+			}
+			f.awaitCount(t, "grants", &f.grants, c.grantsSent)
+			if !f.reserve("dc3", "program", "second", c.second) {
+				t.Error("a call within the budget is refused")
+			}
+			f.assertWithinBudgets(t)
+			f.assertTransfers(t, 1)
+		})
 	}
-	f.assertWithinBudgets(t)
-	f.assertTransfers(t, 1)
 }
 
 func (f *fleet) assertTransfers(t *testing.T, want int) {
@@ -98,14 +119,20 @@
 
 // awaitTransfers waits until a number of transfers have been requested.
 func (f *fleet) awaitTransfers(t *testing.T, want int) {
+	t.Helper()
+	f.awaitCount(t, "transfers", &f.transfers, want)
+}
+
+// awaitCount waits until a counter of the fleet reaches a number.
+func (f *fleet) awaitCount(t *testing.T, name string, counter *int, want int) {
 	t.Helper()
 	for end := time.Now().Add(arrivalTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		f.mu.Lock()
-		transfers := f.transfers
+		count := *counter
 		f.mu.Unlock()
-		if transfers >= want {
+		if count >= want {
 			return
 		}
 	}
-	t.Fatalf("fewer than %d transfers are requested", want)
+	t.Fatalf("fewer than %d %s", want, name)
 }
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -159,7 +159,7 @@
 		}
 	case *vmpb.Open_AccountTransfer:
 		var reply *vmpb.AccountTransferReply
-		if reply, err = h.Transfer(k.AccountTransfer); err == nil {
+		if reply, err = h.Transfer(ctx, k.AccountTransfer); err == nil {
 			_ = s.Send(reply)
 		}
 	case *vmpb.Open_AccountSync:
@@ -259,8 +259,14 @@
 
 // Transfer transfers tokens to another holder. The deduction is on disk before
 // the reply is sent, so a lost reply loses tokens but never duplicates them. A request
-// that arrives again, directly and through a relay, gets the same reply.
-func (h *Holder) Transfer(m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
+// that arrives again, directly and through a relay, gets the same reply. A home without
+// enough tokens replies once its grants have been sent.
+func (h *Holder) Transfer(ctx context.Context, m *vmpb.AccountTransfer) (*vmpb.AccountTransferReply, error) {
+	if !h.covers(m.GetProgram(), m.GetWanted()) {
+		ctx, cancel := context.WithTimeout(ctx, transferGrantTimeout)
+		h.awaitGrants(ctx, m.GetProgram())
+		cancel()
+	}
 	h.mu.Lock()
 	if t, repeated := h.transfers.find(m.GetId()); repeated {
 		h.mu.Unlock()
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -39,8 +39,10 @@
 	// roleLost are the data centres whose holder was replaced and does not know by whom.
 	roleLost map[string]bool
 	random   *rand.Rand
-	// transfers counts the transfer requests.
-	transfers int
+	// transfers and grants count the transfer requests and the grants that were sent.
+	transfers, grants int
+	// grantDelay is how long grants are on their way.
+	grantDelay time.Duration
 	// transferReplyDelay is how long the replies to transfer requests take.
 	transferReplyDelay time.Duration
 
@@ -141,15 +143,22 @@
 	requestLost := f.partitioned[a.from] || f.partitioned[to] || h == nil || f.lossy && f.random.IntN(6) == 0
 	replyLost := f.lossy && f.random.IntN(6) == 0
 	duplicated := f.lossy && f.random.IntN(6) == 0
-	delay := time.Duration(0)
-	if open.GetAccountTransfer() != nil {
+	requestDelay, replyDelay := time.Duration(0), time.Duration(0)
+	switch open.GetKind().(type) {
+	case *vmpb.Open_AccountTransfer:
 		f.transfers++
-		delay = f.transferReplyDelay
+		replyDelay = f.transferReplyDelay
+	case *vmpb.Open_AccountGrant:
+		f.grants++
+		requestDelay = f.grantDelay
 	}
 	f.mu.Unlock()
 	if requestLost {
 		return hawthornrail.Instance{}, errUnreachable
 	}
+	if requestDelay > 0 && !clock.Wait(ctx, clock.Real(), requestDelay) {
+		return hawthornrail.Instance{}, errors.Join(errUnreachable, ctx.Err())
+	}
 	if duplicated {
 		// Only one of the two replies arrives.
 		_, _ = serve(ctx, h, proto.CloneOf(open))
@@ -158,7 +167,7 @@
 	if err != nil || replyLost {
 		return hawthornrail.Instance{}, errors.Join(errUnreachable, err)
 	}
-	if !clock.Wait(ctx, clock.Real(), delay) {
+	if !clock.Wait(ctx, clock.Real(), replyDelay) {
 		return hawthornrail.Instance{}, errors.Join(errUnreachable, ctx.Err())
 	}
 	proto.Merge(reply, served)
@@ -172,7 +181,7 @@
 	case *vmpb.Open_AccountSettle:
 		return &vmpb.AccountSettleReply{}, h.Settle(k.AccountSettle)
 	case *vmpb.Open_AccountTransfer:
-		return h.Transfer(k.AccountTransfer)
+		return h.Transfer(ctx, k.AccountTransfer)
 	case *vmpb.Open_AccountSync:
 		return h.Sync(k.AccountSync), nil
 	case *vmpb.Open_AccountGrant:
--- a/internal/program/account/transfer_test.go
+++ b/internal/program/account/transfer_test.go
@@ -1,6 +1,7 @@
 package account_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -51,7 +52,7 @@
 	}
 	transfer := &vmpb.AccountTransfer{Program: "program", Budget: 269, Wanted: 50, Id: "t1"}
 	for range 2 {
-		reply, err := f.holders["dc2"].Transfer(transfer)
+		reply, err := f.holders["dc2"].Transfer(context.Background(), transfer)
 		if err != nil || reply.GetMoved() != 67 {
 			t.Fatalf("moved %d tokens, error %v, want 67", reply.GetMoved(), err)
 		}
