Give a program back the shares set aside for slow holders

Cause: a home that gets no reply to its announcement within 400 ms deducts the isolated share of that holder from the budget, because it may have given that share away.

Once its home is certain and recorded, the holder announces the program again to those that did not reply, for 2 s, and takes back what they have not given. A call that lacks tokens waits up to 0.6 s for that before it is refused. An unlimited number of announcements was not chosen: a holder that has given its share and loses its disk would reply that it has given none ("Isolated share twice").

Failed try: leaving the first announcement open and sending it to suspected holders too.

--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -63,6 +63,9 @@
 	// pendingGrants are the programs with grants in flight to other holders; the
 	// channel is closed once all are sent.
 	pendingGrants map[string]chan struct{}
+	// pendingReturns are the programs whose isolated shares holders may still return; the
+	// channel is closed at the end.
+	pendingReturns map[string]chan struct{}
 	// collections are the programs for whose calls tokens are collected.
 	collections map[string]*collection
 	transfers   *transferLog
@@ -82,7 +85,7 @@
 func OpenHolder(deps HolderDependencies) (*Holder, error) {
 	h := &Holder{
 		deps: deps, holders: newHolderClient(deps.Config, deps.Invoker, deps.Clock, deps.Log),
-		balances: NewBalances(), opening: make(map[string]chan struct{}), pendingGrants: make(map[string]chan struct{}),
+		balances: NewBalances(), opening: make(map[string]chan struct{}), pendingGrants: make(map[string]chan struct{}), pendingReturns: make(map[string]chan struct{}),
 		collections: make(map[string]*collection), transfers: newTransferLog(),
 	}
 	now := deps.Clock.Now()
@@ -213,7 +216,7 @@
 		if err != nil || reply.GetGranted() {
 			return reply, err
 		}
-		if collected.isLast() {
+		if collected.isLast() && !h.awaitReturns(ctx, m.GetProgram()) {
 			reply.Uncertain = !collected.allReplied || !h.isSpent(m, collected)
 			return reply, nil
 		}
--- a/internal/program/account/home.go
+++ b/internal/program/account/home.go
@@ -10,8 +10,8 @@
 
 // announceResult combines the replies of other holders to an announcement.
 type announceResult struct {
-	// unresponsive counts the holders that did not reply.
-	unresponsive int
+	// unresponsive are the data centres whose holders did not reply.
+	unresponsive []string
 	// homeKnown is set if a holder has recorded another home.
 	homeKnown bool
 	// busy is set if a holder is announcing the program itself.
@@ -27,7 +27,7 @@
 }
 
 func (o *announceResult) merge(other announceResult) {
-	o.unresponsive += other.unresponsive
+	o.unresponsive = append(o.unresponsive, other.unresponsive...)
 	o.homeKnown = o.homeKnown || other.homeKnown
 	o.busy = o.busy || other.busy
 	o.anyComplete = o.anyComplete || other.anyComplete
@@ -46,6 +46,9 @@
 	// tokensElsewhere are the tokens that other holders have or may have: the
 	// isolated shares of those that replied and of the unresponsive ones.
 	tokensElsewhere uint64
+	// unresponsive are the data centres whose isolated shares tokensElsewhere contains
+	// without a reply.
+	unresponsive []string
 }
 
 // findHome determines the home of a program from the other holders and the
@@ -60,7 +63,7 @@
 		combined = h.announce(ctx, others[0], m)
 		others = others[1:]
 	}
-	if combined.unresponsive > 0 {
+	if len(combined.unresponsive) > 0 {
 		winner, err := h.claim(ctx, program)
 		if err == nil && winner != h.id {
 			return homeDecision{home: winner}, nil
@@ -79,7 +82,7 @@
 	case !complete && !combined.anyComplete || h.deps.Clock.Since(start) > announceValidity:
 		return homeDecision{}, errHomeUnknown
 	}
-	if errors.Is(claimErr, errNotClaimed) && (combined.unresponsive > 0 || combined.anyIncomplete || !complete) {
+	if errors.Is(claimErr, errNotClaimed) && (len(combined.unresponsive) > 0 || combined.anyIncomplete || !complete) {
 		winner, err := h.claim(ctx, program)
 		if err == nil && winner != h.id {
 			return homeDecision{home: winner}, nil
@@ -88,8 +91,9 @@
 	}
 	switch {
 	case claimErr == nil, errors.Is(claimErr, errNotClaimed):
-		return homeDecision{home: h.id, tokensElsewhere: combined.isolatedTokens + uint64(combined.unresponsive)*h.isolatedShare(budget)}, nil
-	case complete && combined.unresponsive == len(h.deps.DataCentres)-1:
+		unknown := uint64(len(combined.unresponsive)) * h.isolatedShare(budget)
+		return homeDecision{home: h.id, tokensElsewhere: combined.isolatedTokens + unknown, unresponsive: combined.unresponsive}, nil
+	case complete && len(combined.unresponsive) == len(h.deps.DataCentres)-1:
 		return homeDecision{}, errIsolated
 	default:
 		return homeDecision{}, claimErr
@@ -123,13 +127,13 @@
 
 func (h *Holder) announce(ctx context.Context, dataCentre string, m *vmpb.AccountAnnounce) announceResult {
 	if h.holders.unresponsive(dataCentre) {
-		return announceResult{unresponsive: 1}
+		return announceResult{unresponsive: []string{dataCentre}}
 	}
 	var reply vmpb.AccountAnnounceReply
 	err := h.holders.request(ctx, announceTimeout, dataCentre, &vmpb.Open{Kind: &vmpb.Open_AccountAnnounce{AccountAnnounce: m}}, &reply)
 	switch {
 	case err != nil:
-		return announceResult{unresponsive: 1}
+		return announceResult{unresponsive: []string{dataCentre}}
 	case reply.GetBusy():
 		return announceResult{busy: true}
 	case !reply.GetAccepted():
--- a/internal/program/account/isolated.go
+++ b/internal/program/account/isolated.go
@@ -60,5 +60,9 @@
 		tokensElsewhere := decision.tokensElsewhere + h.isolatedShare(budget)
 		tokens = budget - min(budget, tokensElsewhere)
 	}
-	return h.commit(h.balances.Join(program, decision.home, tokens))
+	if err := h.commit(h.balances.Join(program, decision.home, tokens)); err != nil {
+		return err
+	}
+	h.startReturns(program, budget, decision.unresponsive)
+	return nil
 }
--- /dev/null
+++ b/internal/program/account/late_announce_test.go
@@ -0,0 +1,62 @@
+package account_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against programs that are refused for good because two of three holders were slow
+// when they began: what the home sets aside for these comes back, but for what they have
+// given while they reached nobody.
+func TestLateRepliesReturnShares(t *testing.T) {
+	// callAll makes calls of lossBudget's program until none is granted any more.
+	callAll := func(f *fleet, dc string) (granted int) {
+		for f.callUntilDecided(dc, fmt.Sprint(dc, granted)) {
+			granted++
+		}
+		return granted
+	}
+	// The budget allows a call as long as lossCall is left.
+	const allCalls = (lossBudget-lossCall)/lossUsed + 1
+	t.Run("slow to reply", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.announceReplyDelay = lateAnnounceReply
+		if granted, _ := f.call("dc1", "first"); !granted {
+			t.Error("the first call is refused")
+		}
+		assertCount(t, "calls", callAll(f, "dc1"), allCalls-1)
+	})
+	t.Run("suspected since another program", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.budgets["other"] = lossBudget
+		f.announceReplyDelay = lateAnnounceReply
+		f.reserve("dc1", "other", "first", lossCall)
+		assertCount(t, "calls", callAll(f, "dc1"), allCalls)
+	})
+	t.Run("one has given its share", func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.budgets["program"] = 3 * lossCall
+		f.withLock(func() { f.partitioned, f.platformDown = map[string]bool{"dc3": true}, true })
+		granted := 0
+		reserve := func(dc, call string) {
+			if f.reserve(dc, "program", call, lossCall) {
+				granted++
+			}
+		}
+		reserve("dc3", "isolated")
+		f.withLock(func() { f.partitioned, f.platformDown, f.announceReplyDelay = nil, false, lateAnnounceReply })
+		for end := time.Now().Add(2 * lateAnnounceReply); time.Now().Before(end); {
+			reserve("dc1", fmt.Sprint(granted))
+		}
+		f.assertWithinBudgets(t)
+		assertCount(t, "calls", granted, 3)
+	})
+}
+
+func assertCount(t *testing.T, what string, got, want int) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%d %s are granted, want %d", got, what, want)
+	}
+}
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -22,7 +22,7 @@
 //
 // A holder that reaches neither another holder nor the platform opens an unknown
 // program with its isolated share, an equal part of the budget. A home deducts
-// that share for each holder that did not reply.
+// that share for each holder that did not reply, until a late reply tells what it has given.
 
 const (
 	// announceTimeout is the timeout of an announcement or grant to another holder. It is
@@ -103,6 +103,7 @@
 	if err := h.commit(h.balances.Open(program, budget, share, h.id)); err != nil {
 		return err
 	}
+	h.startReturns(program, budget, decision.unresponsive)
 	h.startGrants(program, budget, callTokens)
 	return nil
 }
--- a/internal/program/account/property_test.go
+++ b/internal/program/account/property_test.go
@@ -43,8 +43,9 @@
 	transfers, grants int
 	// grantDelay is how long grants are on their way.
 	grantDelay time.Duration
-	// transferReplyDelay is how long the replies to transfer requests take.
-	transferReplyDelay time.Duration
+	// transferReplyDelay and announceReplyDelay are how long the replies to transfer requests
+	// and announcements take.
+	transferReplyDelay, announceReplyDelay time.Duration
 
 	// used is the maximum of tokens that each call of a program may have
 	// generated.
@@ -148,6 +149,8 @@
 	case *vmpb.Open_AccountTransfer:
 		f.transfers++
 		replyDelay = f.transferReplyDelay
+	case *vmpb.Open_AccountAnnounce:
+		replyDelay = f.announceReplyDelay
 	case *vmpb.Open_AccountGrant:
 		f.grants++
 		requestDelay = f.grantDelay
--- a/internal/program/account/transfer_test.go
+++ b/internal/program/account/transfer_test.go
@@ -12,6 +12,8 @@
 const (
 	// lateReply is longer than a call waits for tokens of another holder.
 	lateReply = 700 * time.Millisecond
+	// lateAnnounceReply is longer than an announcement is awaited.
+	lateAnnounceReply = 500 * time.Millisecond
 	// arrivalTimeout bounds the wait for tokens in late replies.
 	arrivalTimeout = 5 * time.Second
 )
