Give a data centre's share of a rate one owner at a time

Cause: VMs with a disk bear the name of their data centre among the rates. One that stands by opened the accounts of that name, filled the bucket and lent from it as soon as it was listed.

A VM with a disk now owns the shares only while it is listed as the holder under its own address and is certain of the role; else it opens no account, lends nothing and confirms no plan of others.

--- a/interfaces.go
+++ b/interfaces.go
@@ -327,6 +327,14 @@
 	Dispatch(ctx context.Context, e Endpoint, r *Request, requestID string, w ResponseWriter) (Response, error)
 }
 
+// ShareOwner tells whether a VM owns the shares of rates under its name, which another VM may
+// take over.
+type ShareOwner interface {
+	// OwnsShares returns whether the VM owns the shares now, and when it last took them over
+	// from another VM; before the first time that is when its process started.
+	OwnsShares() (since time.Time, owned bool)
+}
+
 // Membership provides this VM's view of the VMs in the fleet.
 type Membership interface {
 	// Self returns this VM's entry.
--- a/internal/operator/holder/claim.go
+++ b/internal/operator/holder/claim.go
@@ -77,16 +77,18 @@
 	if current == own {
 		return true
 	}
-	if revision != 0 && current.VM() != own.VM() {
-		if !p.mayTakeOver(ctx, current, registered) {
-			return false
-		}
+	replaces := revision != 0 && current.VM() != own.VM()
+	if replaces && !p.mayTakeOver(ctx, current, registered) {
+		return false
 	}
 	if err := registry.Claim(ctx, own, revision); err != nil {
 		// Another VM may have claimed it first; the next attempt reads which.
 		p.node.Log().Event(events.RegisterFailed).Err(err).Emit()
 		return false
 	}
+	if replaces {
+		p.role.takeOver()
+	}
 	return true
 }
 
@@ -125,6 +127,14 @@
 	}
 }
 
+// OwnsShares implements hawthornrail.ShareOwner: a VM that is not listed as the holder, or may
+// have been replaced, does not own the shares of its data centre.
+func (p *process) OwnsShares() (since time.Time, owned bool) {
+	own := p.self()
+	listed, ok := p.node.Config().Snapshot().VM(own.DataCentre())
+	return p.role.takenOverAt(), p.role.isHeld() && ok && listed.Address() == own.Address()
+}
+
 // responds reports whether the registered holder can be reached.
 func (p *process) responds(ctx context.Context, h hawthornrail.Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/operator/holder/role.go
+++ b/internal/operator/holder/role.go
@@ -20,14 +20,17 @@
 type role struct {
 	clock hawthornrail.Clock
 
-	mu       sync.Mutex
-	held     bool
+	mu   sync.Mutex
+	held bool
+	// since is when the role was last taken over, or when the process started.
+	since    time.Time
 	tickedAt time.Time
 }
 
 // newRole returns a role that is held until something shows otherwise.
 func newRole(clock hawthornrail.Clock) *role {
-	return &role{clock: clock, held: true, tickedAt: clock.Now()}
+	now := clock.Now()
+	return &role{clock: clock, held: true, since: now, tickedAt: now}
 }
 
 // isHeld reports whether the role is held and the process has run without a pause since.
@@ -37,6 +40,20 @@
 	return r.held && r.clock.Since(r.tickedAt) <= maxPause
 }
 
+// takeOver records that this VM has claimed the role of another one.
+func (r *role) takeOver() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = r.clock.Now()
+}
+
+// takenOverAt returns when the role was last taken over, or when the process started.
+func (r *role) takenOverAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.since
+}
+
 // lose records that another VM has the role.
 func (r *role) lose() {
 	r.mu.Lock()
--- a/internal/operator/holder/role_test.go
+++ b/internal/operator/holder/role_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -37,3 +38,23 @@
 	r.lose()
 	t.Run("once another VM is registered", func(t *testing.T) { assertHeld(t, false) })
 }
+
+// Guards against a share that is used by a holder and its successor: what a VM has taken over
+// counts from the claim, not from a confirmation.
+func TestRoleIsTakenOverByAClaim(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRole(clock)
+	assertSince := func(want time.Time) {
+		t.Helper()
+		if got := r.takenOverAt(); !got.Equal(want) {
+			t.Errorf("role is taken over at %s, want %s", got, want)
+		}
+	}
+	started := clock.Now()
+	clock.Advance(tickInterval)
+	r.confirm(clock.Now())
+	assertSince(started)
+	r.lose()
+	r.takeOver()
+	assertSince(clock.Now())
+}
--- a/internal/team/rate/limiter.go
+++ b/internal/team/rate/limiter.go
@@ -47,15 +47,17 @@
 	remote  *Client
 	clock   hawthornrail.Clock
 	started time.Time
+	owner   hawthornrail.ShareOwner
 	shards  [shardCount]shard
 
 	draining atomic.Bool
 	// accountsOpened is set once the accounts for the first configuration
 	// exist.
 	accountsOpened atomic.Bool
-	// appliedSnapshot is the last snapshot for which accounts were opened; only
-	// Run uses it.
+	// appliedSnapshot is the last snapshot for which accounts were opened, and appliedSince
+	// since when the shares were owned then; only Run uses them.
 	appliedSnapshot *hawthornrail.Snapshot
+	appliedSince    time.Time
 
 	mu      sync.Mutex
 	drained map[string]uint64
@@ -70,7 +72,9 @@
 // entry is a deployment's account and the number of requests that wait for its
 // tokens.
 type entry struct {
-	account  *Account
+	account *Account
+	// since is when the shares that the account has became this VM's.
+	since    time.Time
 	snapshot *hawthornrail.Snapshot
 	waiting  int
 	// latest is when the last of the waiting requests stops waiting.
@@ -80,11 +84,32 @@
 
 // NewLimiter returns an admitter for an instance whose process starts now.
 func NewLimiter(self hawthornrail.Instance, config hawthornrail.Configuration, members hawthornrail.Membership, remote *Client, clock hawthornrail.Clock) *Limiter {
-	f := &Limiter{self: self, config: config, members: members, remote: remote, clock: clock, started: clock.Now(), drained: make(map[string]uint64)}
-	for i := range f.shards {
-		f.shards[i].accounts = make(map[string]*entry)
+	l := &Limiter{self: self, config: config, members: members, remote: remote, clock: clock, started: clock.Now(), drained: make(map[string]uint64)}
+	for i := range l.shards {
+		l.shards[i].accounts = make(map[string]*entry)
 	}
-	return f
+	return l
+}
+
+// SetOwner sets what says whether this VM owns the shares of its name, if another VM may take
+// them over; it must be called before the limiter is used.
+func (l *Limiter) SetOwner(owner hawthornrail.ShareOwner) { l.owner = owner }
+
+// ownership returns since when and whether this VM owns the shares of its name.
+func (l *Limiter) ownership() (since time.Time, owned bool) {
+	if l.owner == nil {
+		return l.started, true
+	}
+	since, owned = l.owner.OwnsShares()
+	if since.Before(l.started) {
+		since = l.started
+	}
+	return since, owned
+}
+
+func (l *Limiter) owns() bool {
+	_, owned := l.ownership()
+	return owned
 }
 
 func (l *Limiter) shard(deployment string) *shard {
@@ -97,7 +122,9 @@
 }
 
 // withAccount runs fn on a deployment's account under its lock, with the plan
-// of the current configuration; it does nothing for an unknown deployment.
+// of the current configuration; it does nothing for an unknown deployment. The account of a
+// VM that has taken over the shares of another one is empty, as after a restart: the
+// predecessor may have used all that its own held.
 func (l *Limiter) withAccount(deployment string, fn func(e *entry, now time.Time)) {
 	s := l.shard(deployment)
 	s.mu.Lock()
@@ -105,11 +132,12 @@
 	e, ok := s.accounts[deployment]
 	snapshot := l.config.Snapshot()
 	now := l.clock.Now()
-	if !ok {
+	since, _ := l.ownership()
+	if !ok || !e.since.Equal(since) {
 		if _, known := snapshot.Deployment(deployment); !known {
 			return
 		}
-		e = &entry{account: NewAccount(l.self, l.started, now), changed: make(chan struct{})}
+		e = &entry{account: NewAccount(l.self, since, now), since: since, changed: make(chan struct{})}
 		s.accounts[deployment] = e
 		for vm := range l.drainedVMs() {
 			e.account.SetStopped(vm, true, now)
@@ -320,7 +348,7 @@
 // Lend serves the borrow request of another VM.
 func (l *Limiter) Lend(from hawthornrail.Instance, m *vmpb.Borrow) *vmpb.BorrowReply {
 	reply := BorrowReply{number: m.GetNumber(), wait: maxEmptyPause}
-	if l.draining.Load() {
+	if l.draining.Load() || !l.owns() {
 		return borrowReplyToWire(reply)
 	}
 	l.withAccount(m.GetDeployment(), func(e *entry, now time.Time) {
@@ -352,7 +380,10 @@
 	case *vmpb.Open_Borrow:
 		_ = s.Send(l.Lend(s.From(), k.Borrow))
 	case *vmpb.Open_ShareState:
-		_ = s.Send(l.ExchangeState(s.From(), k.ShareState))
+		// The state of shares that another VM owns confirms nothing.
+		if l.owns() {
+			_ = s.Send(l.ExchangeState(s.From(), k.ShareState))
+		}
 	default:
 		return false
 	}
@@ -363,21 +394,27 @@
 // until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.openAccounts()
-		l.maintainAccounts()
+		if since, owned := l.ownership(); owned {
+			l.openAccounts(since)
+			l.maintainAccounts()
+		}
 		clock.Wait(ctx, l.clock, tickInterval)
 	}
 }
 
 // openAccounts opens accounts for the deployments of which this VM holds a
-// share, so that their buckets fill from when the configuration arrives.
-func (l *Limiter) openAccounts() {
+// share, so that their buckets fill from when the configuration arrives or the share became
+// this VM's.
+func (l *Limiter) openAccounts(since time.Time) {
 	snapshot := l.config.Snapshot()
 	previous := l.appliedSnapshot
+	if !l.appliedSince.Equal(since) {
+		previous = nil
+	}
 	if snapshot == previous {
 		return
 	}
-	l.appliedSnapshot = snapshot
+	l.appliedSnapshot, l.appliedSince = snapshot, since
 	vms := snapshot.VMs()
 	vmsChanged := previous == nil || !slices.Equal(vms, previous.VMs())
 	for _, d := range snapshot.Deployments() {
