Tell other VMs of one that serves without being listed

Cause: each VM takes its time slots from its place in the list of VMs. The listed VMs did not know of the new ones and divided the whole limit among themselves; each new one counted itself and the listed ones.

A VM that is not listed half a second after it began to register now says so in the requests for changes that VMs send each other every half second, whose replies and later requests pass it on. It is an entry VM to all that know of it, so the origins of streams, detours and the table of suspects know it too. Being ready only once listed was weighed and not chosen: a data centre whose VMs are all replaced during an outage would serve nobody.

--- a/internal/config/catalogue/catalogue.go
+++ b/internal/config/catalogue/catalogue.go
@@ -22,6 +22,8 @@
 	endpoints       []hawthornrail.Endpoint
 	listedEndpoints []hawthornrail.Endpoint
 	lapsed          lapsedEndpoints
+	listedVMs       []hawthornrail.VM
+	unlistedVMs     []hawthornrail.VM
 }
 
 // New returns an empty catalogue; lastContact returns when the source of the
@@ -96,13 +98,25 @@
 	return list
 }
 
-// SetVMs replaces the VMs and those among them that store turns of conversations.
+// SetVMs replaces the VMs that the platform lists and those that store turns of conversations.
 func (c *Catalogue) SetVMs(vms, diskVMs []hawthornrail.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.snapshot.Store(c.Snapshot().WithVMs(vms).WithDiskVMs(diskVMs))
+	c.listedVMs = vms
+	c.snapshot.Store(c.Snapshot().WithVMs(c.vmsLocked()).WithDiskVMs(diskVMs))
 }
 
+// SetUnlistedVMs replaces the VMs that serve callers although the platform does not list them.
+func (c *Catalogue) SetUnlistedVMs(vms []hawthornrail.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unlistedVMs = vms
+	c.snapshot.Store(c.Snapshot().WithVMs(c.vmsLocked()))
+}
+
+// vmsLocked returns all VMs; an entry of the platform goes before what VMs say.
+func (c *Catalogue) vmsLocked() []hawthornrail.VM { return slices.Concat(c.unlistedVMs, c.listedVMs) }
+
 // SetEvacuations puts the evacuations of a list in force, as of a revision of the
 // platform's store. It returns those before and those now in force.
 func (c *Catalogue) SetEvacuations(list []hawthornrail.Evacuation, revision uint64) (before, now hawthornrail.Evacuations) {
--- a/internal/config/mirror/exchange.go
+++ b/internal/config/mirror/exchange.go
@@ -14,6 +14,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
+	"hawthornrail.example/hawthornrail/internal/vm/unlisted"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -36,6 +37,7 @@
 	kinds       []string
 	client      peer.Invoker
 	peers       func() []string
+	unlisted    *unlisted.Table
 	clock       hawthornrail.Clock
 	// orderSeed defines the order in which requests are sent to the other VMs. It
 	// differs between VMs, so that they do not all send to the same one at once.
@@ -49,17 +51,19 @@
 	WatchRole   *WatchRole
 	// Kinds are the kinds of objects to request, and Peers returns the
 	// addresses of the VMs to request them from.
-	Kinds   []string
-	Peers   func() []string
-	Invoker peer.Invoker
-	Clock   hawthornrail.Clock
+	Kinds []string
+	Peers func() []string
+	// Unlisted holds the VMs that the platform does not list.
+	Unlisted *unlisted.Table
+	Invoker  peer.Invoker
+	Clock    hawthornrail.Clock
 }
 
 // NewExchange returns an exchange that has sent no request yet.
 func NewExchange(p ExchangeDependencies) *Exchange {
 	return &Exchange{
 		mirror: p.Mirror, storeHealth: p.StoreHealth, watchRole: p.WatchRole, kinds: p.Kinds,
-		client: p.Invoker, peers: p.Peers, clock: p.Clock, orderSeed: maphash.MakeSeed(),
+		client: p.Invoker, peers: p.Peers, unlisted: p.Unlisted, clock: p.Clock, orderSeed: maphash.MakeSeed(),
 	}
 }
 
@@ -118,7 +122,7 @@
 func (e *Exchange) request(ctx context.Context, address string, wait time.Duration, report func(string, StoreStatus, time.Time)) (StoreStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
-	request := &vmpb.ObjectsAsk{WaitMs: uint32(wait.Milliseconds()), Held: e.heldRevisions()}
+	request := &vmpb.ObjectsAsk{WaitMs: uint32(wait.Milliseconds()), Held: e.heldRevisions(), Unlisted: e.unlisted.Messages()}
 	var reply vmpb.ObjectsReply
 	open := &vmpb.Open{Kind: &vmpb.Open_ObjectsAsk{ObjectsAsk: request}}
 	sent := e.clock.Now()
@@ -126,6 +130,7 @@
 	if err != nil {
 		return StoreStatus{}, fmt.Errorf("request changes: %w", err)
 	}
+	e.unlisted.Merge(reply.GetUnlisted())
 	status := NewStoreStatus(reply.GetInContact(), reply.GetLost(), time.Duration(reply.GetSettlingMs())*time.Millisecond)
 	status.watching = reply.GetWatching()
 	// The time counts from the request, since the reply may have been held up on
@@ -197,6 +202,7 @@
 // over.
 func (e *Exchange) serve(ctx context.Context, request *vmpb.ObjectsAsk) *vmpb.ObjectsReply {
 	arrived := e.clock.Now()
+	e.unlisted.Merge(request.GetUnlisted())
 	e.awaitChange(ctx, request)
 	return e.reply(request, arrived)
 }
@@ -242,6 +248,7 @@
 	reply := &vmpb.ObjectsReply{
 		InContact: status.InContact(), Lost: status.Lost(), SettlingMs: uint32(status.Settling().Milliseconds()), Watching: watching,
 		ConfirmedMs: int32(max(math.MinInt32, confirmed.Sub(arrived).Milliseconds())), ConfirmedKinds: e.storeHealth.RequiredKinds(),
+		Unlisted: e.unlisted.Messages(),
 	}
 	for _, held := range request.GetHeld() {
 		if changes := e.changesFor(held); changes != nil {
--- a/internal/config/mirror/exchange_test.go
+++ b/internal/config/mirror/exchange_test.go
@@ -11,6 +11,7 @@
 	hawthornrail "hawthornrail.example/hawthornrail"
 	"hawthornrail.example/hawthornrail/internal/config/mirror"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
+	"hawthornrail.example/hawthornrail/internal/vm/unlisted"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -45,6 +46,7 @@
 		e := mirror.NewExchange(mirror.ExchangeDependencies{
 			Mirror: mirror.New(func(string, string, uint64, []hawthornrail.Object) {}), StoreHealth: storeHealth, WatchRole: mirror.NewWatchRole(),
 			Kinds: []string{kind}, Peers: func() []string { return []string{"10.0.0.1:1"} }, Invoker: invoker, Clock: clock.Real(),
+			Unlisted: unlisted.NewTable(clock.Real(), func([]hawthornrail.VM) {}),
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/internal/config/mirror/fleet_test.go
+++ b/internal/config/mirror/fleet_test.go
@@ -17,6 +17,7 @@
 	"hawthornrail.example/hawthornrail/internal/config/mirror"
 	"hawthornrail.example/hawthornrail/internal/observe/clock"
 	"hawthornrail.example/hawthornrail/internal/observe/events"
+	"hawthornrail.example/hawthornrail/internal/vm/unlisted"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -101,6 +102,7 @@
 	storeHealth *mirror.StoreHealth
 	watchRole   *mirror.WatchRole
 	exchange    *mirror.Exchange
+	unlisted    *unlisted.Table
 	// cachedRevision is the revision of cached lists if it is not the newest one.
 	cachedRevision uint64
 	// bounded is how long a change of boundedKindName may take until it is in force, or
@@ -183,9 +185,10 @@
 		boundedKinds[boundedKindName] = v.bounded
 		v.storeHealth.RequireKind(boundedKindName, v.bounded)
 	}
+	v.unlisted = unlisted.NewTable(clock.Real(), func([]hawthornrail.VM) {})
 	v.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
 		Mirror: v.mirror, StoreHealth: v.storeHealth, WatchRole: v.watchRole, Kinds: kinds,
-		Peers: func() []string { return peers }, Invoker: v, Clock: clock.Real(),
+		Peers: func() []string { return peers }, Unlisted: v.unlisted, Invoker: v, Clock: clock.Real(),
 	})
 	v.watchRole.SetPredecessors(predecessors, time.Now())
 	follower := mirror.NewFollower(mirror.FollowerDependencies{
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -157,6 +157,8 @@
 	WatchStopped     = register(4013, zerolog.InfoLevel, "VM stops watching the platform and follows other VMs", "")
 	SourceFollowed   = register(4014, zerolog.InfoLevel, "VM follows another VM's watch of the platform", "")
 	SourceLost       = register(4015, zerolog.InfoLevel, "followed VM does not respond or does not watch the platform", "")
+
+	UnlistedVMsChanged = register(4016, zerolog.InfoLevel, "list of VMs that serve although the platform does not list them changed", "")
 )
 
 // The events between VMs.
--- a/internal/operator/entry/entry.go
+++ b/internal/operator/entry/entry.go
@@ -308,6 +308,7 @@
 	start := n.Clock().Now()
 	n.Log().Event(events.ProcessStopping).Int("requests", e.server.InFlight()).Emit()
 	e.draining.Store(true)
+	n.Withdraw()
 	e.server.StartDraining()
 	e.detours.StartDraining()
 	grace := n.Settings().Grace() - stopMargin
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -28,6 +28,7 @@
 	"hawthornrail.example/hawthornrail/internal/vm/peer"
 	"hawthornrail.example/hawthornrail/internal/vm/relay"
 	"hawthornrail.example/hawthornrail/internal/vm/suspects"
+	"hawthornrail.example/hawthornrail/internal/vm/unlisted"
 	"hawthornrail.example/hawthornrail/internal/wire/vmpb"
 )
 
@@ -95,6 +96,7 @@
 	exchange    *mirror.Exchange
 	subscriber  *mirror.Subscriber
 	catalogue   *catalogue.Catalogue
+	unlisted    *unlisted.Table
 	server      *peer.Server
 	client      *peer.Client
 	relay       *relay.Client
@@ -137,8 +139,10 @@
 		Source: a.Source, Clock: n.clock, Log: n.log.Layer("config"),
 	})
 	n.catalogue = catalogue.New(n.clock, n.storeHealth.LastConfirmed)
+	n.unlisted = unlisted.NewTable(n.clock, n.applyUnlisted)
 	n.exchange = mirror.NewExchange(mirror.ExchangeDependencies{
-		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Invoker: n.client, Clock: n.clock,
+		Mirror: n.mirror, StoreHealth: n.storeHealth, WatchRole: n.watchRole, Kinds: kinds, Peers: n.peers, Unlisted: n.unlisted,
+		Invoker: n.client, Clock: n.clock,
 	})
 	n.subscriber = mirror.NewSubscriber(n.watchRole, n.exchange, n.storeHealth, n.clock, n.log.Layer("config"))
 	table := members.NewTable(hawthornrail.NewMember(self, s.PeerAddress(), false, time.Time{}))
@@ -178,6 +182,7 @@
 		vms, diskVMs, problems := n.adapter.Decoder.VMs(objects)
 		n.logMalformed(problems)
 		n.catalogue.SetVMs(n.addMissingHolders(vms), diskVMs)
+		n.unlisted.SetListed(vms)
 		n.watchRole.SetPredecessors(n.precedingWatchers(vms), n.clock.Now())
 		n.log.Event(events.VMsChanged).Int("vms", len(vms)).Emit()
 	case n.adapter.Kinds.Evacuations:
@@ -185,6 +190,12 @@
 	}
 }
 
+// applyUnlisted applies changed VMs that serve callers although the platform does not list them.
+func (n *Node) applyUnlisted(vms []hawthornrail.VM) {
+	n.catalogue.SetUnlistedVMs(vms)
+	n.log.Event(events.UnlistedVMsChanged).Int("vms", len(vms)).Emit()
+}
+
 // applyEvacuations puts evacuations in force and logs which begin and end.
 func (n *Node) applyEvacuations(source string, revision uint64, objects []hawthornrail.Object) {
 	list, problems := n.adapter.Decoder.Evacuations(objects)
@@ -272,22 +283,25 @@
 	}
 }
 
-// peers returns the addresses of the other entry VMs, or the seeds while no entry
-// VM is known.
+// peers returns the addresses of the other entry VMs, and those of the seeds while no entry VM
+// is listed: the VMs that tell of each other may not know all others.
 func (n *Node) peers() []string {
 	var addresses []string
+	anyListed := false
 	for _, v := range n.catalogue.Snapshot().EntryVMs() {
-		if v.Address() != n.settings.PeerAddress() {
-			addresses = append(addresses, v.Address())
+		if v.Address() == n.settings.PeerAddress() {
+			continue
 		}
+		addresses = append(addresses, v.Address())
+		anyListed = anyListed || !n.unlisted.Contains(v.Name())
 	}
-	if len(addresses) > 0 {
+	if anyListed {
 		return addresses
 	}
 	n.seedsMu.Lock()
 	defer n.seedsMu.Unlock()
 	for _, address := range n.seeds {
-		if address != n.settings.PeerAddress() {
+		if address != n.settings.PeerAddress() && !slices.Contains(addresses, address) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -444,8 +458,10 @@
 	}
 }
 
-// Register registers the VM with the platform and retries until it succeeds.
+// Register registers the VM with the platform and retries until it succeeds. Other VMs are told
+// of it until the platform lists it.
 func (n *Node) Register(ctx context.Context, vm hawthornrail.VM) {
+	n.unlisted.Announce(vm)
 	for ctx.Err() == nil {
 		err := n.adapter.Registry.Register(ctx, vm)
 		if err == nil {
@@ -457,6 +473,9 @@
 	}
 }
 
+// Withdraw no longer tells other VMs of this one.
+func (n *Node) Withdraw() { n.unlisted.Withdraw() }
+
 // Stop stops the background loops, closes the connections to other VMs and
 // flushes the log.
 func (n *Node) Stop() {
