--- a/forward.go
+++ b/forward.go
@@ -25,6 +25,8 @@
 type HeaderReader interface {
 	// Peek returns the value of a header field, or nil.
 	Peek(name string) []byte
+	// PeekAll returns the values of all header fields of a name.
+	PeekAll(name string) [][]byte
 }
 
 // PromptPart is a section of a prompt that other prompts may contain too.
@@ -44,18 +46,25 @@
 
 // ProgramCall is the program information in the headers of a forwarded request.
 type ProgramCall struct {
-	program  string
-	session  string
-	timeLeft time.Duration
-	budget   uint64
-	parent   string
+	program   string
+	session   string
+	timeLeft  time.Duration
+	budget    uint64
+	hasBudget bool
+	parent    string
 }
 
-// NewProgramCall returns a call of a session in a program that should finish
-// within timeLeft and may generate budget tokens in total, 0 for a call
-// that generates none.
-func NewProgramCall(program, session string, timeLeft time.Duration, budget uint64) ProgramCall {
-	return ProgramCall{program: program, session: session, timeLeft: timeLeft, budget: budget}
+// NewProgramCall returns a call of a session in a program that should finish within timeLeft
+// and has no budget.
+func NewProgramCall(program, session string, timeLeft time.Duration) ProgramCall {
+	return ProgramCall{program: program, session: session, timeLeft: timeLeft}
+}
+
+// WithBudget returns a copy whose program may generate a number of tokens in total; with 0 none
+// of its calls may run.
+func (c ProgramCall) WithBudget(tokens uint64) ProgramCall {
+	c.budget, c.hasBudget = tokens, true
+	return c
 }
 
 // WithParent returns a copy that continues from the turn with an id.
@@ -78,8 +87,9 @@
 // finish.
 func (c ProgramCall) TimeLeft() time.Duration { return c.timeLeft }
 
-// Budget returns the tokens that the program may generate in total.
-func (c ProgramCall) Budget() uint64 { return c.budget }
+// Budget returns the tokens that the program may generate in total; ok is false without a
+// budget.
+func (c ProgramCall) Budget() (tokens uint64, ok bool) { return c.budget, c.hasBudget }
 
 // Prompt is the information in the headers of a forwarded request about its
 // prompt and the length of its response.
--- a/internal/caller/proxy/conversation_test.go
+++ b/internal/caller/proxy/conversation_test.go
@@ -157,7 +157,7 @@
 func (b *turnBed) request(team, id, parent, input string) *hawthornrail.ForwardRequest {
 	r := hawthornrail.NewForwardRequest("POST", "host", "/turns/x", "/turns/x", []byte(input), time.Now())
 	r.SetID(id)
-	r.SetCall(hawthornrail.NewProgramCall("program", "", 0, 0).WithParent(parent))
+	r.SetCall(hawthornrail.NewProgramCall("program", "", 0).WithParent(parent))
 	r.Identify(hawthornrail.NewDeployment(team, team, 1))
 	r.Match(b.route, 1)
 	return r
--- a/internal/caller/proxy/filter.go
+++ b/internal/caller/proxy/filter.go
@@ -193,13 +193,17 @@
 // the call runs, and settles the tokens that it generated once it has ended.
 func (f *Budget) Filter(ctx context.Context, r *hawthornrail.ForwardRequest, next hawthornrail.ForwardHandler) (*hawthornrail.ForwardResponse, error) {
 	call := r.Call()
-	if call.Program() == "" || call.Budget() == 0 || r.Route().Kind() != hawthornrail.StreamRoute {
+	budget, limited := call.Budget()
+	if !limited || r.Route().Kind() != hawthornrail.StreamRoute {
 		return next.Forward(ctx, r)
 	}
+	if budget == 0 {
+		return nil, hawthornrail.NotRun(hawthornrail.CodeBudget, "program %s has a budget of 0 tokens", call.Program())
+	}
 	perEvent := uint64(f.tokensPerEvent(r.Route()))
 	tokens := roundUp(uint64(max(1, r.Prompt().MaxOutput())), perEvent)
-	first, err := f.accounts.Reserve(ctx, call.Program(), r.ID(), call.Budget(), tokens)
-	trail.From(ctx).Event(events.ForwardReserved).Str("program", call.Program()).Uint64("budget", call.Budget()).
+	first, err := f.accounts.Reserve(ctx, call.Program(), r.ID(), budget, tokens)
+	trail.From(ctx).Event(events.ForwardReserved).Str("program", call.Program()).Uint64("budget", budget).
 		Uint64("tokens", tokens).Bool("granted", err == nil).Err(err).Emit()
 	if err != nil {
 		return nil, err
--- a/internal/vm/detour/convert.go
+++ b/internal/vm/detour/convert.go
@@ -31,7 +31,7 @@
 	if m.GetLeftMs() > 0 {
 		r.SetDeadline(now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond))
 	}
-	r.SetCall(hawthornrail.NewProgramCall(string(m.GetProgram()), "", 0, 0))
+	r.SetCall(hawthornrail.NewProgramCall(string(m.GetProgram()), "", 0))
 	r.SetPrompt(hawthornrail.NewPrompt(int(m.GetPromptTokens()), int(m.GetMaxOutputTokens()), nil))
 	r.Identify(hawthornrail.NewDeployment("", m.GetTeam(), 0))
 	route := hawthornrail.NewRoute(m.GetRoute(), string(m.GetHost()), "", hawthornrail.RouteKind(m.GetRouteKind()), nil)
