--- a/accepted.go
+++ b/accepted.go
@@ -10,6 +10,7 @@
 	keys        []Key
 	routes      []Route
 	services    []Service
+	problems    []error
 }
 
 // NewAcceptedConfig returns an empty configuration with a version.
@@ -27,6 +28,16 @@
 	return a
 }
 
+// WithProblems returns a copy with what is wrong with values that were replaced.
+func (a AcceptedConfig) WithProblems(problems []error) AcceptedConfig {
+	a.problems = problems
+	return a
+}
+
+// Problems returns an error for each value that is out of range and was replaced by the nearest
+// one.
+func (a AcceptedConfig) Problems() []error { return a.problems }
+
 // Version returns the version; later configurations have higher versions.
 func (a AcceptedConfig) Version() uint64 { return a.version }
 
--- a/internal/observe/events/catalogue.go
+++ b/internal/observe/events/catalogue.go
@@ -158,7 +158,8 @@
 	SourceFollowed   = register(4014, zerolog.InfoLevel, "VM follows another VM's watch of the platform", "")
 	SourceLost       = register(4015, zerolog.InfoLevel, "followed VM does not respond or does not watch the platform", "")
 
-	UnlistedVMsChanged = register(4016, zerolog.InfoLevel, "list of VMs that serve although the platform does not list them changed", "")
+	UnlistedVMsChanged  = register(4016, zerolog.InfoLevel, "list of VMs that serve although the platform does not list them changed", "")
+	ConfigValueReplaced = register(4017, zerolog.WarnLevel, "value of the configuration is out of range; the nearest one is used", "correct the configuration")
 )
 
 // The events between VMs.
--- a/internal/operator/node/node.go
+++ b/internal/operator/node/node.go
@@ -234,6 +234,9 @@
 		return
 	}
 	if ok && n.catalogue.Accept(config) {
+		for _, err := range config.Problems() {
+			n.log.Event(events.ConfigValueReplaced).Uint64("version", config.Version()).Err(err).Emit()
+		}
 		n.log.Event(events.ConfigChanged).Uint64("version", config.Version()).
 			Int("routes", len(config.Routes())).Int("teams", len(config.Deployments())).
 			Str("source", source).Millis("age_ms", n.catalogue.Age()).Emit()
