Connect to further endpoints while those of a check refuse

Cause: a check of the path connects to three random endpoints, and so do the VMs that are asked for a detour. All three had just crashed; that they refuse says nothing of the others.

A check goes on while some refuse, three endpoints at a time and 24 at most. An endpoint out of reach does not refuse, so a cut is noticed as soon as before.

--- a/internal/endpoint/contact/route.go
+++ b/internal/endpoint/contact/route.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"time"
 
 	hawthornrail "hawthornrail.example/hawthornrail"
@@ -17,8 +19,10 @@
 	connectTimeout = 100 * time.Millisecond
 	// connectPause is the least time between connections for the sake of other VMs.
 	connectPause = 250 * time.Millisecond
-	// maxConnects bounds the endpoints that a check connects to.
+	// maxConnects bounds the endpoints that a check connects to at once, and maxRefusals
+	// those that it connects to while others refuse.
 	maxConnects = 3
+	maxRefusals = 24
 )
 
 // Route is how a request for a service is sent: directly, or through a helper.
@@ -138,13 +142,22 @@
 // were not lost first.
 func (s *service) connectSome(ctx context.Context) bool {
 	s.mu.Lock()
-	var waiting []string
+	waiting := make(map[string]bool, len(s.attempts))
 	for a := range s.attempts {
-		waiting = append(waiting, a.endpoint)
+		waiting[a.endpoint] = true
 	}
 	s.mu.Unlock()
-	snapshot := s.tracker.deps.Config.Snapshot()
-	candidates := append(endpoints(snapshot, s.name, waiting), endpoints(snapshot, s.name, nil)...)
+	candidates := endpoints(s.tracker.deps.Config.Snapshot(), s.name, nil)
+	slices.SortStableFunc(candidates, func(x, y hawthornrail.Endpoint) int {
+		switch {
+		case waiting[x.Name()] == waiting[y.Name()]:
+			return 0
+		case waiting[x.Name()]:
+			return 1
+		default:
+			return -1
+		}
+	})
 	return s.tracker.connectAny(ctx, candidates)
 }
 
@@ -158,21 +171,37 @@
 	return s.tracker.connectAny(ctx, candidates[:1])
 }
 
-// connectAny reports whether one of the first endpoints accepts a connection.
+// connectAny reports whether an endpoint accepts a connection. It goes on to further endpoints
+// only while some refuse: an endpoint whose process has ended refuses, one that is out of reach
+// does not respond.
 func (t *Tracker) connectAny(ctx context.Context, candidates []hawthornrail.Endpoint) bool {
+	candidates = candidates[:min(len(candidates), maxRefusals)]
+	for chunk := range slices.Chunk(candidates, maxConnects) {
+		accepted, refused := t.connectAll(ctx, chunk)
+		if accepted || !refused {
+			return accepted
+		}
+	}
+	return false
+}
+
+// connectAll connects to endpoints at once and reports whether one accepts, or else whether
+// one refuses.
+func (t *Tracker) connectAll(ctx context.Context, candidates []hawthornrail.Endpoint) (accepted, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	candidates = candidates[:min(len(candidates), maxConnects)]
 	results := make(chan error, len(candidates))
 	for _, e := range candidates {
 		go func() { results <- t.deps.Connector.Connect(ctx, e.Address()) }()
 	}
 	for range candidates {
-		if err := <-results; err == nil {
-			return true
+		err := <-results
+		if err == nil {
+			return true, false
 		}
+		refused = refused || errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return false
+	return false, refused
 }
 
 // endpoints returns, in random order, the endpoints of a service that are not
--- a/internal/endpoint/contact/tracker_test.go
+++ b/internal/endpoint/contact/tracker_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -253,3 +254,62 @@
 		})
 	}
 }
+
+// crashedNetwork is a network on which all endpoints but one refuse connections, and those that
+// hang do not respond.
+type crashedNetwork struct {
+	*network
+	accepts string
+	hang    map[string]bool
+}
+
+func (n crashedNetwork) Connect(ctx context.Context, address string) error {
+	n.connects.Add(1)
+	switch {
+	case address == n.accepts:
+		return nil
+	case n.hang[address]:
+		<-ctx.Done()
+		return ctx.Err()
+	default:
+		return fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	}
+}
+
+// Guards against requests of others that are refused because a request has crashed the few
+// endpoints that a check connects to, while another one serves.
+func TestServiceIsInReachWhileOneEndpointAccepts(t *testing.T) {
+	const count = 12
+	var endpoints []hawthornrail.Endpoint
+	hang := make(map[string]bool)
+	for i := range count {
+		name := fmt.Sprintf("e%d", i)
+		hang[name] = i > 0
+		endpoints = append(endpoints, hawthornrail.NewEndpoint(name, hawthornrail.ServiceEndpoint, "dc1", name, []string{serviceName}))
+	}
+	for _, c := range []struct {
+		name    string
+		accepts string
+		hang    map[string]bool
+		want    bool
+		most    int64
+	}{
+		{"all but one have crashed", "e0", nil, true, count},
+		{"all have crashed", "", nil, false, count},
+		{"all are out of reach", "", hang, false, 6},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := crashedNetwork{&network{}, c.accepts, c.hang}
+			tracker := contact.New(contact.Dependencies{
+				DataCentre: "dc1", Config: fixedConfig{hawthornrail.NewSnapshot(1, nil, nil, endpoints, nil)},
+				Connector: n, Detour: n, Clock: clock.Real(), Log: events.NewLogger(io.Discard, zerolog.InfoLevel),
+			})
+			if got := tracker.Reached(t.Context(), serviceName, 0); got != c.want {
+				t.Errorf("reached: %t, want %t", got, c.want)
+			}
+			if got := n.connects.Load(); got > c.most {
+				t.Errorf("%d connections, want at most %d", got, c.most)
+			}
+		})
+	}
+}
