Start a top-up only for a program that lacks tokens

Each settled call started a goroutine that mostly found nothing missing. What is missing is read in one place now.

--- a/internal/program/account/collect.go
+++ b/internal/program/account/collect.go
@@ -142,19 +142,26 @@
 	}
 }
 
-// joinTopUp joins the collection of a program that lacks tokens here for a call. missing is 0
-// if it lacks none or if this holder is about to exit.
+// joinTopUp joins the collection of a program that lacks tokens here for a call.
 func (h *Holder) joinTopUp(program string, callTokens uint64) (missing uint64, c *collection) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	available := h.balances.Available(program)
-	if h.leaving || available >= callTokens {
+	missing = h.lacksLocked(program, callTokens)
+	if missing == 0 {
 		return 0, nil
 	}
-	missing = callTokens - available
 	return missing, h.joinCollectionLocked(program, missing)
 }
 
+// lacksLocked returns the tokens that a program lacks here for a call; it is 0 if this holder
+// is about to exit. h.mu must be held.
+func (h *Holder) lacksLocked(program string, callTokens uint64) uint64 {
+	if h.leaving {
+		return 0
+	}
+	return callTokens - min(callTokens, h.balances.Available(program))
+}
+
 // collectExactly requests tokens from one other holder after another until it has the number
 // wanted. The others keep the rest: it would be lost with this holder.
 func (h *Holder) collectExactly(ctx context.Context, program string, wanted uint64) {
--- a/internal/program/account/holder.go
+++ b/internal/program/account/holder.go
@@ -317,7 +317,8 @@
 	if _, err := h.append(record); err != nil {
 		return err
 	}
-	if m.GetUsed() > 0 && !h.leaving {
+	_, grantsPending := h.pendingGrants[m.GetProgram()]
+	if m.GetUsed() > 0 && (grantsPending || h.lacksLocked(m.GetProgram(), callTokens) > 0) {
 		go h.topUp(m.GetProgram(), callTokens)
 	}
 	return nil
