--- a/internal/caller/proxy/conn.go
+++ b/internal/caller/proxy/conn.go
@@ -97,6 +97,15 @@
 	return n, err
 }
 
+// Write writes a part of a response. The caller has to make room for it in time, however long
+// the whole response takes.
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // SetReadDeadline sets the deadline of reads, which is not after that of the request that
 // is arriving.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/caller/proxy/server.go
+++ b/internal/caller/proxy/server.go
@@ -25,7 +25,7 @@
 	idleTimeout = 2 * time.Minute
 	// readTimeout bounds how long a request may take to arrive.
 	readTimeout = 15 * time.Second
-	// writeTimeout bounds how long a caller may leave a response unread.
+	// writeTimeout bounds how long a caller may leave a part of a response unread.
 	writeTimeout = 30 * time.Second
 )
 
@@ -97,7 +97,7 @@
 		// before.
 		StreamRequestBody: true, MaxRequestBodySize: 1, ExpectHandler: s.expect,
 		ConnState:   func(c net.Conn, state fasthttp.ConnState) { c.(*conn).setState(state) },
-		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
 		CloseOnShutdown: true, ReduceMemoryUsage: true, ErrorHandler: s.writeReadError, Logger: discardLogger{},
 		// A parsed form is written anew, which changes the body.
