--- a/interfaces.go
+++ b/interfaces.go
@@ -327,12 +327,12 @@
 	Dispatch(ctx context.Context, e Endpoint, r *Request, requestID string, w ResponseWriter) (Response, error)
 }
 
-// ShareOwner tells whether a VM owns the shares of rates under its name, which another VM may
+// HolderRole tells whether a VM holds the shares of rates under its name, which another VM may
 // take over.
-type ShareOwner interface {
-	// OwnsShares returns whether the VM owns the shares now, and when it last took them over
+type HolderRole interface {
+	// HoldsShares returns whether the VM holds the shares now, and when it last took them over
 	// from another VM; before the first time that is when its process started.
-	OwnsShares() (since time.Time, owned bool)
+	HoldsShares() (since time.Time, held bool)
 }
 
 // Membership provides this VM's view of the VMs in the fleet.
--- a/internal/operator/holder/claim.go
+++ b/internal/operator/holder/claim.go
@@ -127,9 +127,9 @@
 	}
 }
 
-// OwnsShares implements hawthornrail.ShareOwner: a VM that is not listed as the holder, or may
-// have been replaced, does not own the shares of its data centre.
-func (p *process) OwnsShares() (since time.Time, owned bool) {
+// HoldsShares implements hawthornrail.HolderRole: a VM that is not listed as the holder, or may
+// have been replaced, does not hold the shares of its data centre.
+func (p *process) HoldsShares() (since time.Time, held bool) {
 	own := p.self()
 	listed, ok := p.node.Config().Snapshot().VM(own.DataCentre())
 	return p.role.takenOverAt(), p.role.isHeld() && ok && listed.Address() == own.Address()
--- a/internal/operator/holder/holder.go
+++ b/internal/operator/holder/holder.go
@@ -43,7 +43,7 @@
 		return fmt.Errorf("open accounts: %w", err)
 	}
 	p := &process{node: n, role: r, holder: h, conversations: newConversations(n)}
-	n.Rates().SetOwner(p)
+	n.Rates().SetRole(p)
 	return p.run(ctx)
 }
 
--- a/internal/team/rate/limiter.go
+++ b/internal/team/rate/limiter.go
@@ -47,7 +47,7 @@
 	remote  *Client
 	clock   hawthornrail.Clock
 	started time.Time
-	owner   hawthornrail.ShareOwner
+	role    hawthornrail.HolderRole
 	shards  [shardCount]shard
 
 	draining atomic.Bool
@@ -55,7 +55,7 @@
 	// exist.
 	accountsOpened atomic.Bool
 	// appliedSnapshot is the last snapshot for which accounts were opened, and appliedSince
-	// since when the shares were owned then; only Run uses them.
+	// since when the shares were held then; only Run uses them.
 	appliedSnapshot *hawthornrail.Snapshot
 	appliedSince    time.Time
 
@@ -91,25 +91,25 @@
 	return l
 }
 
-// SetOwner sets what says whether this VM owns the shares of its name, if another VM may take
+// SetRole sets what says whether this VM holds the shares of its name, if another VM may take
 // them over; it must be called before the limiter is used.
-func (l *Limiter) SetOwner(owner hawthornrail.ShareOwner) { l.owner = owner }
+func (l *Limiter) SetRole(role hawthornrail.HolderRole) { l.role = role }
 
-// ownership returns since when and whether this VM owns the shares of its name.
-func (l *Limiter) ownership() (since time.Time, owned bool) {
-	if l.owner == nil {
+// holding returns since when and whether this VM holds the shares of its name.
+func (l *Limiter) holding() (since time.Time, held bool) {
+	if l.role == nil {
 		return l.started, true
 	}
-	since, owned = l.owner.OwnsShares()
+	since, held = l.role.HoldsShares()
 	if since.Before(l.started) {
 		since = l.started
 	}
-	return since, owned
+	return since, held
 }
 
-func (l *Limiter) owns() bool {
-	_, owned := l.ownership()
-	return owned
+func (l *Limiter) holds() bool {
+	_, held := l.holding()
+	return held
 }
 
 func (l *Limiter) shard(deployment string) *shard {
@@ -132,7 +132,7 @@
 	e, ok := s.accounts[deployment]
 	snapshot := l.config.Snapshot()
 	now := l.clock.Now()
-	since, _ := l.ownership()
+	since, _ := l.holding()
 	if !ok || !e.since.Equal(since) {
 		if _, known := snapshot.Deployment(deployment); !known {
 			return
@@ -348,7 +348,7 @@
 // Lend serves the borrow request of another VM.
 func (l *Limiter) Lend(from hawthornrail.Instance, m *vmpb.Borrow) *vmpb.BorrowReply {
 	reply := BorrowReply{number: m.GetNumber(), wait: maxEmptyPause}
-	if l.draining.Load() || !l.owns() {
+	if l.draining.Load() || !l.holds() {
 		return borrowReplyToWire(reply)
 	}
 	l.withAccount(m.GetDeployment(), func(e *entry, now time.Time) {
@@ -380,8 +380,8 @@
 	case *vmpb.Open_Borrow:
 		_ = s.Send(l.Lend(s.From(), k.Borrow))
 	case *vmpb.Open_ShareState:
-		// The state of shares that another VM owns confirms nothing.
-		if l.owns() {
+		// The state of shares that another VM holds confirms nothing.
+		if l.holds() {
 			_ = s.Send(l.ExchangeState(s.From(), k.ShareState))
 		}
 	default:
@@ -394,7 +394,7 @@
 // until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if since, owned := l.ownership(); owned {
+		if since, held := l.holding(); held {
 			l.openAccounts(since)
 			l.maintainAccounts()
 		}
--- a/internal/team/rate/owner_test.go
+++ b/internal/team/rate/takeover_test.go
@@ -17,7 +17,7 @@
 	clock    *clockwork.FakeClock
 	limiter  *rate.Limiter
 	since    time.Time
-	owned    bool
+	held     bool
 	requests uint64
 }
 
@@ -27,11 +27,11 @@
 	self := hawthornrail.NewInstance("dc1", "dc1", 1)
 	table := members.NewTable(hawthornrail.NewMember(self, "dc1", false, time.Time{}))
 	s.limiter = rate.NewLimiter(self, s, table, rate.NewClient(nil), s.clock)
-	s.limiter.SetOwner(s)
+	s.limiter.SetRole(s)
 	return s
 }
 
-func (s *successor) OwnsShares() (time.Time, bool) { return s.since, s.owned }
+func (s *successor) HoldsShares() (time.Time, bool) { return s.since, s.held }
 
 func (s *successor) Snapshot() *hawthornrail.Snapshot {
 	team := hawthornrail.NewDeployment("team", "team", 1).WithRate(2, 20)
@@ -66,14 +66,14 @@
 			s.assertLends(t, after, least, most)
 		})
 	}
-	takeOver := func() { s.since, s.owned = s.clock.Now(), true }
+	takeOver := func() { s.since, s.held = s.clock.Now(), true }
 	step("beside the holder", func() {}, idle, 0, 0)
 	step("right after the takeover", takeOver, 0, 0, 0)
 	step("grants of the predecessor may be in use", func() {}, time.Second, 0, 0)
 	step("it fills at the rate", func() {}, 5*time.Second, 9, 10)
-	step("suspended, in doubt", func() { s.owned = false }, idle, 0, 0)
-	step("it was not replaced", func() { s.owned = true }, 0, 19, 20)
-	step("replaced", func() { s.owned = false }, idle, 0, 0)
+	step("suspended, in doubt", func() { s.held = false }, idle, 0, 0)
+	step("it was not replaced", func() { s.held = true }, 0, 19, 20)
+	step("replaced", func() { s.held = false }, idle, 0, 0)
 	step("it takes over again", takeOver, 0, 0, 0)
 	step("it fills at the rate again", func() {}, 3*time.Second, 3, 4)
 }
