Fill the shares of a holder that is not listed yet

A VM holds the shares while it has not lost the role and no other VM is listed. One that stands by is asked by nobody until then, and what it takes over is empty in any case.

--- a/internal/operator/holder/claim.go
+++ b/internal/operator/holder/claim.go
@@ -127,12 +127,13 @@
 	}
 }
 
-// HoldsShares implements hawthornrail.HolderRole: a VM that is not listed as the holder, or may
-// have been replaced, does not hold the shares of its data centre.
+// HoldsShares implements hawthornrail.HolderRole: a VM does not hold the shares of its data
+// centre while another one is listed as the holder, or while it may have been replaced.
 func (p *process) HoldsShares() (since time.Time, held bool) {
 	own := p.self()
-	listed, ok := p.node.Config().Snapshot().VM(own.DataCentre())
-	return p.role.takenOverAt(), p.role.isHeld() && ok && listed.Address() == own.Address()
+	listed, _ := p.node.Config().Snapshot().VM(own.DataCentre())
+	otherListed := listed.Address() != "" && listed.Address() != own.Address()
+	return p.role.takenOverAt(), p.role.isHeld() && !otherListed
 }
 
 // responds reports whether the registered holder can be reached.
