Return no share that a holder with a new disk may have given

Found by reading the change; no caller has met it.

A late reply counts only from a holder that is complete, which one with a new disk is not until it has listed the programs.

--- a/internal/program/account/late_announce.go
+++ b/internal/program/account/late_announce.go
@@ -56,6 +56,8 @@
 	returning.Wait()
 }
 
+// returnShare takes the isolated share of a data centre back. A holder that is not complete may
+// not know what its predecessor has given.
 func (h *Holder) returnShare(dataCentre string, m *vmpb.AccountAnnounce) error {
 	var reply vmpb.AccountAnnounceReply
 	open := &vmpb.Open{Kind: &vmpb.Open_AccountAnnounce{AccountAnnounce: m}}
@@ -63,7 +65,7 @@
 		return fmt.Errorf("isolated share is not returned: %w", err)
 	}
 	share := h.isolatedShare(m.GetBudget())
-	if !reply.GetAccepted() || reply.GetTaken() >= share {
+	if !reply.GetAccepted() || !reply.GetWhole() || reply.GetTaken() >= share {
 		return nil
 	}
 	return h.commit(h.balances.TransferIn(m.GetProgram(), share-reply.GetTaken()))
--- a/internal/program/account/late_announce_test.go
+++ b/internal/program/account/late_announce_test.go
@@ -34,24 +34,29 @@
 		f.reserve("dc1", "other", "first", lossCall)
 		assertCount(t, "calls", callAll(f, "dc1"), allCalls)
 	})
-	t.Run("one has given its share", func(t *testing.T) {
-		f := newFleet(t, 1)
-		f.budgets["program"] = 3 * lossCall
-		f.withLock(func() { f.partitioned, f.platformDown = map[string]bool{"dc3": true}, true })
-		granted := 0
-		reserve := func(dc, call string) {
-			if f.reserve(dc, "program", call, lossCall) {
-				granted++
+	for name, lostDisk := range map[string]bool{"one has given its share": false, "and then lost its disk": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.budgets["program"] = 3 * lossCall
+			f.withLock(func() { f.partitioned, f.platformDown = map[string]bool{"dc3": true}, true })
+			granted := 0
+			reserve := func(dc, call string) {
+				if f.reserve(dc, "program", call, lossCall) {
+					granted++
+				}
 			}
-		}
-		reserve("dc3", "isolated")
-		f.withLock(func() { f.partitioned, f.platformDown, f.announceReplyDelay = nil, false, lateAnnounceReply })
-		for end := time.Now().Add(2 * lateAnnounceReply); time.Now().Before(end); {
-			reserve("dc1", fmt.Sprint(granted))
-		}
-		f.assertWithinBudgets(t)
-		assertCount(t, "calls", granted, 3)
-	})
+			reserve("dc3", "isolated")
+			if lostDisk {
+				f.replaceDisk(t, "dc3")
+			}
+			f.withLock(func() { f.partitioned, f.platformDown, f.announceReplyDelay = nil, false, lateAnnounceReply })
+			for end := time.Now().Add(2 * lateAnnounceReply); time.Now().Before(end); {
+				reserve("dc1", fmt.Sprint(granted))
+			}
+			f.assertWithinBudgets(t)
+			assertCount(t, "calls", granted, 3)
+		})
+	}
 }
 
 func assertCount(t *testing.T, what string, got, want int) {
