--- a/internal/program/account/grant.go
+++ b/internal/program/account/grant.go
@@ -21,20 +21,11 @@
 	h.pendingGrants[program] = done
 	h.mu.Unlock()
 	go func() {
-		defer h.finishGrants(program, done)
+		defer h.finish(h.pendingGrants, program, done)
 		h.sendGrants(program, sizes)
 	}()
 }
 
-// finishGrants marks the grants of a program as sent and wakes the calls that
-// wait in awaitGrants.
-func (h *Holder) finishGrants(program string, done chan struct{}) {
-	h.mu.Lock()
-	delete(h.pendingGrants, program)
-	h.mu.Unlock()
-	close(done)
-}
-
 // awaitGrants waits until this holder has no grants of a program in flight.
 // Tokens in flight are in no holder's account, so replies of the other holders
 // would not add up to the budget.
--- a/internal/program/account/isolated.go
+++ b/internal/program/account/isolated.go
@@ -50,7 +50,7 @@
 	if busy {
 		return errBusy
 	}
-	defer h.finishOpening(program, pending)
+	defer h.finish(h.opening, program, pending)
 	decision, err := h.findHome(ctx, program, budget)
 	if err != nil {
 		return err
--- a/internal/program/account/late_announce.go
+++ b/internal/program/account/late_announce.go
@@ -32,18 +32,11 @@
 	h.pendingReturns[program] = done
 	h.mu.Unlock()
 	go func() {
-		defer h.finishReturns(program, done)
+		defer h.finish(h.pendingReturns, program, done)
 		h.returnShares(&vmpb.AccountAnnounce{Program: program, Budget: budget, Home: h.id}, dataCentres)
 	}()
 }
 
-func (h *Holder) finishReturns(program string, done chan struct{}) {
-	h.mu.Lock()
-	delete(h.pendingReturns, program)
-	h.mu.Unlock()
-	close(done)
-}
-
 func (h *Holder) returnShares(m *vmpb.AccountAnnounce, dataCentres []string) {
 	var returning sync.WaitGroup
 	for _, dc := range dataCentres {
--- a/internal/program/account/open.go
+++ b/internal/program/account/open.go
@@ -67,7 +67,7 @@
 		}
 		h.mu.Unlock()
 		if !inProgress {
-			defer h.finishOpening(program, pending)
+			defer h.finish(h.opening, program, pending)
 			return h.openAccount(ctx, program, budget, callTokens)
 		}
 		select {
@@ -78,13 +78,12 @@
 	}
 }
 
-// finishOpening ends the opening of a program's account and wakes the calls that
-// wait for it.
-func (h *Holder) finishOpening(program string, pending chan struct{}) {
+// finish ends work on a program that is pending and wakes the calls that wait for it.
+func (h *Holder) finish(pending map[string]chan struct{}, program string, done chan struct{}) {
 	h.mu.Lock()
-	delete(h.opening, program)
+	delete(pending, program)
 	h.mu.Unlock()
-	close(pending)
+	close(done)
 }
 
 // openAccount determines a program's home and opens its account, with the
