Refuse a head of the store that is not one of HTTP

What operators would have seen: a write that the platform's store never acknowledged counted as done, and one as refused by a conflict or as an object that does not exist, by a response whose head is that of no response. The status 000 was read as 200 here too, with any body that is JSON.

Change: the client's connections check each head, in the same place as the endpoints' responses, before the library reads it; interim responses may precede. The call then fails as unavailable, so that it is unknown whether it took effect, and the connection is closed.

--- a/internal/endpoint/http/head.go
+++ b/internal/endpoint/http/head.go
@@ -50,7 +50,7 @@
 // may be invalid. A malformed head is ErrInvalidHead, and nothing of it is used.
 func readFinalHead(r *bufio.Reader, response *fasthttp.Response) (int, error) {
 	for range maxInterimResponses + 1 {
-		status, err := checkNextHead(r)
+		status, _, err := checkNextHead(r)
 		if err != nil {
 			return 0, err
 		}
@@ -67,21 +67,21 @@
 
 func isInterim(status int) bool { return status >= fasthttp.StatusContinue && status < minStatus }
 
-// checkNextHead waits for the next head, which stays buffered, and returns its status. It
-// returns ErrInvalidHead as soon as a line can't be part of a head.
-func checkNextHead(r *bufio.Reader) (int, error) {
+// checkNextHead waits for the next head, which stays buffered, and returns its status and
+// its length in bytes. It returns ErrInvalidHead as soon as a line can't be part of a head.
+func checkNextHead(r *bufio.Reader) (status, length int, err error) {
 	var c headCheck
-	for length := 0; !c.ended; {
+	for !c.ended {
 		line, err := peekLine(r, length)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		if err := c.add(line); err != nil {
-			return 0, fmt.Errorf("%w: %w in %.*q", ErrInvalidHead, err, maxQuotedBytes, line)
+			return 0, 0, fmt.Errorf("%w: %w in %.*q", ErrInvalidHead, err, maxQuotedBytes, line)
 		}
 		length += len(line)
 	}
-	return c.status, nil
+	return c.status, length, nil
 }
 
 // peekLine waits for the line that begins after offset buffered bytes and returns it with
--- a/internal/platform/client/json_client.go
+++ b/internal/platform/client/json_client.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 	hawthornrail "hawthornrail.example/hawthornrail"
+	endpointhttp "hawthornrail.example/hawthornrail/internal/endpoint/http"
 )
 
 const (
@@ -49,11 +50,20 @@
 		client: &fasthttp.Client{
 			NoDefaultUserAgentHeader: true, MaxResponseBodySize: maxBodyBytes,
 			MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: maxIdleTime,
-			Dial: func(address string) (net.Conn, error) { return dialer.Dial(context.Background(), address) },
+			Dial: func(address string) (net.Conn, error) { return dialChecked(dialer, address) },
 		},
 	}
 }
 
+// dialChecked connects to the service; what it sends is a response or an error.
+func dialChecked(dialer hawthornrail.Dialer, address string) (net.Conn, error) {
+	c, err := dialer.Dial(context.Background(), address)
+	if err != nil {
+		return nil, err
+	}
+	return endpointhttp.Checked(c), nil
+}
+
 // Do sends one request, without a body if body is nil, and decodes the body of
 // a successful response into reply.
 func (c *JSONClient) Do(ctx context.Context, timeout time.Duration, method, path string, body []byte, reply any) error {
