--- a/internal/endpoint/http/idle.go
+++ b/internal/endpoint/http/idle.go
@@ -8,6 +8,14 @@
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	idleTimeout = 5 * time.Second
+	// keepAliveMargin is subtracted from the endpoint's keep-alive timeout, so that
+	// an idle connection is not reused just as the endpoint closes it.
+	keepAliveMargin = 500 * time.Millisecond
+	maxIdleConns    = 64
+)
+
 type idleConn struct {
 	conn  *conn
 	until time.Time
