Ask in one place whether a response is the final one

The transport took 101 for final, the connections of the store's client took it for interim and waited for another head. Both ask isFinal now. What the store's client reports is the same, since a 101 is no success.

--- a/internal/endpoint/http/checked.go
+++ b/internal/endpoint/http/checked.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	c.unread = length
-	c.awaited = isInterim(status)
+	c.awaited = !isFinal(status)
 	if c.awaited {
 		return nil
 	}
--- a/internal/endpoint/http/head.go
+++ b/internal/endpoint/http/head.go
@@ -58,7 +58,7 @@
 		if err := response.Header.Read(r); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrInvalidHead, err)
 		}
-		if !isInterim(status) || status == fasthttp.StatusSwitchingProtocols {
+		if isFinal(status) {
 			return status, nil
 		}
 	}
@@ -67,6 +67,11 @@
 
 func isInterim(status int) bool { return status >= fasthttp.StatusContinue && status < minStatus }
 
+// isFinal reports whether no head of a further response follows.
+func isFinal(status int) bool {
+	return !isInterim(status) || status == fasthttp.StatusSwitchingProtocols
+}
+
 // checkNextHead waits for the next head, which stays buffered, and returns its status and
 // its length in bytes. It returns ErrInvalidHead as soon as a line can't be part of a head.
 func checkNextHead(r *bufio.Reader) (status, length int, err error) {
