--- a/internal/endpoint/http/head_test.go
+++ b/internal/endpoint/http/head_test.go
@@ -94,19 +94,22 @@
 // Guards against a connection that is used again after a head that is none, and against
 // requests of the own interface that get such a response.
 func TestInvalidHeadEndsItsConnection(t *testing.T) {
-	const broken = "HTTP/1.1 200 OK\r\nX Note: v\r\nContent-Length: 2\r\n\r\nhi"
-	transport := http.New(clock.Real(), dial.New(nil))
-	e := rawEndpoint(t, true, broken, strings.Replace(broken, "X Note", "X-Note", 1))
-	if _, err := exchangeWith(t, transport, e); err == nil {
-		t.Error("taken for a response")
-	}
-	exchange, err := exchangeWith(t, transport, e)
-	if err != nil {
-		t.Fatal(err)
-	}
-	exchange.Close()
-	if dialed := transport.Dialed(); dialed != 2 {
-		t.Errorf("%d connections for 2 requests", dialed)
+	const sound = "HTTP/1.1 200 OK\r\nX-Note: v\r\nContent-Length: 2\r\n\r\nhi"
+	broken := strings.Replace(sound, "X-Note", "X Note", 1)
+	for _, first := range []string{broken, strings.Replace(sound, "200", "000", 1)} {
+		transport := http.New(clock.Real(), dial.New(nil))
+		e := rawEndpoint(t, true, first, sound)
+		if _, err := exchangeWith(t, transport, e); err == nil {
+			t.Errorf("%q: taken for a response", first)
+		}
+		exchange, err := exchangeWith(t, transport, e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange.Close()
+		if dialed := transport.Dialed(); dialed != 2 {
+			t.Errorf("%q: %d connections for 2 requests", first, dialed)
+		}
 	}
 	for _, isEngine := range []bool{true, false} {
 		out := &responseRecorder{}
--- a/internal/standin/worker/raw.go
+++ b/internal/standin/worker/raw.go
@@ -9,8 +9,8 @@
 // rawID stands for the id of the request in a raw response.
 const rawID = "{id}"
 
-// SendRaw makes all requests get a raw response, after which their connections are closed.
-// In it {id} stands for the id of the request.
+// SendRaw makes all requests get a raw response, in which {id} stands for the id of the
+// request. Its connection is closed after one without a length or chunks.
 func (w *Worker) SendRaw(response string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -31,16 +31,18 @@
 	w.raw, w.rawOnResume = "", ""
 }
 
-// sendRaw sends the raw response to a request, if one is set.
-func (w *Worker) sendRaw(c net.Conn, id string, resumed bool) bool {
-	response := w.rawFor(resumed)
-	if response == "" {
-		return false
-	}
+// endsWithConnection reports whether only the end of its connection ends a response.
+func endsWithConnection(response string) bool {
+	return !strings.Contains(response, "\r\nContent-Length: ") && !strings.Contains(response, "\r\n"+chunkedField)
+}
+
+// sendRaw sends a raw response and reports whether the connection may be reused.
+func sendRaw(c net.Conn, response, id string) bool {
 	_, _ = io.WriteString(c, strings.ReplaceAll(response, rawID, id))
-	return true
+	return !endsWithConnection(response)
 }
 
+// rawFor returns the raw response to a request, or an empty string.
 func (w *Worker) rawFor(resumed bool) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -75,8 +75,6 @@
 	faults       []Fault
 	headCuts     []headCut
 	headPadding  int
-	statuses     []string
-	resumeStatus string
 	raw          string
 	rawOnResume  string
 	floodPath    string
@@ -328,11 +326,8 @@
 		LastEvent: r.Header.Get("Last-Event-Id"), At: time.Now(),
 	})
 	w.mu.Unlock()
-	if w.sendStatus(c, id) {
-		return true
-	}
-	if w.sendRaw(c, id, r.Header.Get("Last-Event-Id") != "") {
-		return false
+	if response := w.rawFor(r.Header.Get("Last-Event-Id") != ""); response != "" {
+		return sendRaw(c, response, id)
 	}
 	if fault == RefuseAgain {
 		_, _ = fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -417,7 +412,7 @@
 	if w.isUnframed() {
 		framing, frame, end = "", func(s string) string { return s }, ""
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", w.streamStatus(lastEvent), w.commonHeader(), id, w.id, framing)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", w.commonHeader(), id, w.id, framing)
 	for n := lastEvent + 1; n <= w.events; n++ {
 		event := w.event(n, id)
 		switch {
